--- /dev/null
+++ b/src/bin/mountbend-wirehost.rs
@@ -0,0 +1,17 @@
+//! Hosts decision modules on the wire: one line in, one line out.
+#![forbid(unsafe_code)]
+
+use std::io::{self, BufWriter};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let stdin = io::stdin().lock();
+    let stdout = BufWriter::new(io::stdout().lock());
+    match mountbend::wire::run(stdin, stdout) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mountbend-wirehost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,38 @@
+//! mountbend decides for an admission gateway of a service sold by plan: which request is let in,
+//! deferred or refused, and which server gets it.
+//!
+//! The decisions are one pure state machine, [`control::Controller`]: events go in with the clock,
+//! actions come out. It opens no socket and reads no clock.
+//!
+//! ```
+//! use mountbend::control::Controller;
+//! use mountbend::interface::*;
+//!
+//! let settings = Settings {
+//!     nodes: 1,
+//!     classes: vec![Class { on_time: 500_000, deadline: 2_000_000, credit: 1.0, ..Class::default() }],
+//!     plans: vec![Plan::default()], // no quota at all
+//!     limits: Limits { try_limit: 3, ..Limits::default() },
+//!     ..Settings::default()
+//! };
+//! let mut node = Controller::new(7, settings);
+//! let mut actions = Vec::new();
+//! let server = Member { server: ServerId(4), state: MemberState::In, ..Member::default() };
+//! node.handle(1_000, Event::Members { kind: ListKind::Whole, entries: vec![server] }, &mut actions);
+//! actions.clear();
+//! let request = NewRequest {
+//!     id: "r1".into(), customer: CustomerId(9), class: 0, plan: 0, units: 1.0,
+//!     first_node: 0, spread: 1, marked_retry: false, due: 2_000_000,
+//! };
+//! node.handle(2_000, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(4), .. })));
+//! ```
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod interface;
+pub mod wire;
+
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- /dev/null
+++ b/tests/quotas.rs
@@ -0,0 +1,213 @@
+//! Leases and deferrals, through the public API.
+
+mod common;
+use common::*;
+use mountbend::interface::*;
+
+/// Asks every 100 ms for `seconds` and answers each attempt; gives the units let in.
+fn greedy(n: &mut Node, counter: &mut Counter, seconds: u64) -> f64 {
+    let mut units = 0.0;
+    for _ in 0..seconds * 10 {
+        n.wait(100 * MS);
+        let (_, actions) = n.ask(0, 1.0);
+        for (id, server) in sent(&settle(n, counter, actions)) {
+            units += 1.0;
+            let more = n.end(&id, 0, server, Outcome::Ok);
+            settle(n, counter, more);
+        }
+    }
+    units
+}
+
+#[test]
+fn a_customer_that_always_asks_gets_burst_plus_rate_and_no_more() {
+    let (mut n, mut counter) = (Node::new(settings(), 4), Counter::default());
+    let units = greedy(&mut n, &mut counter, 60);
+    let right = 12.0 + 2.0 * 60.0;
+    assert!((0.85 * right..=1.05 * right).contains(&units), "{units} units let in, {right} are right");
+}
+
+#[test]
+fn two_nodes_share_one_bucket() {
+    let mut counter = Counter::default();
+    let (mut a, mut b) = (Node::new(settings(), 4), Node::new(settings(), 4));
+    let mut units = 0.0;
+    for _ in 0..30 {
+        units += greedy(&mut a, &mut counter, 1);
+        b.now = a.now - SECOND;
+        units += greedy(&mut b, &mut counter, 1);
+    }
+    let right = 12.0 + 2.0 * 30.0;
+    assert!(units <= 1.25 * right, "{units} units let in, {right} are right");
+}
+
+#[test]
+fn a_counter_that_comes_back_empty_does_not_grant_the_burst_again() {
+    let (mut n, mut counter) = (Node::new(settings(), 4), Counter::default());
+    greedy(&mut n, &mut counter, 20);
+    counter.0.clear();
+    let units = greedy(&mut n, &mut counter, 5);
+    assert!(units <= 2.0 * 5.0 + 4.0, "{units} units in 5 s after the loss");
+}
+
+#[test]
+fn the_first_request_waits_for_the_lease_and_is_not_lost() {
+    let mut n = Node::new(settings(), 4);
+    let (id, actions) = n.ask(0, 2.0);
+    assert!(sent(&actions).is_empty());
+    let (name, amount) = call(&actions).expect("a call for a lease");
+    assert!(amount >= 2.0);
+    assert_eq!(sent(&n.counted(name, Outcome::Ok, amount))[0].0, id);
+}
+
+#[test]
+fn a_silent_counter_leaves_the_even_share() {
+    let mut n = Node::new(settings(), 4);
+    let (_, actions) = n.ask(0, 1.0);
+    let (name, _) = call(&actions).expect("a call");
+    assert_eq!(sent(&n.counted(name, Outcome::TimedOut, 0.0)).len(), 1, "the even share lets it in");
+    let mut let_in = 1;
+    for _ in 0..200 {
+        n.wait(MS / 10);
+        let (_, actions) = n.ask(0, 1.0);
+        let_in += sent(&actions).len();
+    }
+    assert!(let_in <= 4, "{let_in} units at once, the even share of the burst is 4");
+}
+
+#[test]
+fn an_overshoot_is_handed_back() {
+    let mut n = Node::new(settings(), 4);
+    let (_, actions) = n.ask(0, 1.0);
+    let (name, amount) = call(&actions).expect("a call");
+    let back = n.counted(name, Outcome::Ok, amount + 1.0 * 12.0 + 2.0 * 60.0);
+    let (_, returned) = call(&back).expect("a give-back");
+    assert!(returned < 0.0);
+}
+
+fn spend_all(n: &mut Node) {
+    let (_, actions) = n.ask(0, 1.0);
+    let (name, _) = call(&actions).expect("a call");
+    let mut actions = n.counted(name, Outcome::Ok, 500.0);
+    while let Some((name, _)) = call(&actions) {
+        actions = n.counted(name, Outcome::Ok, 490.0);
+    }
+}
+
+#[test]
+fn refusals_beyond_quota_are_spaced_and_capped_and_a_marked_return_gets_no_second() {
+    let mut set = settings();
+    set.plans[0].quota_rate = 12.0;
+    set.plans[0].burst = 24.0;
+    let mut n = Node::new(set, 4);
+    spend_all(&mut n);
+    let advice: Vec<Micros> = (0..12).filter_map(|_| refused(&n.ask(0, 1.0).1)).collect();
+    let timed: Vec<Micros> = advice.iter().copied().filter(|&a| a > 0).collect();
+    assert!(timed.len() >= 2, "{advice:?}");
+    assert!(timed.windows(2).all(|w| w[1] > w[0]), "each past the latest promise: {advice:?}");
+    assert_eq!(*advice.last().expect("refusals"), 0, "beyond D the refusal is plain: {advice:?}");
+    n.wait(timed[0] + MS);
+    let marked = n.ask_as(0, 12.0, true).1;
+    assert!(refused(&marked).is_none_or(|a| a == 0));
+}
+
+#[test]
+fn when_spacing_outgrows_the_reach_the_refusal_is_plain() {
+    let mut n = Node::new(settings(), 4); // x = 6 units over 2/3 a second = 9 s, past every reach
+    spend_all(&mut n);
+    assert_eq!(refused(&n.ask(0, 6.0).1), Some(0));
+}
+
+#[test]
+fn without_advice_no_promise_is_made() {
+    let mut set = settings();
+    set.limits.retry_after = false;
+    let mut n = Node::new(set, 4);
+    spend_all(&mut n);
+    assert_eq!(refused(&n.ask(0, 1.0).1), Some(0));
+}
+
+#[test]
+fn odd_settings_have_a_defined_behaviour() {
+    for change in 0..5 {
+        let mut set = settings();
+        match change {
+            0 => set.plans[0].quota_rate = 0.0,
+            1 => set.plans[0].burst = 0.0,
+            2 => set.plans.clear(),
+            3 => set.nodes = 1,
+            _ => set.counter.allowed = false,
+        }
+        let mut n = Node::new(set, 2);
+        let (_, actions) = n.ask(0, 1.0);
+        let done = sent(&actions).len() == 1 || refused(&actions).is_some() || call(&actions).is_some();
+        assert!(done, "change {change}: {actions:?}");
+    }
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = || {
+        let (mut n, mut counter) = (Node::new(settings(), 4), Counter::default());
+        let mut all = Vec::new();
+        for i in 0..200u64 {
+            n.wait(10 * MS + i);
+            let (_, actions) = n.ask((i % 3) as usize, 1.0);
+            all.extend(settle(&mut n, &mut counter, actions));
+            all.extend(n.tick());
+        }
+        all
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn a_return_through_another_node_runs_if_units_remain_and_is_else_refused_plainly() {
+    let mut set = settings();
+    set.plans[0].quota_rate = 12.0;
+    set.plans[0].burst = 24.0;
+    let mut first = Node::new(set.clone(), 4);
+    spend_all(&mut first);
+    assert!(first_promise(&mut first).is_some(), "promised at the first node");
+    let mut other = Node::new(set.clone(), 4);
+    let (_, actions) = other.ask_as(0, 1.0, true);
+    let (name, amount) = call(&actions).expect("the other node never booked it and asks for units");
+    assert_eq!(sent(&other.counted(name, Outcome::Ok, amount)).len(), 1);
+    let mut spent = Node::new(set, 4);
+    spend_all(&mut spent);
+    assert!(first_promise(&mut spent).is_some());
+    assert_eq!(refused(&spent.ask_as(0, 1.0, true).1), Some(0));
+}
+
+#[test]
+fn a_restart_promises_afresh() {
+    let mut set = settings();
+    set.plans[0].quota_rate = 12.0;
+    set.plans[0].burst = 24.0;
+    let promise = |set: Settings| {
+        let mut n = Node::new(set, 4);
+        spend_all(&mut n);
+        first_promise(&mut n)
+    };
+    let before = promise(set.clone());
+    assert!(before.is_some());
+    assert_eq!(promise(set), before, "the new node's schedule is empty: two promises may fall on one moment");
+}
+
+#[test]
+fn under_a_hard_ceiling_restarts_with_an_empty_counter_do_not_grant_the_burst_again() {
+    let mut set = settings();
+    (set.plans[0].ceiling_rate, set.plans[0].ceiling_burst) = (3.4, 20.4);
+    let mut units = 0.0;
+    for _ in 0..3 {
+        // A new node and a counter that has forgotten all.
+        let (mut n, mut counter) = (Node::new(set.clone(), 4), Counter::default());
+        units += greedy(&mut n, &mut counter, 2);
+    }
+    assert!(units <= 20.4 + 3.4 * 6.0, "{units} units through three restarts; the ceiling allows 40.8");
+}
+
+/// Asks until a refusal carries a time.
+fn first_promise(n: &mut Node) -> Option<Micros> {
+    (0..12).find_map(|_| refused(&n.ask(0, 1.0).1).filter(|&advice| advice > 0))
+}
--- /dev/null
+++ b/tests/servers.rs
@@ -0,0 +1,171 @@
+//! Server choice, attempts and overload, through the public API.
+
+mod common;
+use common::*;
+use mountbend::interface::*;
+
+#[test]
+fn nothing_goes_to_a_draining_or_missing_server() {
+    let mut n = Node::new(open(), 2);
+    n.event(Event::Members { kind: ListKind::Changes, entries: vec![member(0, MemberState::Draining, 0)] });
+    for _ in 0..20 {
+        let (id, server) = send_one(&mut n, 0);
+        assert_eq!(server, ServerId(1));
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    n.event(Event::Members { kind: ListKind::Whole, entries: vec![member(0, MemberState::In, 0)] });
+    assert_eq!(send_one(&mut n, 0).1, ServerId(0), "absent from a whole list is gone");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_and_not_sent_again() {
+    let mut n = Node::new(open(), 3);
+    let (id, server) = send_one(&mut n, 2);
+    let actions = n.end(&id, 0, server, Outcome::Reset);
+    assert!(sent(&actions).is_empty() && failed(&actions));
+}
+
+#[test]
+fn an_unsafe_request_that_did_not_run_gets_another_server() {
+    let mut n = Node::new(open(), 3);
+    let (id, server) = send_one(&mut n, 2);
+    let again = sent(&n.end(&id, 0, server, Outcome::ConnectFailed));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, server);
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_cell_and_its_window() {
+    let mut n = Node::new(open(), 6);
+    let (id, server) = send_one(&mut n, 1);
+    let again = sent(&n.end(&id, 0, server, Outcome::Reset));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1 .0 % 2, server.0 % 2, "the same cell");
+    n.wait(SECOND + MS);
+    let late = n.end(&id, 1, again[0].1, Outcome::Reset);
+    assert!(sent(&late).is_empty() && failed(&late), "past the window");
+}
+
+#[test]
+fn a_try_that_comes_as_its_client_gives_up_is_answered_at_once() {
+    let mut n = Node::new(open(), 2);
+    let request = NewRequest {
+        id: "late".into(),
+        customer: CustomerId(1),
+        class: 0,
+        plan: 0,
+        units: 1.0,
+        first_node: 0,
+        spread: 1,
+        marked_retry: true,
+        due: n.now,
+    };
+    let actions = n.event(Event::Request(request));
+    assert!(sent(&actions).is_empty() && refused(&actions).is_some());
+}
+
+#[test]
+fn a_full_fleet_refuses_and_an_idle_one_never_does() {
+    let mut n = Node::new(open(), 2);
+    let mut out = Vec::new();
+    for _ in 0..20 {
+        out.push(send_one(&mut n, 0));
+        n.wait(20 * MS);
+    }
+    for (id, server) in out.drain(..) {
+        n.wait(50 * MS);
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    let mut refusals = 0;
+    for _ in 0..200 {
+        n.wait(MS);
+        let (_, actions) = n.ask(0, 1.0);
+        refusals += usize::from(refused(&actions).is_some());
+        out.extend(sent(&actions));
+    }
+    assert!(refusals > 50, "{refusals} refused of 200 in 0.2 s on two servers at 20 a second");
+    for (id, server) in out {
+        n.wait(50 * MS);
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    n.wait(10 * SECOND);
+    assert_eq!(sent(&n.ask(0, 1.0).1).len(), 1, "an idle fleet is not latched shut by old latencies");
+}
+
+#[test]
+fn a_cold_server_gets_little_from_its_first_moment() {
+    let mut n = Node::new(open(), 4);
+    let started = n.now - MS;
+    n.event(Event::Members { kind: ListKind::Changes, entries: vec![member(3, MemberState::In, started)] });
+    let (mut cold, mut all) = (0, 0);
+    for _ in 0..150 {
+        n.wait(10 * MS);
+        let (id, server) = send_one(&mut n, 0);
+        all += 1;
+        cold += usize::from(server == ServerId(3));
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    // The guaranteed share is 0.2 to 0.28 of a server in this window: a fourth of 150 / 4, with slack.
+    assert!(cold <= all / 4 / 3, "{cold} of {all} in the fall window");
+}
+
+#[test]
+fn a_server_that_takes_work_and_answers_nothing_is_left_alone() {
+    let mut n = Node::new(open(), 4);
+    let mut to_hung = 0;
+    for i in 0..400 {
+        n.wait(10 * MS);
+        n.tick();
+        let (id, server) = send_one(&mut n, 0);
+        if server == ServerId(2) {
+            to_hung += usize::from(i >= 200);
+        } else {
+            n.end(&id, 0, server, Outcome::Ok);
+        }
+    }
+    assert!(to_hung <= 6, "{to_hung} of the last 200 went to the server that hangs");
+}
+
+#[test]
+fn stale_events_are_ignored() {
+    let mut n = Node::new(open(), 2);
+    n.end(&"never".into(), 3, ServerId(99), Outcome::Ok);
+    n.event(Event::Gone { id: "never".into() });
+    n.event(Event::Began { id: "never".into() });
+    n.event(Event::Probed { server: ServerId(99), outcome: Outcome::Ok });
+    n.counted(CountName(5), Outcome::Ok, 3.0);
+    n.event(Event::Timer { id: 77 });
+    let (id, server) = send_one(&mut n, 0);
+    n.end(&id, 9, server, Outcome::Ok);
+    n.end(&id, 0, server, Outcome::Ok);
+    assert!(n.end(&id, 0, server, Outcome::TimedOut).is_empty(), "an attempt ends once");
+}
+
+#[test]
+fn with_no_servers_a_request_is_held_and_then_answered() {
+    let mut n = Node::new(open(), 0);
+    let (_, actions) = n.ask(0, 1.0);
+    assert!(sent(&actions).is_empty() && refused(&actions).is_none());
+    n.wait(600 * MS);
+    assert!(refused(&n.tick()).is_some());
+}
+
+#[test]
+fn a_server_that_recovers_is_used_again_though_unsafe_work_still_hangs_there() {
+    let mut n = Node::new(open(), 2);
+    for _ in 0..50 {
+        n.wait(20 * MS);
+        let (id, server) = send_one(&mut n, 0);
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    while send_one(&mut n, 2).1 != ServerId(1) {} // left hanging
+    let mut back = 0;
+    for _ in 0..75 {
+        n.wait(20 * MS);
+        n.tick();
+        let (id, server) = send_one(&mut n, 0);
+        back += usize::from(server == ServerId(1));
+        n.end(&id, 0, server, Outcome::Ok);
+    }
+    assert!(back > 20, "{back} of 75 in 1.5 s went to the server that answers again");
+}
