--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,169 @@
+//! pinerelay: one edge node. Configuration, runtime, signals and the planned stop.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use mountbend::control::Controller;
+use mountbend::interface::Settings;
+use mountbend::wire::Env;
+use serde::Deserialize;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+use net::budget::Budget;
+use net::clients::{Clients, Rules};
+use net::counter::Counter;
+use net::discovery::{Discovery, List};
+use net::node::Node;
+use net::servers::Servers;
+
+/// After SIGTERM new connections go on coming for 0.4 s: idle ones are closed after the first span, while
+/// what crosses that can still connect anew, and the listener closes after the second.
+const IDLE_AFTER: Duration = Duration::from_millis(450);
+const DEAF_AFTER: Duration = Duration::from_millis(450);
+/// How often a node that stops looks whether all is answered, and how much longer than a deadline it looks.
+const LAST_LOOKS: Duration = Duration::from_millis(10);
+const LAST_GRACE: Duration = Duration::from_millis(500);
+const BACKLOG: u32 = 1024;
+
+#[derive(Deserialize)]
+struct Config {
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    counter: Option<String>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: List,
+    settings: Env,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// Why the node could not start.
+enum StartError {
+    NoConfig,
+    Unreadable(String, std::io::Error),
+    Malformed(serde_json::Error),
+    Address(&'static str, String),
+    Seed(String),
+    Listen(SocketAddr, std::io::Error),
+    System(std::io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::NoConfig => f.write_str("PROXY_CONFIG names no configuration"),
+            StartError::Unreadable(path, error) => write!(f, "cannot read {path}: {error}"),
+            StartError::Malformed(error) => write!(f, "the configuration is malformed: {error}"),
+            StartError::Address(what, text) => write!(f, "{what}: {text:?} is no address"),
+            StartError::Seed(text) => write!(f, "seed: {text:?} is no hexadecimal number of 64 bits"),
+            StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            StartError::System(error) => write!(f, "cannot start: {error}"),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pinerelay: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn address(what: &'static str, text: &str) -> Result<SocketAddr, StartError> {
+    text.parse().map_err(|_| StartError::Address(what, text.into()))
+}
+
+fn start() -> Result<(), StartError> {
+    let path = std::env::var("PROXY_CONFIG").map_err(|_| StartError::NoConfig)?;
+    let text = std::fs::read(&path).map_err(|e| StartError::Unreadable(path, e))?;
+    let config: Config = serde_json::from_slice(&text).map_err(StartError::Malformed)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), StartError> {
+    let at = address("listen", &config.listen)?;
+    let discovery = address("discovery", &config.discovery)?;
+    let counter = config.counter.as_deref().map(|text| address("counter", text)).transpose()?;
+    let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
+
+    let allowed = rlimit::increase_nofile_limit(config.limits.sockets as u64).map_err(StartError::System)?;
+    let budget = Budget::new(config.limits.sockets.min(allowed as usize));
+    let mut env = config.settings;
+    let (zones, kinds) = (std::mem::take(&mut env.zones), std::mem::take(&mut env.kinds));
+    let (connect_timeout, conn_idle) = (env.bounds.connect_timeout, env.bounds.conn_idle);
+    let patience = Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
+    let nodes = env.n_instances;
+    let rules = Rules::new(&env, nodes);
+    let settings = Settings::from(env);
+
+    let servers = Servers::new(budget.clone(), connect_timeout, conn_idle);
+    let counter = Counter::new(counter.filter(|_| settings.counter.allowed), settings.counter.wait);
+    let discovery = Discovery::new(discovery, zones, kinds);
+    let try_limit = settings.limits.try_limit;
+    let controller = Controller::new(seed, settings);
+    let node = Node::new(controller, try_limit, servers, counter.clone(), discovery.clone());
+    let listener = listen(at).map_err(|e| StartError::Listen(at, e))?;
+    discovery.start(&node, config.known);
+    counter.start(&node);
+    let clients = Clients::new(node.clone(), rules, budget.clone());
+    let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
+
+    either(&mut terminate, &mut interrupt).await;
+    node.stop();
+    sleep(IDLE_AFTER).await;
+    clients.close_idle();
+    sleep(DEAF_AFTER).await;
+    accepting.abort();
+    clients.close_idle();
+    let done = async {
+        while node.waited_for() || budget.clients() > 0 {
+            sleep(LAST_LOOKS).await;
+        }
+    };
+    // What is still open by then waits for nothing that this node owes.
+    let _ = timeout(patience + LAST_GRACE, done).await;
+    Ok(())
+}
+
+async fn either(a: &mut Signal, b: &mut Signal) {
+    tokio::select! {
+        _ = a.recv() => {}
+        _ = b.recv() => {}
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/src/net/counter.rs
@@ -0,0 +1,259 @@
+//! The quota counter: pipelined RESP2 on a few connections, each name always on the same one.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use mountbend::interface::{CountName, Event, Micros, Outcome};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
+
+use super::node::Node;
+
+/// Connections: a slow part of the counter holds up only the names that share one with its own.
+const LINES: u64 = 4;
+/// Calls that may wait on one connection.
+const QUEUE_MOST: usize = 4096;
+/// A connection that owes an answer for this long is given up and opened anew.
+const SILENT: Duration = Duration::from_secs(2);
+/// No answer line is this long.
+const LINE_MOST: usize = 4096;
+/// The counter keeps no name for longer, and adds no more.
+const KEEP_MOST_MS: u64 = 60_000;
+const AMOUNT_MOST: f64 = 1e9;
+
+struct Call {
+    name: CountName,
+    amount: f64,
+    keep_ms: u64,
+    made: Instant,
+}
+
+#[derive(Default)]
+struct Line {
+    queue: RefCell<VecDeque<Call>>,
+    wake: Notify,
+}
+
+/// The counter as this node sees it.
+pub struct Counter {
+    address: Option<SocketAddr>,
+    wait: Duration,
+    lines: Vec<Rc<Line>>,
+}
+
+/// A call that has been put on a connection.
+struct Asked {
+    name: CountName,
+    made: Instant,
+    /// Where its last byte stands among all bytes for this connection.
+    end: u64,
+    /// It has timed out; its answer is still to come and is dropped.
+    told: bool,
+}
+
+impl Counter {
+    /// The counter at this address, if the site has one; a call without an answer by `wait` has timed out.
+    pub fn new(address: Option<SocketAddr>, wait: Micros) -> Rc<Self> {
+        let lines = (0..LINES).map(|_| Rc::default()).collect();
+        Rc::new(Counter { address, wait: Duration::from_micros(wait.max(1)), lines })
+    }
+
+    /// Makes a call; its outcome comes as an event.
+    pub fn add(&self, node: &Rc<Node>, name: CountName, amount: f64, keep_for: Micros) {
+        let line = &self.lines[(name.0 % LINES) as usize];
+        if self.address.is_none() || !amount.is_finite() || line.queue.borrow().len() >= QUEUE_MOST {
+            return node.event(Event::Counted { name, outcome: Outcome::ConnectFailed, total: 0.0 });
+        }
+        let amount = amount.clamp(-AMOUNT_MOST, AMOUNT_MOST);
+        let keep_ms = (keep_for / 1000).clamp(1, KEEP_MOST_MS);
+        line.queue.borrow_mut().push_back(Call { name, amount, keep_ms, made: Instant::now() });
+        line.wake.notify_one();
+    }
+
+    /// Serves the calls from now on.
+    pub fn start(&self, node: &Rc<Node>) {
+        let Some(address) = self.address else { return };
+        for line in &self.lines {
+            let (line, node, wait) = (line.clone(), node.clone(), self.wait);
+            tokio::task::spawn_local(async move {
+                loop {
+                    if line.queue.borrow().is_empty() {
+                        line.wake.notified().await;
+                        continue;
+                    }
+                    if let Some(stream) = connect(&line, &node, address, wait).await {
+                        session(&line, &node, stream, wait).await;
+                    }
+                }
+            });
+        }
+    }
+}
+
+fn tell(node: &Rc<Node>, name: CountName, outcome: Outcome, total: f64) {
+    node.event(Event::Counted { name, outcome, total });
+}
+
+/// Connects for the calls that wait; what gets no connection in time has not been added.
+async fn connect(line: &Line, node: &Rc<Node>, address: SocketAddr, wait: Duration) -> Option<TcpStream> {
+    let first = line.queue.borrow().front()?.made;
+    let stream = tokio::time::timeout_at(first + wait, TcpStream::connect(address)).await;
+    if let Ok(Ok(stream)) = stream {
+        let _ = stream.set_nodelay(true);
+        return Some(stream);
+    }
+    // Only the calls that wait now: being told of one may lead to the next.
+    let refused = stream.is_ok();
+    let waiting = line.queue.borrow().len();
+    for _ in 0..waiting {
+        let over = line.queue.borrow_mut().pop_front_if(|c| refused || c.made + wait <= Instant::now());
+        let Some(call) = over else { break };
+        tell(node, call.name, Outcome::ConnectFailed, 0.0);
+    }
+    None
+}
+
+/// Serves calls on one connection until it ends.
+async fn session(line: &Line, node: &Rc<Node>, mut stream: TcpStream, wait: Duration) {
+    let (mut reader, mut writer) = stream.split();
+    let (mut outgoing, mut incoming) = (BytesMut::new(), BytesMut::new());
+    let (mut queued, mut written) = (0u64, 0u64);
+    let mut asked: VecDeque<Asked> = VecDeque::new();
+    'open: loop {
+        for call in line.queue.borrow_mut().drain(..) {
+            let before = outgoing.len();
+            encode(&mut outgoing, &call);
+            queued += (outgoing.len() - before) as u64;
+            asked.push_back(Asked { name: call.name, made: call.made, end: queued, told: false });
+        }
+        let overdue = asked.iter().find(|a| !a.told).map(|a| a.made + wait);
+        let silent = asked.front().map(|a| a.made + SILENT);
+        let next = overdue.into_iter().chain(silent).min();
+        tokio::select! {
+            sent = writer.write_buf(&mut outgoing), if !outgoing.is_empty() => match sent {
+                Ok(count) if count > 0 => written += count as u64,
+                _ => break 'open,
+            },
+            got = reader.read_buf(&mut incoming) => {
+                if !matches!(got, Ok(count) if count > 0) {
+                    break 'open;
+                }
+                loop {
+                    match decode(&mut incoming) {
+                        Ok(Some(reply)) => {
+                            let Some(call) = asked.pop_front() else {
+                                eprintln!("pinerelay: an answer of the counter that nobody asked for");
+                                break 'open;
+                            };
+                            // Danger: a late answer belongs to a call that has been told as timed out.
+                            if !call.told {
+                                match reply {
+                                    Reply::Total(total) => tell(node, call.name, Outcome::Ok, total),
+                                    Reply::Busy => tell(node, call.name, Outcome::Full, 0.0),
+                                }
+                            }
+                        }
+                        Ok(None) => break,
+                        Err(Garbage) => {
+                            eprintln!("pinerelay: the counter's answer makes no sense");
+                            break 'open;
+                        }
+                    }
+                }
+            },
+            _ = line.wake.notified() => {}
+            _ = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {
+                let now = Instant::now();
+                if silent.is_some_and(|at| at <= now) {
+                    break 'open;
+                }
+                for call in asked.iter_mut().filter(|a| !a.told && a.made + wait <= now) {
+                    call.told = true;
+                    tell(node, call.name, Outcome::TimedOut, 0.0);
+                }
+            }
+        }
+    }
+    // No call is made again here: whether one was added is for the decisions to weigh.
+    for call in asked.into_iter().filter(|a| !a.told) {
+        let outcome = if call.end <= written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        tell(node, call.name, outcome, 0.0);
+    }
+}
+
+fn encode(out: &mut BytesMut, call: &Call) {
+    use std::fmt::Write;
+    let (amount, keep) = (call.amount.to_string(), call.keep_ms.to_string());
+    // Writing to a buffer in memory does not fail.
+    let _ = write!(
+        out,
+        "*4\r\n$7\r\nINCRTTL\r\n$16\r\n{:016x}\r\n${}\r\n{amount}\r\n${}\r\n{keep}\r\n",
+        call.name.0,
+        amount.len(),
+        keep.len(),
+    );
+}
+
+#[derive(Debug, PartialEq)]
+enum Reply {
+    Total(f64),
+    Busy,
+}
+
+#[derive(Debug, PartialEq)]
+struct Garbage;
+
+/// Takes one whole reply off the buffer, if it holds one.
+fn decode(buffer: &mut BytesMut) -> Result<Option<Reply>, Garbage> {
+    let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
+        return if buffer.len() > LINE_MOST { Err(Garbage) } else { Ok(None) };
+    };
+    let text = std::str::from_utf8(&buffer[..end]).map_err(|_| Garbage)?;
+    match text.split_at_checked(1) {
+        Some(("-", why)) => {
+            if !why.starts_with("BUSY") {
+                eprintln!("pinerelay: the counter turned a call down: {why}");
+            }
+            buffer.advance(end + 2);
+            Ok(Some(Reply::Busy))
+        }
+        Some(("$", length)) => {
+            let length = length.parse::<usize>().ok().filter(|&n| n <= LINE_MOST).ok_or(Garbage)?;
+            let all = end + 2 + length + 2;
+            if buffer.len() < all {
+                return Ok(None);
+            }
+            let body = std::str::from_utf8(&buffer[end + 2..all - 2]).map_err(|_| Garbage)?;
+            let total = body.trim().parse::<f64>().ok().filter(|t| t.is_finite()).ok_or(Garbage)?;
+            buffer.advance(all);
+            Ok(Some(Reply::Total(total)))
+        }
+        _ => Err(Garbage),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn replies_are_taken_whole() {
+        let mut buffer = BytesMut::from(&b"$3\r\n2.5\r\n-BUSY later\r\n$1\r\n7"[..]);
+        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Total(2.5))));
+        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Busy)));
+        assert_eq!(decode(&mut buffer), Ok(None));
+        buffer.extend_from_slice(b"\r\n");
+        assert_eq!(decode(&mut buffer), Ok(Some(Reply::Total(7.0))));
+        for bad in
+            [&b"?\r\n"[..], b"$-1\r\n", b"$x\r\n", b"$3\r\nabc\r\n", b"\r\n", b"$3\r\nNaN\r\n", b"\xff\r\n"]
+        {
+            assert_eq!(decode(&mut BytesMut::from(bad)), Err(Garbage), "{bad:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! The sockets round the decisions: one file for each kind of peer, and the node that joins them.
+
+pub mod budget;
+pub mod clients;
+pub mod counter;
+pub mod discovery;
+pub mod http;
+pub mod node;
+pub mod servers;
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,301 @@
+//! The node: it owns the decisions and all open requests, and is the one place where events enter the
+//! decisions and actions leave them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use mountbend::control::Controller;
+use mountbend::interface::*;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::counter::Counter;
+use super::discovery::Discovery;
+use super::servers::{Forward, Servers};
+
+/// Attempts are given up this long before the client gives up, so that the answer still reaches it.
+const STOP_BEFORE: Micros = 25_000;
+/// What is unanswered this long before the client gives up has failed.
+const FAIL_BEFORE: Micros = 15_000;
+
+/// Unix time in microseconds that never goes back: the machine's clock at the start, then monotonic time.
+pub struct Clock {
+    start: Micros,
+    at: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: unix.as_micros() as Micros, at: Instant::now() }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.start + self.at.elapsed().as_micros() as Micros
+    }
+
+    /// A time of this clock as the runtime's timers take it.
+    pub fn instant(&self, time: Micros) -> Instant {
+        self.at + Duration::from_micros(time.saturating_sub(self.start))
+    }
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// An app server's answer.
+    Served(Bytes),
+    /// Turned away: a repeat is harmless. How long to stay away, if told.
+    Refused(Micros),
+    /// Failed, nothing promised.
+    Failed,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    /// Its task, while the attempt is out.
+    task: Option<AbortHandle>,
+}
+
+struct Open {
+    /// Where the final answer goes; none once it has been given or the client has gone.
+    answer: Option<oneshot::Sender<Answer>>,
+    forward: Rc<Forward>,
+    /// Attempts are given up at this time.
+    stop: Micros,
+    attempts: Vec<Attempt>,
+}
+
+/// One edge node.
+pub struct Node {
+    /// The node's clock.
+    pub clock: Clock,
+    /// The app servers.
+    pub servers: Rc<Servers>,
+    counter: Rc<Counter>,
+    discovery: Rc<Discovery>,
+    try_limit: usize,
+    controller: RefCell<Controller>,
+    open: RefCell<BTreeMap<RequestId, Open>>,
+    events: RefCell<VecDeque<Event>>,
+    busy: Cell<bool>,
+    stopping: Cell<bool>,
+}
+
+/// A request under an id that is still in work.
+pub struct Duplicate;
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(
+        controller: Controller,
+        try_limit: u32,
+        servers: Rc<Servers>,
+        counter: Rc<Counter>,
+        discovery: Rc<Discovery>,
+    ) -> Rc<Self> {
+        Rc::new(Node {
+            clock: Clock::new(),
+            servers,
+            counter,
+            discovery,
+            try_limit: try_limit.max(1) as usize,
+            controller: RefCell::new(controller),
+            open: RefCell::default(),
+            events: RefCell::default(),
+            busy: Cell::new(false),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether a client still waits for an answer.
+    pub fn waited_for(&self) -> bool {
+        self.open.borrow().values().any(|o| o.answer.is_some())
+    }
+
+    /// Hands an event to the decisions and carries out what they say. Danger: actions may cause events at
+    /// once; these wait until the actions of the earlier event are all done, or the decisions would be
+    /// entered twice.
+    pub fn event(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.busy.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            let over = match &event {
+                Event::Ended(e) => Some(e.id.clone()),
+                Event::Gone { id } => Some(id.clone()),
+                _ => None,
+            };
+            self.controller.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.perform(action);
+            }
+            if let Some(id) = over {
+                self.forget(&id);
+            }
+        }
+        self.busy.set(false);
+    }
+
+    fn perform(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Refuse { id, retry_after } => self.finish(&id, Answer::Refused(retry_after)),
+            Action::Fail { id } => self.finish(&id, Answer::Failed),
+            Action::Cancel { id, attempt } => self.end(&id, attempt as usize, Outcome::Cancelled, None),
+            Action::Probe { server } => {
+                let node = self.clone();
+                tokio::task::spawn_local(async move {
+                    let outcome = node.servers.probe(server).await;
+                    node.event(Event::Probed { server, outcome });
+                });
+            }
+            Action::Count { name, amount, keep_for } => self.counter.add(self, name, amount, keep_for),
+            Action::Timer { id, after } => {
+                let node = self.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(Duration::from_micros(after)).await;
+                    node.event(Event::Timer { id });
+                });
+            }
+            Action::FetchList => self.discovery.fetch(self),
+            // The list is watched from the start on.
+            Action::WatchList => {}
+        }
+    }
+
+    /// Takes a request; its answer comes through the receiver. Danger: an id that is still in work must not
+    /// be entered again, or a request that may not run twice would.
+    pub fn take(
+        self: &Rc<Self>,
+        request: NewRequest,
+        forward: Forward,
+    ) -> Result<oneshot::Receiver<Answer>, Duplicate> {
+        let (sender, receiver) = oneshot::channel();
+        let open = Open {
+            answer: Some(sender),
+            forward: Rc::new(forward),
+            stop: request.due.saturating_sub(STOP_BEFORE),
+            attempts: Vec::new(),
+        };
+        match self.open.borrow_mut().entry(request.id.clone()) {
+            std::collections::btree_map::Entry::Occupied(_) => return Err(Duplicate),
+            std::collections::btree_map::Entry::Vacant(place) => place.insert(open),
+        };
+        self.event(Event::Request(request));
+        Ok(receiver)
+    }
+
+    /// When a request that is due at this time has to be answered.
+    pub fn last_call(&self, due: Micros) -> Instant {
+        self.clock.instant(due.saturating_sub(FAIL_BEFORE))
+    }
+
+    /// Nobody waits for this request any more: its client has gone, or it has just been told that it failed.
+    pub fn gone(self: &Rc<Self>, id: &RequestId) {
+        let waited = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
+        if waited.is_some() {
+            self.event(Event::Gone { id: id.clone() });
+        }
+    }
+
+    fn finish(&self, id: &RequestId, answer: Answer) {
+        if let Some(sender) = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take()) {
+            // A client that has just gone is told of by its connection.
+            let _ = sender.send(answer);
+        }
+        self.forget(id);
+    }
+
+    /// Drops a request once it has its answer and no attempt is out.
+    fn forget(&self, id: &RequestId) {
+        let mut open = self.open.borrow_mut();
+        if open.get(id).is_some_and(|o| o.answer.is_none() && o.attempts.iter().all(|a| a.task.is_none())) {
+            open.remove(id);
+        }
+    }
+
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: Micros) {
+        let now = self.clock.now();
+        let mut requests = self.open.borrow_mut();
+        let Some(open) = requests.get_mut(&id) else {
+            eprintln!("pinerelay: an attempt for a request that is over");
+            return;
+        };
+        let number = open.attempts.len();
+        let mut attempt = Attempt { server, sent: now, task: None };
+        if open.answer.is_none() || number >= self.try_limit || now >= open.stop {
+            open.attempts.push(attempt);
+            let finished = open.answer.is_none();
+            drop(requests);
+            let outcome = Outcome::Ignored;
+            let attempt = number as u32;
+            return self.event(Event::Ended(Ended {
+                id,
+                attempt,
+                server,
+                outcome,
+                spent: 0,
+                finished,
+                final_units: None,
+            }));
+        }
+        let stop = if timeout > 0 { open.stop.min(now + timeout) } else { open.stop };
+        let (node, forward) = (self.clone(), open.forward.clone());
+        let key = id.clone();
+        let task = tokio::task::spawn_local(async move {
+            let (outcome, body) = node.servers.attempt(&node.clock, server, &forward, stop).await;
+            node.end(&key, number, outcome, body);
+        });
+        attempt.task = Some(task.abort_handle());
+        open.attempts.push(attempt);
+    }
+
+    /// An attempt is over; a second end of the same one is dropped. With a body, it has served the request.
+    fn end(self: &Rc<Self>, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
+        let mut requests = self.open.borrow_mut();
+        let Some(open) = requests.get_mut(id) else { return };
+        let Some(attempt) = open.attempts.get_mut(number) else { return };
+        let Some(task) = attempt.task.take() else { return };
+        if outcome == Outcome::Cancelled {
+            // Closes the connection too: that is how an app server learns of it.
+            task.abort();
+        }
+        let (server, spent) = (attempt.server, self.clock.now().saturating_sub(attempt.sent));
+        if let Some(body) = body {
+            if let Some(sender) = open.answer.take() {
+                let _ = sender.send(Answer::Served(body));
+            }
+        }
+        let finished = open.answer.is_none();
+        drop(requests);
+        let attempt = number as u32;
+        self.event(Event::Ended(Ended {
+            id: id.clone(),
+            attempt,
+            server,
+            outcome,
+            spent,
+            finished,
+            final_units: None,
+        }));
+    }
+}
--- /dev/null
+++ b/src/net/servers.rs
@@ -0,0 +1,323 @@
+//! The app servers: where they are, the connections kept to each, attempts and their outcomes, probes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderName, HeaderValue, HOST};
+use hyper::{Method, Request, StatusCode, Uri};
+use mountbend::interface::{Micros, Outcome, ServerId};
+use tokio::time::{timeout, timeout_at, Instant};
+
+use super::budget::{Budget, Slot};
+use super::http::{whole, Broken, Connection};
+use super::node::Clock;
+
+/// Bodies hold at most this much.
+pub const BODY_MOST: usize = 64 * 1024;
+/// How long a probe may take.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+
+/// The request's id.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// The key that lets app servers drop repeats.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How long the sender will wait, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+
+/// What goes on to an app server.
+pub struct Forward {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// `X-Request-Id`.
+    pub id: HeaderValue,
+    /// `Idempotency-Key`.
+    pub key: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+struct Kept {
+    connection: Connection,
+    since: Instant,
+}
+
+struct Host {
+    address: SocketAddr,
+    host: HeaderValue,
+    since_ms: u64,
+    up: bool,
+    /// Changes with address and start: connections of an earlier one are not kept.
+    generation: u64,
+    idle: Vec<Kept>,
+}
+
+/// All app servers that discovery has named.
+pub struct Servers {
+    hosts: RefCell<BTreeMap<ServerId, Host>>,
+    budget: Rc<Budget>,
+    connect_timeout: Duration,
+    keep: Duration,
+}
+
+/// A connection to an app server, and of which generation.
+struct Line {
+    connection: Connection,
+    generation: u64,
+    reused: bool,
+}
+
+enum NoLine {
+    /// No connection came up, or the app server wants nothing new.
+    Failed,
+    /// No descriptor was to be had.
+    Shed,
+}
+
+impl Servers {
+    /// No app servers yet. Idle connections are dropped at half the time after which the peer may do so: a
+    /// request that crosses the peer's close could not be told from one that ran.
+    pub fn new(budget: Rc<Budget>, connect_timeout: Micros, conn_idle: Micros) -> Rc<Self> {
+        let or = |value: Micros, default| if value > 0 { value } else { default };
+        let servers = Rc::new(Servers {
+            hosts: RefCell::default(),
+            budget,
+            connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
+            keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
+        });
+        let weak = Rc::downgrade(&servers);
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                let Some(servers) = weak.upgrade() else { return };
+                servers.sweep();
+            }
+        });
+        servers
+    }
+
+    fn sweep(&self) {
+        let keep = self.keep;
+        for host in self.hosts.borrow_mut().values_mut() {
+            host.idle.retain(|k| k.since.elapsed() < keep && k.connection.usable());
+        }
+    }
+
+    /// What discovery says of an app server; without a usable address the last one stands. False if there is
+    /// none at all.
+    pub fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
+        let host = hosts.entry(id).or_insert_with(|| Host {
+            address,
+            host: host_header(address),
+            since_ms,
+            up,
+            generation: 0,
+            idle: Vec::new(),
+        });
+        if host.address != address || host.since_ms != since_ms {
+            (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
+            host.generation += 1;
+            host.idle.clear();
+        }
+        host.up = up;
+        if !up {
+            host.idle.clear();
+        }
+        true
+    }
+
+    /// Marks all as gone that a whole list does not name.
+    pub fn keep_only(&self, listed: &[ServerId]) {
+        for (id, host) in self.hosts.borrow_mut().iter_mut() {
+            if !listed.contains(id) {
+                host.up = false;
+                host.idle.clear();
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, to free its descriptor.
+    pub fn close_an_idle(&self) -> bool {
+        let mut hosts = self.hosts.borrow_mut();
+        let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty()).min_by_key(|h| h.idle[0].since);
+        oldest.map(|h| h.idle.remove(0)).is_some()
+    }
+
+    /// Makes one attempt and tells how it ended, as the protocol's table has it. With the body, if served.
+    pub async fn attempt(
+        &self,
+        clock: &Clock,
+        server: ServerId,
+        forward: &Forward,
+        stop: Micros,
+    ) -> (Outcome, Option<Bytes>) {
+        let until = clock.instant(stop);
+        let mut fresh_only = false;
+        let mut request = None;
+        loop {
+            let line = match timeout_at(until, self.line(server, fresh_only)).await {
+                Ok(Ok(line)) => line,
+                // Nothing has been written.
+                Err(_) | Ok(Err(NoLine::Failed)) => return (Outcome::ConnectFailed, None),
+                Ok(Err(NoLine::Shed)) => return (Outcome::Ignored, None),
+            };
+            let left = stop.saturating_sub(clock.now()) / 1000;
+            let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
+                return (Outcome::ConnectFailed, None);
+            };
+            let message = request.take().unwrap_or_else(|| build(forward, host, left));
+            let Line { mut connection, generation, reused } = line;
+            let answer = match timeout_at(until, self.exchange(&mut connection, message)).await {
+                Ok(answer) => answer,
+                // Danger: whether the last byte went out is not known here, so it may have run.
+                Err(_) => return (Outcome::TimedOut, None),
+            };
+            match answer {
+                Ok((outcome, body, reusable)) => {
+                    if reusable {
+                        self.give_back(server, connection, generation);
+                    }
+                    return (outcome, body);
+                }
+                // Not a byte was written to a kept connection that turned out closed: this is still the same
+                // attempt, on a new connection.
+                Err(Broken::Unwritten(message)) if reused => {
+                    request = Some(*message);
+                    fresh_only = true;
+                }
+                Err(Broken::Unwritten(_)) => return (Outcome::ConnectFailed, None),
+                Err(Broken::Doubtful) => return (Outcome::Reset, None),
+            }
+        }
+    }
+
+    /// Writes a request and reads its whole answer; tells too whether the connection can be kept.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        message: Request<Full<Bytes>>,
+    ) -> Result<(Outcome, Option<Bytes>, bool), Broken> {
+        let response = connection.send(message).await?;
+        let status = response.status();
+        let not_run = response.headers().get(NOT_RUN).is_some_and(|v| v == "1");
+        let body = whole(response.into_body(), BODY_MOST).await;
+        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
+        Ok(match body {
+            // The head alone says that it has not run, whatever became of the rest.
+            body if turned_away && not_run => (Outcome::Full, None, body.is_ok()),
+            Err(_) => (Outcome::Reset, None, false),
+            Ok(body) if status == StatusCode::OK => (Outcome::Ok, Some(body), true),
+            Ok(_) => (Outcome::Error, None, true),
+        })
+    }
+
+    /// A kept connection or a new one.
+    async fn line(&self, server: ServerId, fresh_only: bool) -> Result<Line, NoLine> {
+        let (address, generation) = {
+            let mut hosts = self.hosts.borrow_mut();
+            let Some(host) = hosts.get_mut(&server).filter(|h| h.up) else { return Err(NoLine::Failed) };
+            while let Some(kept) = host.idle.pop().filter(|_| !fresh_only) {
+                if kept.since.elapsed() < self.keep && kept.connection.usable() {
+                    let generation = host.generation;
+                    return Ok(Line { connection: kept.connection, generation, reused: true });
+                }
+            }
+            (host.address, host.generation)
+        };
+        let connect = async {
+            let slot = self.slot().await;
+            Connection::open(address, slot).await.map_err(|e| is_descriptors(&e))
+        };
+        match timeout(self.connect_timeout, connect).await {
+            Ok(Ok(connection)) => {
+                // Danger: the list may have changed while the connection came up.
+                let hosts = self.hosts.borrow();
+                let same = hosts.get(&server).is_some_and(|h| h.up && h.generation == generation);
+                same.then_some(Line { connection, generation, reused: false }).ok_or(NoLine::Failed)
+            }
+            Ok(Err(true)) => Err(NoLine::Shed),
+            Err(_) if self.budget.exhausted() => Err(NoLine::Shed),
+            Ok(Err(false)) | Err(_) => Err(NoLine::Failed),
+        }
+    }
+
+    /// A place for one more connection. Guard: with none free, idle ones are closed first; what finds none
+    /// within the connect time-out is shed.
+    async fn slot(&self) -> Slot {
+        loop {
+            if let Some(slot) = self.budget.for_server() {
+                return slot;
+            }
+            let freed = self.budget.freed();
+            if !self.close_an_idle() {
+                self.budget.close_an_idle_client();
+            }
+            freed.await;
+        }
+    }
+
+    fn give_back(&self, server: ServerId, connection: Connection, generation: u64) {
+        let mut hosts = self.hosts.borrow_mut();
+        if let Some(host) = hosts.get_mut(&server).filter(|h| h.up && h.generation == generation) {
+            host.idle.push(Kept { connection, since: Instant::now() });
+        }
+    }
+
+    /// Asks an app server whether it is alive.
+    pub async fn probe(&self, server: ServerId) -> Outcome {
+        let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
+            return Outcome::ConnectFailed;
+        };
+        let Ok(Line { mut connection, generation, .. }) = self.line(server, false).await else {
+            return Outcome::ConnectFailed;
+        };
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = Uri::from_static("/alive");
+        request.headers_mut().insert(HOST, host);
+        match timeout(PROBE_WAIT, self.exchange(&mut connection, request)).await {
+            Ok(Ok((outcome, _, reusable))) => {
+                if reusable {
+                    self.give_back(server, connection, generation);
+                }
+                outcome
+            }
+            Ok(Err(Broken::Unwritten(_))) => Outcome::ConnectFailed,
+            Ok(Err(Broken::Doubtful)) => Outcome::Reset,
+            Err(_) => Outcome::TimedOut,
+        }
+    }
+}
+
+fn host_header(address: SocketAddr) -> HeaderValue {
+    HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("localhost"))
+}
+
+/// Whether a connection failed because this process may hold no more descriptors.
+fn is_descriptors(error: &std::io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+}
+
+fn build(forward: &Forward, host: HeaderValue, left_ms: u64) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(forward.body.clone()));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = forward.uri.clone();
+    let headers = request.headers_mut();
+    headers.insert(HOST, host);
+    headers.insert(REQUEST_ID, forward.id.clone());
+    headers.insert(DEADLINE, HeaderValue::from(left_ms));
+    if let Some(key) = &forward.key {
+        headers.insert(IDEMPOTENCY_KEY, key.clone());
+    }
+    request
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -177,9 +177,11 @@
     Ignored,
 }
 
+/// The settings of one node, as the simulator's first message and a real node's configuration hold them.
 #[derive(Deserialize)]
-struct Env {
-    n_instances: u32,
+pub struct Env {
+    /// How many nodes there are.
+    pub n_instances: u32,
     me: u32,
     #[serde(default)]
     zone: u32,
@@ -187,10 +189,19 @@
     quantum: Micros,
     #[serde(default)]
     registry_mode: String,
-    classes: Vec<EnvClass>,
+    /// The classes of request, in the order of their numbers.
+    pub classes: Vec<EnvClass>,
+    /// The plans, in the order of their numbers.
     #[serde(default)]
-    tariffs: Vec<EnvPlan>,
-    bounds: EnvBounds,
+    pub tariffs: Vec<EnvPlan>,
+    /// The zones' names, in the order of their numbers.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// The names of the kinds of machine, in the order of their numbers.
+    #[serde(default)]
+    pub kinds: Vec<String>,
+    /// What the site permits.
+    pub bounds: EnvBounds,
     #[serde(default)]
     domain: EnvDomain,
     #[serde(default)]
@@ -222,8 +233,15 @@
     largest: f64,
 }
 
+/// What the site permits.
 #[derive(Deserialize)]
-struct EnvBounds {
+pub struct EnvBounds {
+    /// An app server closes a connection that has stood idle for this long.
+    #[serde(default)]
+    pub conn_idle: Micros,
+    /// A connection not made within this has failed.
+    #[serde(default)]
+    pub connect_timeout: Micros,
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
@@ -245,11 +263,17 @@
     tip_after: Micros,
 }
 
+/// A class of request.
 #[derive(Deserialize)]
-struct EnvClass {
+pub struct EnvClass {
+    /// Its name.
+    #[serde(default)]
+    pub name: String,
     on_time: Micros,
-    deadline: Micros,
-    effect: WireEffect,
+    /// The client's longest wait over all its tries.
+    pub deadline: Micros,
+    /// Whether it may run again.
+    pub effect: WireEffect,
     #[serde(default)]
     group: WireGroup,
     #[serde(default)]
@@ -262,11 +286,15 @@
     stream: bool,
 }
 
-#[derive(Deserialize, Clone, Copy)]
+/// Whether a class may run again.
+#[derive(Debug, Deserialize, Clone, Copy, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
-enum WireEffect {
+pub enum WireEffect {
+    /// Repeats are harmless.
     Safe,
+    /// App servers of one group drop a repeat.
     Keyed,
+    /// Must never run twice.
     Unsafe,
 }
 
@@ -279,9 +307,12 @@
     Cell,
 }
 
+/// A plan.
 #[derive(Deserialize, Default)]
 #[serde(default)]
-struct EnvPlan {
+pub struct EnvPlan {
+    /// Its name.
+    pub name: String,
     quota_rate: f64,
     most_at_once: f64,
     ceiling_rate: f64,
