--- a/src/main.rs
+++ b/src/main.rs
@@ -13,8 +13,8 @@
 use mountbend::wire::Env;
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::LocalSet;
 use tokio::time::{sleep, Instant};
 
 use net::budget::Budget;
@@ -107,9 +107,11 @@
     let path = std::env::var("PROXY_CONFIG").map_err(|_| StartError::NoConfig)?;
     let text = std::fs::read(&path).map_err(|e| StartError::Unreadable(path, e))?;
     let config: Config = serde_json::from_slice(&text).map_err(StartError::Malformed)?;
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build_local(LocalOptions::default())
+        .map_err(StartError::System)?;
+    runtime.block_on(serve(config))
 }
 
 async fn serve(config: Config) -> Result<(), StartError> {
