Drop idle connections that hold half a request when room is needed

Cause: a connection told to close waits for its request to end; one whose client has sent half a head and no more held its descriptor for ever. Seen: with 20 such clients on 9 slots the next client got nothing for 30 s.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -17,7 +17,7 @@
 use mountbend::wire::{Env, WireEffect};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::budget::{Budget, Slot};
 use super::http::{whole, BadBody};
@@ -154,7 +154,12 @@
                 }
             }
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            // Danger: half a head would hold the descriptor for ever; no request has been taken with it.
+            while timeout(FIRST_REQUEST, connection.as_mut()).await.is_err() {
+                if !idle.used.get() || idle.ticket.get().is_some() {
+                    return;
+                }
+            }
         });
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -512,3 +512,18 @@
         assert_eq!(client.answer().status(), 200);
     }
 }
+
+#[test]
+fn clients_that_never_end_their_request_make_room() {
+    let app = App::new();
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    config["limits"]["sockets"] = json!(40);
+    let edge = Edge::new(&config);
+    let half = ask("lookup", "l-0").text();
+    let mut stuck: Vec<Client> = (0..20).map(|_| edge.client()).collect();
+    stuck.iter_mut().for_each(|client| client.raw(&half[..half.len() / 2]));
+    let mut client = edge.client();
+    client.ask(&ask("lookup", "l-1"));
+    app.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+}
