Move discovery and the counter on SIGHUP; tell a counter's unreadable answer from silence

Discovery and Counter held a fixed address. Now the configuration is read again; the new agent is asked for its whole list first, since versions are an agent's own, and the old one's watch is dropped with its late answers; new calls go to the new counter while those in flight end on the old.

Cause: one answer without a number ended a session of the counter with 'timed out' for every call on it (counter.rs, end of session), and each doubled the back-off (control.rs, on_counted), though the counter was alive and the amount added; noise without a line end was noticed after 2 s only. Such a call now ends as an error, its total is read once more (adding nothing) and booked as the first answer would have been; the calls behind it are lost without a back-off.

--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,8 @@
 /// Back-off from a failing counter: doubles from the first to the last.
 const COUNTER_REST: Micros = 50_000;
 const COUNTER_REST_MAX: Micros = 800_000;
+/// How often a total is read again whose answer could not be read.
+const REREADS: u32 = 2;
 /// Open promises per customer at most, in mean requests of the burst: D-hat of the paper.
 const PROMISES_MAX: usize = 16;
 /// Weight of a new latency sample in the EWMAs, and the latency assumed before the first answer.
@@ -114,6 +116,8 @@
     told: f64,
     proxy: f64,
     at: Micros,
+    /// Answers to it that could not be read.
+    unread: u32,
 }
 
 #[derive(Default)]
@@ -411,7 +415,7 @@
         let name = count_name(key, window_of(key, self.now));
         let proxy = amount.max(0.0) * std::mem::take(&mut c.stands);
         let told = std::mem::take(&mut c.untold) + proxy;
-        c.call = Some(Call { amount, told, proxy, at: self.now });
+        c.call = Some(Call { amount, told, proxy, at: self.now, unread: 0 });
         self.calls.insert(name, key);
         out.push(Action::Count { name, amount: amount + told, keep_for: KEEP });
     }
@@ -420,13 +424,24 @@
         let now = self.now;
         let Some(key) = self.calls.remove(&name) else { return };
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let Some(call) = c.call.take() else { return };
+        let Some(mut call) = c.call.take() else { return };
+        // Danger: what got an answer that can't be read was added all the same. The total is read once more, and
+        // tells what the answer would have told.
+        if outcome == Outcome::Error && call.unread < REREADS {
+            (call.unread, call.at) = (call.unread + 1, now);
+            c.call = Some(call);
+            self.calls.insert(name, key);
+            return out.push(Action::Count { name, amount: 0.0, keep_for: KEEP });
+        }
         let Some(plan) = self.set.plans.get(c.plan) else { return };
         let (mut excess, mut burn) = (0.0, 0.0);
         // Danger: a hundred nodes that ask for every request crowd the counter, and then none gets an answer.
         let prompt = outcome == Outcome::Ok && now.saturating_sub(call.at) < self.set.counter.wait / 2;
-        let next = if prompt { self.asking + ASK_MORE } else { self.asking * ASK_LESS };
-        self.asking = next.max(ASK_LEAST / self.set.nodes as f64).clamp(0.05, 1.0);
+        let spoilt = matches!(outcome, Outcome::Error | Outcome::Reset);
+        if !spoilt {
+            let next = if prompt { self.asking + ASK_MORE } else { self.asking * ASK_LESS };
+            self.asking = next.max(ASK_LEAST / self.set.nodes as f64).clamp(0.05, 1.0);
+        }
         if outcome == Outcome::Ok && total.is_finite() {
             (self.counter_rest, self.counter_until) = (COUNTER_REST, 0);
             c.share = None;
@@ -437,7 +452,7 @@
                 self.looks.entry(c.plan).or_default().add(now, empty, TALLY_SPAN);
                 excess += empty * call.proxy;
             }
-        } else {
+        } else if !spoilt {
             // Danger: a silent or crowded counter. Nothing is granted; the next call waits, longer each time,
             // and a random part keeps the nodes from coming back in step.
             let rest = self.counter_rest;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,11 +6,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
 use mountbend::control::Controller;
 use mountbend::interface::{Event, Settings};
 use mountbend::wire::Env;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::LocalOptions;
@@ -52,6 +54,14 @@
     settings: Env,
 }
 
+/// What a new configuration may change while the node runs; the rest of it waits for the next start.
+#[derive(Deserialize)]
+struct Peers {
+    discovery: String,
+    #[serde(default)]
+    counter: Option<String>,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -105,20 +115,25 @@
 
 fn start() -> Result<(), StartError> {
     let path = std::env::var("PROXY_CONFIG").map_err(|_| StartError::NoConfig)?;
-    let text = std::fs::read(&path).map_err(|e| StartError::Unreadable(path, e))?;
-    let config: Config = serde_json::from_slice(&text).map_err(StartError::Malformed)?;
+    let config: Config = read(&path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(LocalOptions::default())
         .map_err(StartError::System)?;
-    runtime.block_on(serve(config))
+    runtime.block_on(serve(config, path))
 }
 
-async fn serve(config: Config) -> Result<(), StartError> {
+fn read<T: DeserializeOwned>(path: &str) -> Result<T, StartError> {
+    let text = std::fs::read(path).map_err(|e| StartError::Unreadable(path.into(), e))?;
+    serde_json::from_slice(&text).map_err(StartError::Malformed)
+}
+
+async fn serve(config: Config, path: String) -> Result<(), StartError> {
     let at = address("listen", &config.listen)?;
     let discovery = address("discovery", &config.discovery)?;
     let counter = config.counter.as_deref().map(|text| address("counter", text)).transpose()?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
+    let hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
 
@@ -142,6 +157,7 @@
     eprintln!("pinerelay: listening on {}", listener.local_addr().map_err(StartError::System)?);
     discovery.start(&node, config.known);
     counter.start(&node);
+    tokio::task::spawn_local(reload(hangup, path, node.clone(), discovery, counter.clone()));
     let clients = Clients::new(node.clone(), rules, budget.clone());
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
 
@@ -165,6 +181,30 @@
     Ok(())
 }
 
+/// On each SIGHUP reads the configuration again and moves discovery and the counter to where it says, also
+/// during a stop. Of a file that is no configuration the log says so, and all stays as it was.
+async fn reload(
+    mut hangup: Signal,
+    path: String,
+    node: Rc<Node>,
+    discovery: Rc<Discovery>,
+    counter: Rc<Counter>,
+) {
+    while hangup.recv().await.is_some() {
+        let peers = read::<Peers>(&path).and_then(|peers| {
+            let at = address("discovery", &peers.discovery)?;
+            Ok((at, peers.counter.as_deref().map(|text| address("counter", text)).transpose()?))
+        });
+        match peers {
+            Ok((at, counts)) => {
+                discovery.move_to(&node, at);
+                counter.move_to(&node, counts);
+            }
+            Err(error) => eprintln!("pinerelay: the old configuration stays: {error}"),
+        }
+    }
+}
+
 async fn either(a: &mut Signal, b: &mut Signal) {
     tokio::select! {
         _ = a.recv() => {}
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -21,8 +21,9 @@
 const QUEUE_MOST: usize = 4096;
 /// A connection that owes an answer for this long is given up and opened anew.
 const SILENT: Duration = Duration::from_secs(2);
-/// No answer line is this long.
-const LINE_MOST: usize = 4096;
+/// No line of an answer is this long, and no total.
+const LINE_MOST: usize = 512;
+const TOTAL_MOST: usize = 64;
 /// The counter keeps no name for longer, and adds no more.
 const KEEP_MOST_MS: u64 = 60_000;
 const AMOUNT_MOST: f64 = 1e9;
@@ -38,13 +39,15 @@
 struct Line {
     queue: RefCell<VecDeque<Call>>,
     wake: Notify,
+    /// The counter has moved: what is under way ends here, and nothing new begins.
+    left: Cell<bool>,
 }
 
 /// The counter as this node sees it.
 pub struct Counter {
-    address: Option<SocketAddr>,
+    address: Cell<Option<SocketAddr>>,
     wait: Duration,
-    lines: Vec<Rc<Line>>,
+    lines: RefCell<Vec<Rc<Line>>>,
     /// Calls whose outcome is still to be told.
     open: Rc<Cell<usize>>,
 }
@@ -62,14 +65,18 @@
 impl Counter {
     /// The counter at this address, if the site has one; a call without an answer by `wait` has timed out.
     pub fn new(address: Option<SocketAddr>, wait: Micros) -> Rc<Self> {
-        let lines = (0..LINES).map(|_| Rc::default()).collect();
-        Rc::new(Counter { address, wait: Duration::from_micros(wait.max(1)), lines, open: Rc::default() })
+        Rc::new(Counter {
+            address: Cell::new(address),
+            wait: Duration::from_micros(wait.max(1)),
+            lines: RefCell::new(new_lines()),
+            open: Rc::default(),
+        })
     }
 
     /// Makes a call; its outcome comes as an event.
     pub fn add(&self, node: &Rc<Node>, name: CountName, amount: f64, keep_for: Micros) {
-        let line = &self.lines[(name.0 % LINES) as usize];
-        if self.address.is_none() || !amount.is_finite() || line.queue.borrow().len() >= QUEUE_MOST {
+        let line = self.lines.borrow()[(name.0 % LINES) as usize].clone();
+        if self.address.get().is_none() || !amount.is_finite() || line.queue.borrow().len() >= QUEUE_MOST {
             return node.event(Event::Counted { name, outcome: Outcome::ConnectFailed, total: 0.0 });
         }
         let amount = amount.clamp(-AMOUNT_MOST, AMOUNT_MOST);
@@ -84,15 +91,40 @@
         self.open.get() == 0
     }
 
+    /// Makes further calls at this address. Calls under way on the old one end there; what waits for a
+    /// connection goes along.
+    pub fn move_to(&self, node: &Rc<Node>, address: Option<SocketAddr>) {
+        if self.address.replace(address) == address {
+            return;
+        }
+        let old = self.lines.replace(new_lines());
+        let mut stranded = Vec::new();
+        for (from, to) in old.iter().zip(self.lines.borrow().iter()) {
+            let waiting = from.queue.take();
+            match address {
+                Some(_) => *to.queue.borrow_mut() = waiting,
+                None => stranded.extend(waiting),
+            }
+            from.left.set(true);
+            from.wake.notify_one();
+        }
+        self.start(node);
+        let node = Teller { node: node.clone(), open: self.open.clone() };
+        stranded.into_iter().for_each(|call| node.tell(call.name, Outcome::ConnectFailed, 0.0));
+    }
+
     /// Serves the calls from now on.
     pub fn start(&self, node: &Rc<Node>) {
-        let Some(address) = self.address else { return };
-        for line in &self.lines {
+        let Some(address) = self.address.get() else { return };
+        for line in self.lines.borrow().iter() {
             let (line, wait) = (line.clone(), self.wait);
             let node = Teller { node: node.clone(), open: self.open.clone() };
             tokio::task::spawn_local(async move {
                 loop {
                     if line.queue.borrow().is_empty() {
+                        if line.left.get() {
+                            return;
+                        }
                         line.wake.notified().await;
                         continue;
                     }
@@ -105,6 +137,10 @@
     }
 }
 
+fn new_lines() -> Vec<Rc<Line>> {
+    (0..LINES).map(|_| Rc::default()).collect()
+}
+
 /// Tells the node how calls ended.
 struct Teller {
     node: Rc<Node>,
@@ -143,7 +179,12 @@
     let (mut outgoing, mut incoming) = (BytesMut::new(), BytesMut::new());
     let (mut queued, mut written) = (0u64, 0u64);
     let mut asked: VecDeque<Asked> = VecDeque::new();
+    // Since when a part of an answer lies there, and whether what came makes no sense.
+    let (mut part, mut spoilt): (Option<Instant>, bool) = (None, false);
     'open: loop {
+        if line.left.get() && asked.iter().all(|a| a.told) {
+            return;
+        }
         for call in line.queue.borrow_mut().drain(..) {
             let before = outgoing.len();
             encode(&mut outgoing, &call);
@@ -152,7 +193,8 @@
         }
         let overdue = asked.iter().find(|a| !a.told).map(|a| a.made + wait);
         let silent = asked.front().map(|a| a.made + SILENT);
-        let next = overdue.into_iter().chain(silent).min();
+        let stuck = part.map(|since| since + wait / 2);
+        let next = overdue.into_iter().chain(silent).chain(stuck).min();
         tokio::select! {
             sent = writer.write_buf(&mut outgoing), if !outgoing.is_empty() => match sent {
                 Ok(count) if count > 0 => written += count as u64,
@@ -165,10 +207,7 @@
                 loop {
                     match decode(&mut incoming) {
                         Ok(Some(reply)) => {
-                            let Some(call) = asked.pop_front() else {
-                                eprintln!("pinerelay: an answer of the counter that nobody asked for");
-                                break 'open;
-                            };
+                            let Some(call) = asked.pop_front() else { break 'open };
                             // Danger: a late answer belongs to a call that has been told as timed out.
                             if !call.told {
                                 match reply {
@@ -179,15 +218,20 @@
                         }
                         Ok(None) => break,
                         Err(Garbage) => {
-                            eprintln!("pinerelay: the counter's answer makes no sense");
+                            spoilt = true;
                             break 'open;
                         }
                     }
                 }
+                part = (!incoming.is_empty()).then(Instant::now);
             },
             _ = line.wake.notified() => {}
             _ = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {
                 let now = Instant::now();
+                if stuck.is_some_and(|at| at <= now) {
+                    spoilt = true;
+                    break 'open;
+                }
                 if silent.is_some_and(|at| at <= now) {
                     break 'open;
                 }
@@ -198,9 +242,16 @@
             }
         }
     }
-    // No call is made again here: whether one was added is for the decisions to weigh.
-    for call in asked.into_iter().filter(|a| !a.told) {
-        let outcome = if call.end <= written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+    drop(stream);
+    // No call is made again here: whether one was added is for the decisions to weigh. Danger: an answer that
+    // can't be read is no silence. Its call was added, those behind it may have been, and the counter is alive.
+    for (place, call) in asked.into_iter().enumerate().filter(|(_, a)| !a.told) {
+        let outcome = match (call.end <= written, spoilt, place) {
+            (false, ..) => Outcome::ConnectFailed,
+            (true, true, 0) => Outcome::Error,
+            (true, true, _) => Outcome::Reset,
+            (true, false, _) => Outcome::TimedOut,
+        };
         node.tell(call.name, outcome, 0.0);
     }
 }
@@ -229,24 +280,40 @@
 
 /// Takes one whole reply off the buffer, if it holds one.
 fn decode(buffer: &mut BytesMut) -> Result<Option<Reply>, Garbage> {
+    let plausible = |head: &[u8]| match head {
+        [] => true,
+        [b'-', why @ ..] => {
+            let known = |word: &[u8]| why.iter().zip(word).all(|(a, b)| a == b);
+            (known(b"BUSY") || known(b"ERR")) && why.len() < LINE_MOST
+        }
+        [b'$', length @ ..] => {
+            let length = length.strip_suffix(b"\r").unwrap_or(length);
+            length.len() < 4 && length.iter().all(u8::is_ascii_digit)
+        }
+        _ => false,
+    };
     let Some(end) = buffer.windows(2).position(|w| w == b"\r\n") else {
-        return if buffer.len() > LINE_MOST { Err(Garbage) } else { Ok(None) };
+        // Danger: noise need not hold a line end to be noticed at once.
+        return if plausible(buffer) { Ok(None) } else { Err(Garbage) };
     };
+    if !plausible(&buffer[..end]) {
+        return Err(Garbage);
+    }
     let text = std::str::from_utf8(&buffer[..end]).map_err(|_| Garbage)?;
     match text.split_at_checked(1) {
-        Some(("-", why)) => {
-            if !why.starts_with("BUSY") {
-                eprintln!("pinerelay: the counter turned a call down: {why}");
-            }
+        Some(("-", why)) if why.starts_with("BUSY") || why.starts_with("ERR") => {
             buffer.advance(end + 2);
             Ok(Some(Reply::Busy))
         }
         Some(("$", length)) => {
-            let length = length.parse::<usize>().ok().filter(|&n| n <= LINE_MOST).ok_or(Garbage)?;
+            let length = length.parse::<usize>().ok().filter(|&n| n <= TOTAL_MOST).ok_or(Garbage)?;
             let all = end + 2 + length + 2;
             if buffer.len() < all {
                 return Ok(None);
             }
+            if &buffer[all - 2..all] != b"\r\n" {
+                return Err(Garbage);
+            }
             let body = std::str::from_utf8(&buffer[end + 2..all - 2]).map_err(|_| Garbage)?;
             let total = body.trim().parse::<f64>().ok().filter(|t| t.is_finite()).ok_or(Garbage)?;
             buffer.advance(all);
@@ -268,9 +335,20 @@
         assert_eq!(decode(&mut buffer), Ok(None));
         buffer.extend_from_slice(b"\r\n");
         assert_eq!(decode(&mut buffer), Ok(Some(Reply::Total(7.0))));
-        for bad in
-            [&b"?\r\n"[..], b"$-1\r\n", b"$x\r\n", b"$3\r\nabc\r\n", b"\r\n", b"$3\r\nNaN\r\n", b"\xff\r\n"]
-        {
+        assert_eq!(decode(&mut BytesMut::from("$")), Ok(None));
+        let bad: [&[u8]; 10] = [
+            b"?\r\n",
+            b"\r\n",
+            b"$-1\r\n",
+            b"$3\r\nabc\r\n",
+            b"$3\r\nNaN\r\n",
+            b"$1\r\n22\r\n",
+            b"$1234",
+            b"-OOPS",
+            b"\xff",
+            b"HTTP",
+        ];
+        for bad in bad {
             assert_eq!(decode(&mut BytesMut::from(bad)), Err(Garbage), "{bad:?}");
         }
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode, Uri};
 use mountbend::interface::{Event, ListKind, Member, MemberState, ServerId};
 use serde::Deserialize;
+use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
 use super::http::{whole, Connection};
@@ -24,6 +25,8 @@
 const GRACE: Duration = Duration::from_millis(1_000);
 /// How long a fetch of the whole list may take.
 const FETCH_WAIT: Duration = Duration::from_secs(2);
+/// How long the first list of a new agent may take: what it knows counts as told 4 s after the move.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a watch that failed, from the first to the last; a watch goes on only within 200 ms.
 const PAUSE: Duration = Duration::from_millis(20);
 const PAUSE_MOST: Duration = Duration::from_millis(160);
@@ -79,39 +82,70 @@
 
 /// Discovery as this node sees it.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     zones: Vec<String>,
     kinds: Vec<String>,
     names: RefCell<BTreeMap<ServerId, String>>,
-    /// The newest version taken in.
-    index: Cell<u64>,
+    /// The newest version taken in. Versions are an agent's own; none is known of a new one.
+    index: Cell<Option<u64>>,
+    watcher: RefCell<Option<AbortHandle>>,
 }
 
 impl Discovery {
     /// Discovery at this address. Zones and kinds are told by name and numbered as in the settings.
     pub fn new(address: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Rc<Self> {
-        Rc::new(Discovery { address, zones, kinds, names: RefCell::default(), index: Cell::new(0) })
+        Rc::new(Discovery {
+            address: Cell::new(address),
+            zones,
+            kinds,
+            names: RefCell::default(),
+            index: Cell::default(),
+            watcher: RefCell::default(),
+        })
     }
 
     /// Takes in the list that the node had before its start, and watches from there on for ever.
     pub fn start(self: &Rc<Self>, node: &Rc<Node>, known: List) {
         self.take(node, known, ListKind::Stale);
+        self.spawn(node);
+    }
+
+    /// Goes on with the agent at this address. Danger: its versions have nothing to do with the old one's, so
+    /// it is asked for the whole list first, and what the old one still says is dropped with its watch.
+    pub fn move_to(self: &Rc<Self>, node: &Rc<Node>, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.index.set(None);
+            self.spawn(node);
+        }
+    }
+
+    fn spawn(self: &Rc<Self>, node: &Rc<Node>) {
         let (discovery, node) = (self.clone(), node.clone());
-        tokio::task::spawn_local(async move { discovery.watch(&node).await });
+        let task = tokio::task::spawn_local(async move { discovery.watch(&node).await });
+        if let Some(old) = self.watcher.replace(Some(task.abort_handle())) {
+            old.abort();
+        }
     }
 
     async fn watch(&self, node: &Rc<Node>) {
         let (mut connection, mut pause, mut failing) = (None, PAUSE, false);
         loop {
-            let path = format!("/discovery/hosts?after={}&wait_ms={WAIT_MS}", self.index.get());
+            let (path, wait) = match self.index.get() {
+                Some(index) => (
+                    format!("/discovery/hosts?after={index}&wait_ms={WAIT_MS}"),
+                    Duration::from_millis(WAIT_MS) + GRACE,
+                ),
+                None => ("/discovery/hosts".into(), FIRST_WAIT),
+            };
             let begun = Instant::now();
-            match self.get(&mut connection, &path, Duration::from_millis(WAIT_MS) + GRACE).await {
+            match self.get(&mut connection, &path, wait).await {
                 Ok(list) => {
                     (pause, failing) = (PAUSE, false);
-                    let nothing = list.endpoints.is_empty() && !list.snapshot;
-                    let kind = if list.snapshot { ListKind::Whole } else { ListKind::Changes };
+                    let nothing = list.endpoints.is_empty() && !list.snapshot && self.index.get().is_some();
+                    let whole = list.snapshot || self.index.get().is_none();
+                    let kind = if whole { ListKind::Whole } else { ListKind::Changes };
                     // Danger: a fetch may have brought a newer list meanwhile; older changes would undo it.
-                    let old = kind == ListKind::Changes && list.index < self.index.get();
+                    let old = kind == ListKind::Changes && Some(list.index) < self.index.get();
                     if !nothing && !old {
                         self.take(node, list, kind);
                     } else if begun.elapsed() < PAUSE {
@@ -133,11 +167,16 @@
 
     /// Fetches the whole list once.
     pub fn fetch(self: &Rc<Self>, node: &Rc<Node>) {
-        let (discovery, node) = (self.clone(), node.clone());
+        let (discovery, node, address) = (self.clone(), node.clone(), self.address.get());
         tokio::task::spawn_local(async move {
-            match discovery.get(&mut None, "/discovery/hosts", FETCH_WAIT).await {
+            let answer = discovery.get(&mut None, "/discovery/hosts", FETCH_WAIT).await;
+            if discovery.address.get() != address {
+                // The new agent is asked for its whole list anyway.
+                return;
+            }
+            match answer {
                 // The watch may have brought something newer meanwhile.
-                Ok(list) if list.index >= discovery.index.get() => {
+                Ok(list) if Some(list.index) >= discovery.index.get() => {
                     discovery.take(&node, list, ListKind::Whole);
                 }
                 Ok(_) => {}
@@ -161,11 +200,11 @@
     async fn exchange(&self, connection: &mut Option<Connection>, path: &str) -> Result<List, Failure> {
         let mut line = match connection.take().filter(Connection::usable) {
             Some(line) => line,
-            None => Connection::open(self.address, ()).await.map_err(|_| Failure::Broken)?,
+            None => Connection::open(self.address.get(), ()).await.map_err(|_| Failure::Broken)?,
         };
         let mut request = Request::new(Full::<Bytes>::default());
         *request.uri_mut() = path.parse::<Uri>().map_err(|_| Failure::Broken)?;
-        let host = HeaderValue::from_str(&self.address.to_string()).map_err(|_| Failure::Broken)?;
+        let host = HeaderValue::from_str(&self.address.get().to_string()).map_err(|_| Failure::Broken)?;
         request.headers_mut().insert(HOST, host);
         let response = line.send(request).await.map_err(|_| Failure::Broken)?;
         let status = response.status();
@@ -178,7 +217,7 @@
     }
 
     fn take(&self, node: &Rc<Node>, list: List, kind: ListKind) {
-        self.index.set(list.index);
+        self.index.set(Some(list.index));
         let entries: Vec<Member> =
             list.endpoints.into_iter().filter_map(|value| self.entry(node, value)).collect();
         if kind != ListKind::Changes {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -195,6 +196,8 @@
     watched: Vec<u64>,
     lines: Vec<TcpStream>,
     mute: bool,
+    /// What a fetch of the whole list is answered.
+    whole: Option<Vec<Value>>,
 }
 
 /// Discovery: changes are pushed by the test.
@@ -220,6 +223,24 @@
         Lists { address, state }
     }
 
+    /// An agent that has a whole list to tell, under a version of its own.
+    pub fn holding(index: u64, entries: &[Value]) -> Lists {
+        let lists = Lists::new();
+        let mut state = lists.state.0.lock().expect("no panic");
+        (state.index, state.whole) = (index, Some(entries.to_vec()));
+        drop(state);
+        lists
+    }
+
+    /// Waits until the node watches from this version on.
+    pub fn watched_from(&self, index: u64) {
+        let (lock, wake) = &*self.state;
+        let state = lock.lock().expect("no panic");
+        let rest = |s: &mut ListState| !s.watched.contains(&index);
+        let (_held, late) = wake.wait_timeout_while(state, PATIENCE, rest).expect("no panic");
+        assert!(!late.timed_out(), "the node does not watch from {index}");
+    }
+
     /// Tells of a change and waits until the node has taken it in: until it watches from there on.
     pub fn push(&self, entry: Value) {
         let (lock, wake) = &*self.state;
@@ -259,7 +280,14 @@
     let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
     while let Some(message) = read_message(&mut reader) {
         let Some((_, after)) = message.first.split_once("after=") else {
-            // A fetch of the whole list is left silent: the list as known is what a test starts from.
+            // Left silent but for a list that a test gives: the list as known is what others start from.
+            let held = state.0.lock().expect("no panic");
+            let Some(whole) = &held.whole else { continue };
+            let body = json!({"index": held.index, "snapshot": true, "endpoints": whole}).to_string();
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
+            }
             continue;
         };
         let after: u64 = after.split('&').next().and_then(|n| n.parse().ok()).expect("a version");
@@ -398,30 +426,32 @@
 pub struct Edge {
     pub address: SocketAddr,
     child: Child,
+    path: PathBuf,
     log: BufReader<ChildStderr>,
 }
 
-fn launch(config: &str) -> Child {
+fn launch(config: &str) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("pinerelay-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_pinerelay"))
+    let child = Command::new(env!("CARGO_BIN_EXE_pinerelay"))
         .env("PROXY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
-        .expect("the node starts")
+        .expect("the node starts");
+    (child, path)
 }
 
 /// How a node with this configuration ends, and what it says.
 pub fn start_badly(config: &str) -> (ExitStatus, String) {
-    let out = launch(config).wait_with_output().expect("an end");
+    let out = launch(config).0.wait_with_output().expect("an end");
     (out.status, String::from_utf8(out.stderr).expect("text"))
 }
 
 impl Edge {
     pub fn new(config: &Value) -> Edge {
-        let mut child = launch(&config.to_string());
+        let (mut child, path) = launch(&config.to_string());
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
         let mut line = String::new();
         while !line.starts_with("pinerelay: listening on ") {
@@ -429,7 +459,7 @@
             assert!(log.read_line(&mut line).expect("a line") > 0, "the node has ended");
         }
         let address = line.trim_end().rsplit(' ').next().expect("an address").parse().expect("an address");
-        Edge { address, child, log }
+        Edge { address, child, path, log }
     }
 
     pub fn client(&self) -> Client {
@@ -438,8 +468,26 @@
         Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
     }
 
+    /// Replaces the configuration and says so.
+    pub fn reload(&self, config: &str) {
+        let next = self.path.with_extension("next");
+        std::fs::write(&next, config).and_then(|()| std::fs::rename(&next, &self.path)).expect("a file");
+        self.signal("HUP");
+    }
+
+    /// The next line of the log.
+    pub fn says(&mut self) -> String {
+        let mut line = String::new();
+        assert!(self.log.read_line(&mut line).expect("a line") > 0, "the node has ended");
+        line
+    }
+
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -269,14 +269,9 @@
 }
 
 #[test]
-fn the_counter_may_be_busy_silent_broken_or_senseless() {
-    let ends: [fn(Called); 5] = [
-        |mut c| c.raw("-BUSY\r\n"),
-        |c| c.close(),
-        |mut c| c.raw("$3\r\nabc\r\n"),
-        |mut c| c.raw("-ERR no such call\r\n"),
-        drop,
-    ];
+fn the_counter_may_be_busy_silent_or_broken() {
+    let ends: [fn(Called); 4] =
+        [|mut c| c.raw("-BUSY\r\n"), |c| c.close(), |mut c| c.raw("-ERR no such call\r\n"), drop];
     for end in ends {
         let (app, counts) = (App::new(), Counts::new());
         let mut config = config(&[entry("s-1", app.address, "a", "up")]);
@@ -527,3 +522,72 @@
     app.next().answer("200 OK", "", "ok");
     assert_eq!(client.answer().status(), 200);
 }
+
+#[test]
+fn a_new_configuration_moves_discovery_and_the_counter() {
+    let (a, b) = (App::new(), App::new());
+    let (old, old_counts, counts) = (Lists::new(), Counts::new(), Counts::new());
+    let mut config = config(&[entry("s-1", a.address, "a", "up")]);
+    config["discovery"] = json!(old.address.to_string());
+    config["counter"] = json!(old_counts.address.to_string());
+    let mut edge = Edge::new(&config);
+    old.watched();
+    // A call under way on the old counter ends there, though the node has moved meanwhile.
+    let mut client = edge.client();
+    client.ask(&Ask { plan: "paid", ..ask("post", "p-1") });
+    let mut call = old_counts.next();
+    // The new agent's versions are its own and lower; its list names another app server.
+    let new = Lists::holding(0, &[entry("s-2", b.address, "a", "up")]);
+    config["discovery"] = json!(new.address.to_string());
+    config["counter"] = json!(counts.address.to_string());
+    edge.reload(&config.to_string());
+    new.watched_from(0);
+    call.total(call.amount);
+    b.next().answer("200 OK", "", "moved");
+    assert_eq!(client.answer().body, b"moved");
+    // Units that the lease does not hold are asked for at the new counter.
+    let mut text = Ask { plan: "paid", ..ask("post", "p-2") }.text();
+    text = text.replace("key=0000000000000007", "key=0000000000000008");
+    client.raw(&text);
+    let mut call = counts.next();
+    call.total(call.amount);
+    b.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+    assert!(old_counts.poll().is_none(), "a call at the old counter");
+
+    // No configuration: one line each, and all goes on as before. The same one again changes nothing.
+    for bad in ["{", "{\"discovery\":\"nowhere\"}"] {
+        edge.reload(bad);
+        assert!(edge.says().starts_with("pinerelay: the old configuration stays: "));
+    }
+    edge.reload(&config.to_string());
+    new.push(entry("s-2", b.address, "a", "up"));
+    client.ask(&ask("post", "p-3"));
+    b.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+    a.no_request();
+    edge.terminate();
+    edge.signal("HUP");
+    assert!(edge.end().0.success());
+}
+
+#[test]
+fn a_total_that_cannot_be_read_is_read_again_and_nothing_added_twice() {
+    for spoilt in ["$3\r\nabc\r\n", "noise without an end", "$5\r\n1"] {
+        let (app, counts) = (App::new(), Counts::new());
+        let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+        config["counter"] = json!(counts.address.to_string());
+        let edge = Edge::new(&config);
+        let mut client = edge.client();
+        client.ask(&Ask { plan: "paid", ..ask("post", "p-1") });
+        let mut call = counts.next();
+        let (name, amount) = (call.name.clone(), call.amount);
+        call.raw(spoilt);
+        // On a new connection, since the old one is of no further use.
+        let mut again = counts.next();
+        assert_eq!((&again.name, again.amount), (&name, 0.0));
+        again.total(amount);
+        app.next().answer("200 OK", "", "ok");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
