Hold clients to whole requests in time, and answers to what can be trusted

Read and confirmed in the sources: hyper drops a length that stands beside a transfer encoding before the handler sees it (role.rs), so only the encoding shows; heads had no time limit (clients.rs, header_read_timeout None) and bodies waited for the client's own deadline; repeated headers, two keys, signs and exponents in figures, a GET with a body and units past the largest passed; a flood of silent connections pushed out the kept ones of others, since a new one was told apart after 1 s only. Now a transfer encoding gets 400 and the end of the connection, a head or a body has 1.5 s, a length over the limit is not read, silent connections leave first, and one that is too new to tell is waited for (50 ms). At fault for answers: whatever went wrong after the request counted as Reset (servers.rs, exchange), which ejects the server, though any of them may spoil an answer and it is alive; a part of an answer was waited for until the deadline; 101, no length and two lengths passed as good or stayed open. Such an answer is now an error (may have run, alive) at once, a started one after 250 ms; a broken connection stays a reset. Bytes behind a good answer: hyper closes the connection on them, so it isn't used again (tested, no change needed).

--- a/src/main.rs
+++ b/src/main.rs
@@ -143,8 +143,7 @@
     let (zones, kinds) = (std::mem::take(&mut env.zones), std::mem::take(&mut env.kinds));
     let (connect_timeout, conn_idle) = (env.bounds.connect_timeout, env.bounds.conn_idle);
     let patience = Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
-    let nodes = env.n_instances;
-    let rules = Rules::new(&env, nodes);
+    let rules = Rules::new(&env);
     let settings = Settings::from(env);
 
     let servers = Servers::new(budget.clone(), connect_timeout, conn_idle);
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -4,14 +4,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// Descriptors kept back for the listener, discovery, the counter, the runtime and the standard streams.
 const KEPT_BACK: usize = 24;
 /// The share of the slots that clients may hold: every request in work needs one on either side.
 const CLIENT_SHARE: f64 = 0.6;
+/// How long a connection that is told to close has for it before the next one is told so.
+const CLOSE_PAUSE: Duration = Duration::from_millis(20);
 
 /// How many connections may be open, and are.
 pub struct Budget {
@@ -21,9 +24,15 @@
     clients: Cell<usize>,
     eased: Notify,
     tickets: Cell<u64>,
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Clients' connections so new that their first request may still lie unread.
+    fresh: Cell<usize>,
+    /// Clients' connections that no request is open on; those that have never sent one come first.
+    idle: RefCell<BTreeMap<Ticket, Rc<Notify>>>,
 }
 
+/// A connection's place among the idle ones: whether it has ever sent a request, and its turn.
+pub type Ticket = (bool, u64);
+
 /// One open connection's place in the budget.
 pub struct Slot {
     budget: Rc<Budget>,
@@ -41,6 +50,7 @@
             clients: Cell::new(0),
             eased: Notify::new(),
             tickets: Cell::new(0),
+            fresh: Cell::new(0),
             idle: RefCell::default(),
         })
     }
@@ -69,10 +79,32 @@
         self.used.get() >= self.most
     }
 
-    /// Waits for the next slot that is freed, or connection that falls idle, after this call. Danger: waiting
-    /// for freed slots alone, new clients starve while those with slots stand idle.
-    pub fn eased(&self) -> Notified<'_> {
-        self.eased.notified()
+    /// Waits for a slot, closing one connection after the other to free it. Danger: waiting for freed slots
+    /// alone, new clients starve while those with slots stand idle; and what is told to close takes a moment,
+    /// in which nothing else must be closed in its stead.
+    pub async fn room(&self, take: impl Fn() -> Option<Slot>, close_one: impl Fn() -> bool) -> Slot {
+        loop {
+            let eased = self.eased.notified();
+            if let Some(slot) = take() {
+                return slot;
+            }
+            if !close_one() {
+                eased.await;
+                continue;
+            }
+            let freed = async {
+                loop {
+                    let eased = self.eased.notified();
+                    match take() {
+                        Some(slot) => return slot,
+                        None => eased.await,
+                    }
+                }
+            };
+            if let Ok(slot) = timeout(CLOSE_PAUSE, freed).await {
+                return slot;
+            }
+        }
     }
 
     /// A connection to an app server has fallen idle.
@@ -81,23 +113,38 @@
     }
 
     /// A client's connection stands idle; it may be told to close. The ticket takes that back.
-    pub fn idle(&self, close: Rc<Notify>) -> u64 {
-        let ticket = self.tickets.get();
-        self.tickets.set(ticket + 1);
+    pub fn idle(&self, close: Rc<Notify>, used: bool) -> Ticket {
+        let ticket = (used, self.tickets.get());
+        self.tickets.set(ticket.1 + 1);
         self.idle.borrow_mut().insert(ticket, close);
         self.ease();
         ticket
     }
 
     /// The connection with this ticket is in use, or gone.
-    pub fn busy(&self, ticket: u64) {
+    pub fn busy(&self, ticket: Ticket) {
         self.idle.borrow_mut().remove(&ticket);
     }
 
-    /// Tells the client's connection that has been idle for longest to close.
+    /// A client has connected.
+    pub fn fresh(&self) {
+        self.fresh.set(self.fresh.get() + 1);
+    }
+
+    /// Whether a new connection has a request or stays silent is known by now.
+    pub fn matured(&self) {
+        self.fresh.set(self.fresh.get() - 1);
+        self.ease();
+    }
+
+    /// Tells a client's connection to close: the first that has stayed silent from its start, else the one
+    /// that has been idle for longest. Danger: a flood of silent connections would push out those in use; while
+    /// some are too new to tell, these are waited for.
     pub fn close_an_idle_client(&self) -> bool {
-        let oldest = self.idle.borrow_mut().pop_first();
-        oldest.is_some_and(|(_, close)| {
+        let mut idle = self.idle.borrow_mut();
+        let first = idle.first_entry().filter(|first| !first.key().0 || self.fresh.get() == 0);
+        let first = first.map(|first| first.remove_entry());
+        first.is_some_and(|(_, close)| {
             close.notify_one();
             true
         })
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,25 +1,31 @@
 //! The clients' side: the listener, what a request must hold, the answers, and `/up`.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::str::FromStr;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
 use mountbend::wire::{Env, WireEffect};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{timeout, timeout_at, Instant};
 
-use super::budget::{Budget, Slot};
+use super::budget::{Budget, Slot, Ticket};
 use super::http::{whole, BadBody};
 use super::node::{Answer, Node};
 use super::servers::{Forward, BODY_MOST, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
@@ -28,15 +34,21 @@
 const PLAN: HeaderName = HeaderName::from_static("x-tariff");
 const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
 const RETRY: HeaderName = HeaderName::from_static("x-retry");
-/// A head is at most this long.
-const HEAD_MOST: usize = 32 * 1024;
+/// A head is at most this long. It bounds what a connection may hold in buffers, too.
+const HEAD_MOST: usize = 16 * 1024;
 /// Ids longer than this, waits and sizes past these, and customers from here on are absurd.
 const ID_MOST: usize = 128;
 const DEADLINE_MOST_MS: u64 = 3_600_000;
-const UNITS_MOST: f64 = 1e6;
 const CUSTOMERS: u64 = 1 << 33;
-/// A new connection without a request by then counts as idle.
-const FIRST_REQUEST: Duration = Duration::from_secs(1);
+/// A new connection without a request by then counts as idle: what comes with it lies there from the start.
+const FIRST_REQUEST: Duration = Duration::from_millis(50);
+/// How long a head may take, from connecting or from its first byte, and then a body.
+const HEAD_WAIT: Duration = Duration::from_millis(1_500);
+const BODY_WAIT: Duration = Duration::from_millis(1_500);
+/// How often connections are looked at for that.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long a connection that is told to close may still take to answer what crosses.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// Pause of the listener when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -45,15 +57,17 @@
     classes: Vec<(String, WireEffect)>,
     plans: Vec<String>,
     nodes: u32,
+    largest_units: f64,
 }
 
 impl Rules {
-    /// Reads them off the settings; `nodes` is the number of edge nodes.
-    pub fn new(env: &Env, nodes: u32) -> Self {
+    /// Reads them off the settings.
+    pub fn new(env: &Env) -> Self {
         Rules {
             classes: env.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
             plans: env.tariffs.iter().map(|p| p.name.clone()).collect(),
-            nodes: nodes.max(1),
+            nodes: env.n_instances.max(1),
+            largest_units: Some(env.largest_units()).filter(|&most| most > 0.0).unwrap_or(f64::MAX),
         }
     }
 }
@@ -65,12 +79,32 @@
     budget: Rc<Budget>,
     /// Each change tells the connections open by then to close as soon as they are idle.
     closing: watch::Sender<u32>,
+    /// The open connections.
+    open: RefCell<BTreeMap<u64, Rc<Idle>>>,
+    opened: Cell<u64>,
 }
 
 impl Clients {
     /// The clients' side of this node.
     pub fn new(node: Rc<Node>, rules: Rules, budget: Rc<Budget>) -> Rc<Self> {
-        Rc::new(Clients { node, rules, budget, closing: watch::channel(0).0 })
+        let clients = Rc::new(Clients {
+            node,
+            rules,
+            budget,
+            closing: watch::channel(0).0,
+            open: RefCell::default(),
+            opened: Cell::default(),
+        });
+        let weak = Rc::downgrade(&clients);
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(LOOK).await;
+                let Some(clients) = weak.upgrade() else { return };
+                let open = clients.open.borrow();
+                open.values().filter(|idle| idle.overdue()).for_each(|idle| idle.cut.notify_one());
+            }
+        });
+        clients
     }
 
     /// Tells all open connections to close when idle.
@@ -96,38 +130,43 @@
     }
 
     async fn slot(&self) -> Slot {
-        loop {
-            if let Some(slot) = self.budget.for_client() {
-                return slot;
-            }
-            let eased = self.budget.eased();
-            if !(self.budget.exhausted() && self.node.servers.close_an_idle()) {
-                self.budget.close_an_idle_client();
-            }
-            eased.await;
-        }
+        let close_one = || {
+            self.budget.exhausted() && self.node.servers.close_an_idle() || self.budget.close_an_idle_client()
+        };
+        self.budget.room(|| self.budget.for_client(), close_one).await
     }
 
     fn open(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
+        // Counted as new from here on, and not from when its task first runs.
+        self.budget.fresh();
+        let close = Rc::new(Notify::new());
+        let idle = Rc::new(Idle {
+            budget: self.budget.clone(),
+            close: close.clone(),
+            cut: Notify::new(),
+            ticket: Cell::new(None),
+            fresh: Cell::new(true),
+            used: Cell::new(false),
+            busy: Cell::new(false),
+            head_since: Cell::new(Some(Instant::now())),
+        });
         let clients = self.clone();
         let mut closing = self.closing.subscribe();
         tokio::task::spawn_local(async move {
             let _slot = slot;
+            let _listed = Listed::new(&clients, &idle);
             // Without it answers are late, not wrong.
             let _ = stream.set_nodelay(true);
-            let close = Rc::new(Notify::new());
-            let idle = Rc::new(Idle {
-                budget: clients.budget.clone(),
-                close: close.clone(),
-                ticket: Cell::new(None),
-                used: Cell::new(false),
-            });
             let service = service_fn(|request| {
                 let (clients, idle) = (clients.clone(), idle.clone());
                 async move {
+                    idle.matured();
                     idle.used.set(true);
+                    idle.busy.set(true);
+                    idle.head_since.set(None);
                     idle.end();
                     let response = clients.answer(request).await;
+                    idle.busy.set(false);
                     idle.begin();
                     Ok::<_, Infallible>(response)
                 }
@@ -135,7 +174,7 @@
             let connection = http1::Builder::new()
                 .max_buf_size(HEAD_MOST)
                 .header_read_timeout(None)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Watched { stream, idle: idle.clone() }), service);
             let mut connection = std::pin::pin!(connection);
             // Danger: the first request of a new connection may lie unread; only one that stays silent is idle.
             let mut silent = std::pin::pin!(tokio::time::sleep(FIRST_REQUEST));
@@ -144,9 +183,12 @@
                 tokio::select! {
                     _ = connection.as_mut() => return,
                     _ = close.notified() => break,
+                    // Danger: half a head, or none, would hold the descriptor for ever. No request has been taken.
+                    _ = idle.cut.notified() => return,
                     _ = closing.changed() => break,
                     _ = silent.as_mut(), if new => {
                         new = false;
+                        idle.matured();
                         if !idle.used.get() {
                             idle.begin();
                         }
@@ -154,9 +196,11 @@
                 }
             }
             connection.as_mut().graceful_shutdown();
-            // Danger: half a head would hold the descriptor for ever; no request has been taken with it.
-            while timeout(FIRST_REQUEST, connection.as_mut()).await.is_err() {
-                if !idle.used.get() || idle.ticket.get().is_some() {
+            if !idle.used.get() && !idle.busy.get() {
+                return;
+            }
+            while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err() {
+                if idle.ticket.get().is_some() {
                     return;
                 }
             }
@@ -164,13 +208,16 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let mut response = match self.serve(request).await {
-            Ok(Answer::Served(body)) => Response::new(Full::new(body)),
-            Ok(Answer::Refused(wait)) => refused(wait),
-            Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, ""),
-            Err(Rejected(status, why)) => plain(status, why),
+        let (mut response, last) = match self.serve(request).await {
+            Ok(Answer::Served(body)) => (Response::new(Full::new(body)), false),
+            Ok(Answer::Refused(wait)) => (refused(wait), false),
+            Ok(Answer::Failed) => (plain(StatusCode::BAD_GATEWAY, ""), false),
+            Err(Rejected(status, why)) => {
+                (plain(status, why), status.is_client_error() && status != StatusCode::CONFLICT)
+            }
         };
-        if self.node.stopping() {
+        // Danger: behind a request that can't be trusted may lie another that its sender hid there.
+        if last || self.node.stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -185,20 +232,34 @@
                 _ => Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "GET alone is served here\n")),
             };
         }
+        // Danger: of a request with a length as well the length is gone by now; a body in chunks may hide another
+        // request. The protocol's bodies have a length.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(bad("bodies come with a length, in no transfer encoding\n"));
+        }
         let new = self.read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now)?;
         let last_call = self.node.last_call(new.due);
-        let body = match timeout_at(last_call, whole(body, BODY_MOST)).await {
+        if head.method == Method::GET && !body.is_end_stream() {
+            return Err(bad("a GET has no body\n"));
+        }
+        let body_by = last_call.min(Instant::now() + BODY_WAIT);
+        let body = match timeout_at(body_by, whole(body, BODY_MOST)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BadBody::TooLong)) => {
                 return Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 64 KiB\n"));
             }
-            Ok(Err(BadBody::Broken)) => return Err(bad("the body is not whole\n")),
+            Ok(Err(BadBody::Broken | BadBody::Malformed)) => return Err(bad("the body is not whole\n")),
             Err(_) => return Err(Rejected(StatusCode::REQUEST_TIMEOUT, "the body came too late\n")),
         };
         let mut headers = head.headers;
+        // A request in absolute form goes on in origin form.
+        let uri = match head.uri.scheme() {
+            None => head.uri,
+            Some(_) => head.uri.path_and_query().cloned().map(Uri::from).ok_or(bad("no path\n"))?,
+        };
         let forward = Forward {
             method: head.method,
-            uri: head.uri,
+            uri,
             id: headers.remove(REQUEST_ID).ok_or(bad("no id\n"))?,
             key: headers.remove(IDEMPOTENCY_KEY),
             body,
@@ -225,6 +286,10 @@
         headers: &HeaderMap,
         now: Micros,
     ) -> Result<NewRequest, Rejected> {
+        let named = [&REQUEST_ID, &CLASS, &PLAN, &DEADLINE, &WEIGHT, &RETRY, &IDEMPOTENCY_KEY];
+        if named.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(bad("a header comes twice\n"));
+        }
         let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let id =
             text(&REQUEST_ID).filter(|id| !id.is_empty() && id.len() <= ID_MOST).ok_or(bad("no id\n"))?;
@@ -244,13 +309,14 @@
         }
         let plan = text(&PLAN).and_then(|name| self.rules.plans.iter().position(|n| n == name));
         let plan = plan.ok_or(bad("no such plan\n"))?;
-        let customer = query
-            .and_then(|q| q.split('&').find_map(|pair| pair.strip_prefix("key=")))
+        let mut keys = query.unwrap_or_default().split('&').filter_map(|pair| pair.strip_prefix("key="));
+        let customer = (keys.next())
+            .filter(|_| keys.next().is_none())
             .filter(|k| k.len() == 16 && k.bytes().all(|b| b.is_ascii_hexdigit()))
             .and_then(|k| u64::from_str_radix(k, 16).ok())
             .filter(|&k| k < CUSTOMERS)
             .ok_or(bad("no key of 16 hex digits\n"))?;
-        let wait = text(&DEADLINE).and_then(|v| v.parse::<u64>().ok()).filter(|&ms| ms <= DEADLINE_MOST_MS);
+        let wait = text(&DEADLINE).and_then(whole_number::<u64>).filter(|&ms| ms <= DEADLINE_MOST_MS);
         let wait = wait.ok_or(bad("no deadline in milliseconds\n"))?;
         let (units, spread, first_node) =
             text(&WEIGHT).and_then(|v| self.weight(v)).ok_or(bad("no weight\n"))?;
@@ -270,19 +336,33 @@
     fn weight(&self, text: &str) -> Option<(f64, u32, u32)> {
         let (mut units, mut spread, mut first) = (None, None, None);
         for pair in text.split(',') {
-            match pair.trim().split_once('=')? {
-                ("units", v) => units = v.parse::<f64>().ok(),
-                ("spread", v) => spread = v.parse::<u32>().ok(),
-                ("first", v) => first = v.parse::<u32>().ok(),
-                _ => {}
+            // A part that comes twice says nothing.
+            let again = match pair.trim().split_once('=')? {
+                ("units", v) => units.replace(number(v)?).is_some(),
+                ("spread", v) => spread.replace(whole_number(v)?).is_some(),
+                ("first", v) => first.replace(whole_number(v)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
             }
         }
-        let units = units.filter(|u| u.is_finite() && *u > 0.0 && *u <= UNITS_MOST)?;
+        let units = units.filter(|u| *u > 0.0 && *u <= self.rules.largest_units)?;
         let spread = spread.filter(|s| (1..=self.rules.nodes).contains(s))?;
         Some((units, spread, first.filter(|&f| f < self.rules.nodes)?))
     }
 }
 
+/// A whole number in digits alone.
+fn whole_number<T: FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
+/// A number in decimal notation, with no sign or exponent.
+fn number(text: &str) -> Option<f64> {
+    text.bytes().all(|b| b.is_ascii_digit() || b == b'.').then(|| text.parse().ok()).flatten()
+}
+
 /// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
 struct Gone<'a> {
     node: &'a Rc<Node>,
@@ -299,15 +379,101 @@
 struct Idle {
     budget: Rc<Budget>,
     close: Rc<Notify>,
-    ticket: Cell<Option<u64>>,
-    /// A request has come on it.
+    /// Told to end at once.
+    cut: Notify,
+    ticket: Cell<Option<Ticket>>,
+    /// So new that its first request may still lie unread.
+    fresh: Cell<bool>,
+    /// A request has come on it, and is open.
     used: Cell<bool>,
+    busy: Cell<bool>,
+    /// Since when a head is under way.
+    head_since: Cell<Option<Instant>>,
+}
+
+/// A client's socket that notes when something comes while no request is open.
+struct Watched {
+    stream: TcpStream,
+    idle: Rc<Idle>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && !self.idle.busy.get() && self.idle.head_since.get().is_none() {
+            self.idle.head_since.set(Some(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection's place on the list of open ones.
+struct Listed {
+    clients: Rc<Clients>,
+    number: u64,
+}
+
+impl Listed {
+    fn new(clients: &Rc<Clients>, idle: &Rc<Idle>) -> Self {
+        let number = clients.opened.get();
+        clients.opened.set(number + 1);
+        clients.open.borrow_mut().insert(number, idle.clone());
+        Listed { clients: clients.clone(), number }
+    }
+}
+
+impl Drop for Listed {
+    fn drop(&mut self) {
+        self.clients.open.borrow_mut().remove(&self.number);
+    }
 }
 
 impl Idle {
     fn begin(&self) {
         self.end();
-        self.ticket.set(Some(self.budget.idle(self.close.clone())));
+        self.ticket.set(Some(self.budget.idle(self.close.clone(), self.used.get())));
+    }
+
+    /// Whether a head has been under way for too long.
+    fn overdue(&self) -> bool {
+        !self.busy.get() && self.head_since.get().is_some_and(|since| since.elapsed() > HEAD_WAIT)
+    }
+
+    fn matured(&self) {
+        if self.fresh.replace(false) {
+            self.budget.matured();
+        }
     }
 
     fn end(&self) {
@@ -319,6 +485,7 @@
 
 impl Drop for Idle {
     fn drop(&mut self) {
+        self.matured();
         self.end();
     }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,21 +1,101 @@
 //! Client connections of HTTP/1.1: one request at a time, nothing sent again, closed when dropped.
 
+use std::cell::Cell;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, Instant};
+
+/// What a connection reads ahead at most; no head is longer.
+const BUFFER_MOST: usize = 16 * 1024;
 
 /// An open connection. Dropping it closes the socket, whatever is under way on it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    heard: Rc<Heard>,
+}
+
+/// When the answer under way began to come.
+#[derive(Default)]
+pub struct Heard {
+    since: Cell<Option<Instant>>,
+    first: Notify,
+}
+
+impl Heard {
+    /// Comes back once an answer has begun and this much time has passed.
+    pub async fn stalled(&self, patience: Duration) {
+        self.first.notified().await;
+        match self.since.get() {
+            Some(since) => sleep_until(since + patience).await,
+            None => pending().await,
+        }
+    }
+}
+
+/// A socket that notes when an answer begins.
+struct Watched {
+    stream: TcpStream,
+    heard: Rc<Heard>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && self.heard.since.get().is_none() {
+            self.heard.since.set(Some(Instant::now()));
+            self.heard.first.notify_waiters();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 impl Drop for Connection {
@@ -28,8 +108,10 @@
 pub enum Broken {
     /// Not a byte of it was written; here it is again.
     Unwritten(Box<Request<Full<Bytes>>>),
-    /// Some of it may have been.
+    /// Some of it may have been, and the connection broke.
     Doubtful,
+    /// It was answered with what can't be read, or can't be trusted. The connection is of no further use.
+    Spoilt,
 }
 
 impl Connection {
@@ -37,9 +119,10 @@
     pub async fn open<H: 'static>(address: SocketAddr, held: H) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        let heard = Rc::<Heard>::default();
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(64 * 1024)
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(BUFFER_MOST)
+            .handshake(TokioIo::new(Watched { stream, heard: heard.clone() }))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -47,7 +130,7 @@
             // What breaks here is told to the request under way as well.
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver: task.abort_handle() })
+        Ok(Connection { sender, driver: task.abort_handle(), heard })
     }
 
     /// Whether it is still open, as far as this side knows.
@@ -55,6 +138,12 @@
         !self.sender.is_closed()
     }
 
+    /// Tells when the answer to the next request begins.
+    pub fn heard(&self) -> Rc<Heard> {
+        self.heard.since.set(None);
+        self.heard.clone()
+    }
+
     /// Sends one request and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
         if self.sender.ready().await.is_err() {
@@ -62,24 +151,51 @@
         }
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
             Some(request) => Broken::Unwritten(Box::new(request)),
+            None if e.error().is_parse() => Broken::Spoilt,
             None => Broken::Doubtful,
         })
     }
 }
 
+/// Whether an answer's head tells without doubt where the answer ends. Danger: without a length a broken
+/// connection looks like a whole body, and of two different ones neither can be believed.
+pub fn framed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let closes = || headers.get_all(CONNECTION).iter().any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    match (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING)) {
+        (true, true) => false,
+        (false, false) => closes() || response.status() == StatusCode::NO_CONTENT,
+        _ => !response.status().is_informational(),
+    }
+}
+
 /// Why a body was not taken in.
 pub enum BadBody {
     /// It is longer than allowed.
     TooLong,
+    /// It can't be read.
+    Malformed,
     /// The connection broke first.
     Broken,
 }
 
 /// Takes in a whole body of at most `most` bytes.
 pub async fn whole(body: Incoming, most: usize) -> Result<Bytes, BadBody> {
+    if body.size_hint().lower() > most as u64 {
+        return Err(BadBody::TooLong);
+    }
     match Limited::new(body, most).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(BadBody::TooLong),
-        Err(_) => Err(BadBody::Broken),
+        Err(e) => Err(match e.downcast_ref::<hyper::Error>().and_then(std::error::Error::source) {
+            Some(cause) if unreadable(cause) => BadBody::Malformed,
+            _ => BadBody::Broken,
+        }),
     }
 }
+
+/// Whether a body ended because it can't be decoded, and not with its connection.
+fn unreadable(cause: &(dyn std::error::Error + 'static)) -> bool {
+    let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
+    matches!(kind, Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData))
+}
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -14,11 +14,13 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Slot};
-use super::http::{whole, Broken, Connection};
+use super::http::{framed, whole, BadBody, Broken, Connection};
 use super::node::Clock;
 
 /// Bodies hold at most this much.
 pub const BODY_MOST: usize = 64 * 1024;
+/// How long an answer may take from its first byte to its last.
+const STALL: Duration = Duration::from_millis(250);
 /// How long a probe may take.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -176,10 +178,15 @@
             };
             let message = request.take().unwrap_or_else(|| build(forward, host, left));
             let Line { mut connection, generation, reused } = line;
-            let answer = match timeout_at(until, self.exchange(&mut connection, message)).await {
-                Ok(answer) => answer,
-                // Danger: whether the last byte went out is not known here, so it may have run.
-                Err(_) => return (Outcome::TimedOut, None),
+            let heard = connection.heard();
+            let answer = tokio::select! {
+                biased;
+                answer = timeout_at(until, self.exchange(&mut connection, message)) => match answer {
+                    Ok(answer) => answer,
+                    // Danger: whether the last byte went out is not known here, so it may have run.
+                    Err(_) => return (Outcome::TimedOut, None),
+                },
+                _ = heard.stalled(STALL) => Err(Broken::Spoilt),
             };
             match answer {
                 Ok((outcome, body, reusable)) => {
@@ -196,6 +203,9 @@
                 }
                 Err(Broken::Unwritten(_)) => return (Outcome::ConnectFailed, None),
                 Err(Broken::Doubtful) => return (Outcome::Reset, None),
+                // Danger: any app server may spoil an answer. It is alive and no worse than others, and an
+                // ejection would take it from all.
+                Err(Broken::Spoilt) => return (Outcome::Error, None),
             }
         }
     }
@@ -208,13 +218,17 @@
     ) -> Result<(Outcome, Option<Bytes>, bool), Broken> {
         let response = connection.send(message).await?;
         let status = response.status();
+        if !framed(&response) {
+            return Err(Broken::Spoilt);
+        }
         let not_run = response.headers().get(NOT_RUN).is_some_and(|v| v == "1");
         let body = whole(response.into_body(), BODY_MOST).await;
         let turned_away = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
         Ok(match body {
             // The head alone says that it has not run, whatever became of the rest.
             body if turned_away && not_run => (Outcome::Full, None, body.is_ok()),
-            Err(_) => (Outcome::Reset, None, false),
+            Err(BadBody::Broken) => (Outcome::Reset, None, false),
+            Err(_) => return Err(Broken::Spoilt),
             Ok(body) if status == StatusCode::OK => (Outcome::Ok, Some(body), true),
             Ok(_) => (Outcome::Error, None, true),
         })
@@ -253,16 +267,8 @@
     /// A place for one more connection. Guard: with none free, idle ones are closed first; what finds none
     /// within the connect time-out is shed.
     async fn slot(&self) -> Slot {
-        loop {
-            if let Some(slot) = self.budget.for_server() {
-                return slot;
-            }
-            let eased = self.budget.eased();
-            if !self.close_an_idle() {
-                self.budget.close_an_idle_client();
-            }
-            eased.await;
-        }
+        let close_one = || self.close_an_idle() || self.budget.close_an_idle_client();
+        self.budget.room(|| self.budget.for_server(), close_one).await
     }
 
     fn give_back(&self, server: ServerId, connection: Connection, generation: u64) {
@@ -293,6 +299,7 @@
             }
             Ok(Err(Broken::Unwritten(_))) => Outcome::ConnectFailed,
             Ok(Err(Broken::Doubtful)) => Outcome::Reset,
+            Ok(Err(Broken::Spoilt)) => Outcome::Error,
             Err(_) => Outcome::TimedOut,
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -177,6 +177,13 @@
     Ignored,
 }
 
+impl Env {
+    /// The most units that a request counts; 0 where that is not told.
+    pub fn largest_units(&self) -> f64 {
+        self.domain.largest
+    }
+}
+
 /// The settings of one node, as the simulator's first message and a real node's configuration hold them.
 #[derive(Deserialize)]
 pub struct Env {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -82,6 +82,12 @@
         self.close();
     }
 
+    /// Sends this and leaves the connection open.
+    pub fn spoil(mut self, bytes: &[u8]) {
+        // The node may have had enough of it halfway.
+        let _ = self.stream.write_all(bytes);
+    }
+
     pub fn close(self) {
         self.stream.shutdown(std::net::Shutdown::Both).expect("an open connection");
     }
@@ -549,6 +555,17 @@
         self.raw(&ask.text());
     }
 
+    /// Waits for the connection's end; what still came before.
+    pub fn rest(mut self) -> String {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(_) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => {}
+            Err(e) => panic!("the connection stays open: {e}"),
+        }
+        String::from_utf8_lossy(&rest).into_owned()
+    }
+
     /// Whether an answer has begun to come.
     pub fn has_answer(&mut self) -> bool {
         let short = Some(Duration::from_millis(1));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -362,6 +362,17 @@
         ("POST /post", "GET /post"),
         ("POST /post", "POST /lookup"),
         ("Content-Length: 5", "Content-Length: x"),
+        ("Content-Length: 5", "Content-Length: -5"),
+        ("units=1", "units=5"),
+        ("units=1", "units=+1"),
+        ("units=1", "units=1,units=2"),
+        ("spread=2", "spread=+2"),
+        ("X-Deadline-Ms: 40000", "X-Deadline-Ms: +40000"),
+        ("key=0000000000000007", "key=0000000000000007&key=0000000000000008"),
+        ("X-Request-Id: p-1", "X-Request-Id: p-1\r\nX-Request-Id: p-2"),
+        ("X-Class: post", "X-Class: post\r\nX-Class: lookup"),
+        ("X-Tariff: free", "X-Tariff: free\r\nX-Tariff: paid"),
+        ("X-Deadline-Ms: 40000", "X-Deadline-Ms: 40000\r\nX-Deadline-Ms: 1"),
     ];
     for (from, to) in swaps {
         assert!(good.contains(from), "{from}");
@@ -591,3 +602,130 @@
         assert_eq!(client.answer().status(), 200);
     }
 }
+
+#[test]
+fn a_request_that_may_hide_another_is_refused_and_nothing_behind_it_is_read() {
+    let (app, edge, _client) = one();
+    let hidden = ask("post", "hidden").text();
+    let chunks = format!("0\r\n\r\n{hidden}");
+    let both = [
+        format!("Transfer-Encoding: chunked\r\nContent-Length: {}", chunks.len()),
+        format!("Content-Length: {}\r\nTransfer-Encoding: chunked", chunks.len()),
+        "Transfer-Encoding: chunked".to_string(),
+        "Transfer-Encoding: identity".to_string(),
+    ];
+    for framing in both {
+        let mut client = edge.client();
+        let text = ask("post", "p-1").text().replace("Content-Length: 5", &framing);
+        client.raw(&text.replace("slip!", &chunks));
+        assert_eq!(client.answer().status(), 400, "{framing}");
+        assert_eq!(client.rest(), "", "{framing}");
+    }
+    let mut client = edge.client();
+    client.raw(&ask("lookup", "l-1").text().replace("\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nslip!"));
+    assert_eq!(client.answer().status(), 400);
+    client.rest();
+    app.no_request();
+    // Absolute form goes on in origin form.
+    let mut client = edge.client();
+    client.raw(&ask("lookup", "l-2").text().replace("GET /", "GET http://service.internal/"));
+    let seen = app.next();
+    assert_eq!(seen.message.first, "GET /lookup?key=0000000000000007 HTTP/1.1");
+    seen.answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn a_client_that_does_not_finish_its_request_is_turned_away_in_time() {
+    let (app, edge, mut kept) = one();
+    let text = ask("post", "p-1").text();
+    kept.ask(&ask("lookup", "l-1"));
+    app.next().answer("200 OK", "", "ok");
+    assert_eq!(kept.answer().status(), 200);
+    // Silent from the start; half a head, on a new connection and on a kept one; half a body.
+    let silent = edge.client();
+    let (mut half, mut body) = (edge.client(), edge.client());
+    half.raw(&text[..text.len() / 2]);
+    kept.raw(&text[..text.len() / 2]);
+    body.raw(&text[..text.len() - 2]);
+    assert_eq!(body.answer().status(), 408);
+    for client in [silent, half, kept, body] {
+        assert_eq!(client.rest(), "");
+    }
+    // A huge body is not waited for.
+    let mut huge = edge.client();
+    huge.raw(&text.replace("Content-Length: 5", "Content-Length: 60000000"));
+    assert_eq!(huge.answer().status(), 413);
+    huge.rest();
+    app.no_request();
+}
+
+#[test]
+fn silent_connections_keep_nobody_out() {
+    let app = App::new();
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    config["limits"]["sockets"] = json!(40);
+    let edge = Edge::new(&config);
+    let mut usual = edge.client();
+    usual.ask(&ask("post", "first"));
+    app.next().answer("200 OK", "", "ok");
+    assert_eq!(usual.answer().status(), 200);
+    let mut silent = Vec::new();
+    for number in 0..5 {
+        // Each time more of them than there are descriptors; the connection in use outlives them all.
+        silent.extend((0..30).map(|_| edge.client()));
+        let mut new = edge.client();
+        for client in [&mut usual, &mut new] {
+            client.ask(&ask("post", &format!("p-{number}")));
+            app.next().answer("200 OK", "", "ok");
+            assert_eq!(client.answer().status(), 200);
+        }
+    }
+}
+
+#[test]
+fn a_spoilt_answer_fails_at_once_and_its_server_stays_in_use() {
+    let endless = format!("HTTP/1.1 200 OK\r\n{}", "X-More: and more\r\n".repeat(4_000));
+    let spoilt: [&[u8]; 10] = [
+        b"\x00\xffnoise\r\n\r\n",
+        b"HTTP/1.1 two hundred\r\n\r\n",
+        endless.as_bytes(),
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand it keeps coming",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\nslip!",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nslip!\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nwithout a length",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    ];
+    let (app, _edge, mut client) = one();
+    for (number, bytes) in spoilt.into_iter().enumerate() {
+        client.ask(&ask("post", &format!("p-{number}")));
+        let seen = app.next();
+        assert_eq!(seen.id(), format!("p-{number}"), "the server is out of use");
+        seen.spoil(bytes);
+        assert_failed(&client.answer());
+    }
+    // Short of its length; nothing more comes, though the connection stays open.
+    client.ask(&ask("lookup", "l-1"));
+    app.next().spoil(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    app.next().answer("200 OK", "", "again");
+    assert_eq!(client.answer().body, b"again");
+}
+
+#[test]
+fn what_comes_with_a_good_answer_harms_neither_it_nor_the_next() {
+    let (app, _edge, mut client) = one();
+    let good = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let hints = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    for (number, (ahead, behind)) in
+        [("", good("first")), ("", "noise".into()), (hints, String::new())].into_iter().enumerate()
+    {
+        client.ask(&ask("post", &format!("p-{number}")));
+        app.next().spoil(format!("{ahead}{}{behind}", good("first")).as_bytes());
+        assert_eq!(client.answer().body, b"first");
+        client.ask(&ask("post", &format!("q-{number}")));
+        app.next().answer("200 OK", "", "second");
+        assert_eq!(client.answer().body, b"second");
+    }
+}
