Forget servers and customers; answer by half of a request's time

Seen by reading: Discovery.names, Servers.hosts and Controller.servers never let go of an app server, choose() divided by all ever seen, customers stayed for a minute after one visit, and every 20 ms tick walked over all of them. Now a server goes once it is removed and nothing is out there, a customer after 6 s or once its bucket must be full again, if its lease is back; both are looked for twice a second. A request keeps the zone and cell where it ran, so its group outlives the server; an attempt's end no longer depends on the server being known; a generation is never given twice, and connections to an address end when another server is told of there. Parked requests waited for on_time, past half of a short deadline, and a connect to a vanished machine took 250 ms whatever was left (control.rs, on_tick; servers.rs, line): now half of the time at most, and a quarter of what is left.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,6 +17,9 @@
 const LEASE_REQUESTS: f64 = 3.0;
 /// A lease untouched for this long is handed back.
 const LEASE_IDLE: Micros = 3_000_000;
+/// A customer is kept for this long at least, and all are looked through so often.
+const FORGET: Micros = 6_000_000;
+const SWEEP: Micros = 500_000;
 /// One count name lives for this long: long against a burst, within the minute that the counter keeps it.
 const WINDOW: Micros = 30_000_000;
 const KEEP: Micros = 60_000_000;
@@ -37,7 +40,7 @@
 const COUNTER_REST: Micros = 50_000;
 const COUNTER_REST_MAX: Micros = 800_000;
 /// How often a total is read again whose answer could not be read.
-const REREADS: u32 = 2;
+const REREADS: u32 = 1;
 /// Open promises per customer at most, in mean requests of the burst: D-hat of the paper.
 const PROMISES_MAX: usize = 16;
 /// Weight of a new latency sample in the EWMAs, and the latency assumed before the first answer.
@@ -155,6 +158,8 @@
 
 struct Attempt {
     server: ServerId,
+    /// The server's zone and cell: the request's group outlives the server.
+    place: (u32, u32),
     sent: Micros,
     out: bool,
 }
@@ -170,8 +175,8 @@
     marked: bool,
     drew: f64,
     attempts: Vec<Attempt>,
-    /// First attempt that may have run: when it was sent, and where.
-    ran: Option<(Micros, ServerId)>,
+    /// First attempt that may have run: when it was sent, and in which zone and cell.
+    ran: Option<(Micros, (u32, u32))>,
     answered: bool,
     stream: bool,
 }
@@ -182,6 +187,8 @@
     cell: u32,
     size: f64,
     listed: bool,
+    /// Removed, or on no list any more.
+    gone: bool,
     started: Micros,
     out: VecDeque<Micros>,
     latency: f64,
@@ -201,6 +208,8 @@
     random: u64,
     now: Micros,
     begun: Micros,
+    /// When customers and servers were last looked through.
+    swept: Micros,
     ticking: bool,
     customers: BTreeMap<CustomerId, Customer>,
     /// Calls out, by name: one at a time for a customer.
@@ -270,6 +279,11 @@
         }
     }
 
+    /// How many customers and app servers something is kept of.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.customers.len(), self.servers.len())
+    }
+
     // ---- Quota leases ----
 
     fn on_request(&mut self, new: NewRequest, out: &mut Vec<Action>) {
@@ -535,7 +549,7 @@
             return;
         }
         if kind != ListKind::Changes {
-            self.servers.values_mut().for_each(|s| s.listed = false);
+            self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
         }
         for m in entries {
             // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
@@ -546,11 +560,28 @@
             (s.zone, s.cell) = (m.zone, m.cell);
             s.size = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
             s.listed = m.state == MemberState::In;
+            s.gone = m.state == MemberState::Out;
             if m.started > s.started {
                 (s.started, s.strikes, s.ejected) = (m.started, 0, 0);
                 (s.slow, s.latency) = (slow, self.latency);
             }
         }
+        self.forget();
+    }
+
+    /// Danger: app servers and customers are ever new, and what is kept of each grows without end. A server
+    /// goes once it is removed and nothing is out there, a customer once its bucket must be full again and
+    /// its lease is handed back: a new one is told the same by the counter.
+    fn forget(&mut self) {
+        let now = self.now;
+        self.servers.retain(|_, s| !s.gone || !s.out.is_empty());
+        let full = |c: &Customer| {
+            let plan = self.set.plans.get(c.plan).filter(|p| p.quota_rate > 0.0);
+            plan.map_or(0, |p| (p.burst / p.quota_rate * 1e6) as Micros).max(FORGET)
+        };
+        let idle = |c: &Customer| c.open == 0 && c.call.is_none() && c.waiting.is_empty();
+        let over = |c: &Customer| now > c.used_at + if c.lease > c.mean / 2.0 { KEEP } else { full(c) };
+        self.customers.retain(|_, c| !(idle(c) && over(c)));
     }
 
     /// What this node sends a second to a warm server, in the mean.
@@ -587,13 +618,16 @@
     fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<ServerId> {
         let r = self.requests.get(id)?;
         let class = &self.set.classes[r.class];
-        let bound = r.ran.and_then(|(_, s)| self.servers.get(&s)).map(|s| (s.zone, s.cell));
+        let bound = r.ran.map(|(_, place)| place);
         let per_server = self.per_server();
         let safe = class.effect == Effect::Safe;
         // Danger: a node with next to nothing out would always take the largest server. The less its own
         // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
-        let held: usize = self.servers.values().map(|s| s.out.len()).sum();
-        let blind = 1.0 / (1.0 + SEEN * held as f64 / self.servers.len().max(1) as f64);
+        let (mut held, mut listed) = (0, 0);
+        self.servers
+            .values()
+            .for_each(|s| (held, listed) = (held + s.out.len(), listed + usize::from(s.listed)));
+        let blind = 1.0 / (1.0 + SEEN * held as f64 / listed.max(1) as f64);
         let now = self.now;
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
         let kinds = [r.class, self.set.classes.len() + r.plan].map(common);
@@ -655,7 +689,8 @@
         let Some(r) = self.requests.get_mut(id) else { return };
         let first = r.attempts.is_empty();
         self.retries = (self.retries + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
-        r.attempts.push(Attempt { server, sent: now, out: true });
+        let place = self.servers.get(&server).map_or((0, 0), |s| (s.zone, s.cell));
+        r.attempts.push(Attempt { server, place, sent: now, out: true });
         if let Some(c) = self.customers.get_mut(&r.customer) {
             c.open += 1;
         }
@@ -678,16 +713,17 @@
             return;
         }
         a.out = false;
-        let (server, sent) = (a.server, a.sent);
+        let (server, sent, place) = (a.server, a.sent, a.place);
         let may_have_run = !matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Ignored);
         if may_have_run && r.ran.is_none_or(|(at, _)| sent < at) {
-            r.ran = Some((sent, server));
+            r.ran = Some((sent, place));
         }
         r.answered |= end.finished;
         if let Some(c) = self.customers.get_mut(&r.customer) {
             c.open = c.open.saturating_sub(1);
         }
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let mut unknown = Server::default();
+        let s = self.servers.get_mut(&server).unwrap_or(&mut unknown);
         if let Some(i) = s.out.iter().position(|&t| t == sent) {
             s.out.remove(i);
         }
@@ -796,7 +832,9 @@
         self.held += (held as f64 - self.held) * HELD_GAIN;
         for id in std::mem::take(&mut self.parked) {
             let Some(r) = self.requests.get(&id) else { continue };
-            if now >= r.arrived + self.set.classes[r.class].on_time || now + 2 * TICK >= r.due {
+            // Danger: what is turned away late has cost its client the time to go elsewhere.
+            let patience = self.set.classes[r.class].on_time.min(r.due.saturating_sub(r.arrived) / 2);
+            if now + 2 * TICK >= r.arrived + patience {
                 self.give_up(&id, out);
             } else {
                 self.launch(&id, out);
@@ -805,9 +843,12 @@
         self.rescue(out);
         let silent: Vec<_> = self.servers.iter().filter(|(_, s)| self.silent(s)).map(|(&k, _)| k).collect();
         silent.into_iter().for_each(|key| self.strike(key));
-        self.customers.retain(|_, c| c.open > 0 || c.call.is_some() || now < c.used_at + KEEP);
-        let idle = if self.asking > 0.5 { LEASE_IDLE } else { Micros::MAX };
-        self.hand_back(idle, out);
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            let idle = if self.asking > 0.5 { LEASE_IDLE } else { Micros::MAX };
+            self.hand_back(idle, out);
+            self.forget();
+        }
     }
 
     /// Gives back the leases of customers not seen for longer than `idle`.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -221,6 +221,7 @@
         let entries: Vec<Member> =
             list.endpoints.into_iter().filter_map(|value| self.entry(node, value)).collect();
         if kind != ListKind::Changes {
+            self.names.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
             node.servers.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
         }
         node.event(Event::Members { kind, entries });
@@ -251,7 +252,10 @@
                 MemberState::Draining
             }
         };
-        if !node.servers.set(server, e.address.parse().ok(), e.since_ms, state == MemberState::In) {
+        if state == MemberState::Out {
+            names.remove(&server);
+            node.servers.remove(server);
+        } else if !node.servers.set(server, e.address.parse().ok(), e.since_ms, state == MemberState::In) {
             eprintln!("pinerelay: discovery: {} has no usable address", e.name);
             return None;
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,6 +1,6 @@
 //! The app servers: where they are, the connections kept to each, attempts and their outcomes, probes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +21,8 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// How long an answer may take from its first byte to its last.
 const STALL: Duration = Duration::from_millis(250);
+/// A connection has this long at least to come up.
+const CONNECT_LEAST: Duration = Duration::from_millis(60);
 /// How long a probe may take.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -56,7 +58,7 @@
     host: HeaderValue,
     since_ms: u64,
     up: bool,
-    /// Changes with address and start: connections of an earlier one are not kept.
+    /// Another with each address and start, never given twice: connections of an earlier one are not kept.
     generation: u64,
     idle: Vec<Kept>,
 }
@@ -64,6 +66,8 @@
 /// All app servers that discovery has named.
 pub struct Servers {
     hosts: RefCell<BTreeMap<ServerId, Host>>,
+    /// The last generation given.
+    generation: Cell<u64>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     keep: Duration,
@@ -90,6 +94,7 @@
         let or = |value: Micros, default| if value > 0 { value } else { default };
         let servers = Rc::new(Servers {
             hosts: RefCell::default(),
+            generation: Cell::default(),
             budget,
             connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
             keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
@@ -117,17 +122,25 @@
     pub fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
+        let next = self.generation.get() + 1;
+        self.generation.set(next);
+        // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
+        let same = hosts.iter_mut().filter(|(&other, h)| other != id && h.address == address);
+        same.for_each(|(_, old)| {
+            old.generation = next;
+            old.idle.clear();
+        });
         let host = hosts.entry(id).or_insert_with(|| Host {
             address,
             host: host_header(address),
             since_ms,
             up,
-            generation: 0,
+            generation: next,
             idle: Vec::new(),
         });
         if host.address != address || host.since_ms != since_ms {
             (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
-            host.generation += 1;
+            host.generation = next;
             host.idle.clear();
         }
         host.up = up;
@@ -137,14 +150,14 @@
         true
     }
 
-    /// Marks all as gone that a whole list does not name.
+    /// Forgets all that a whole list does not name.
     pub fn keep_only(&self, listed: &[ServerId]) {
-        for (id, host) in self.hosts.borrow_mut().iter_mut() {
-            if !listed.contains(id) {
-                host.up = false;
-                host.idle.clear();
-            }
-        }
+        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
+    }
+
+    /// Forgets an app server that has been removed.
+    pub fn remove(&self, id: ServerId) {
+        self.hosts.borrow_mut().remove(&id);
     }
 
     /// Closes the connection that has been idle for longest, to free its descriptor.
@@ -166,7 +179,7 @@
         let mut fresh_only = false;
         let mut request = None;
         loop {
-            let line = match timeout_at(until, self.line(server, fresh_only)).await {
+            let line = match timeout_at(until, self.line(server, fresh_only, until - Instant::now())).await {
                 Ok(Ok(line)) => line,
                 // Nothing has been written.
                 Err(_) | Ok(Err(NoLine::Failed)) => return (Outcome::ConnectFailed, None),
@@ -235,7 +248,9 @@
     }
 
     /// A kept connection or a new one.
-    async fn line(&self, server: ServerId, fresh_only: bool) -> Result<Line, NoLine> {
+    async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
+        // Danger: a machine that has vanished must not take the time in which another could still be asked.
+        let patience = self.connect_timeout.min((left / 4).max(CONNECT_LEAST));
         let (address, generation) = {
             let mut hosts = self.hosts.borrow_mut();
             let Some(host) = hosts.get_mut(&server).filter(|h| h.up) else { return Err(NoLine::Failed) };
@@ -251,7 +266,7 @@
             let slot = self.slot().await;
             Connection::open(address, slot).await.map_err(|e| is_descriptors(&e))
         };
-        match timeout(self.connect_timeout, connect).await {
+        match timeout(patience, connect).await {
             Ok(Ok(connection)) => {
                 // Danger: the list may have changed while the connection came up.
                 let hosts = self.hosts.borrow();
@@ -284,7 +299,7 @@
         let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
             return Outcome::ConnectFailed;
         };
-        let Ok(Line { mut connection, generation, .. }) = self.line(server, false).await else {
+        let Ok(Line { mut connection, generation, .. }) = self.line(server, false, PROBE_WAIT).await else {
             return Outcome::ConnectFailed;
         };
         let mut request = Request::new(Full::default());
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -729,3 +729,61 @@
         assert_eq!(client.answer().body, b"second");
     }
 }
+
+#[test]
+fn a_removed_server_is_forgotten_but_not_the_group_of_what_ran_there() {
+    let (a, b, c) = (App::new(), App::new(), App::new());
+    let lists = Lists::new();
+    let mut config = config(&[entry("s-1", a.address, "a", "up")]);
+    config["discovery"] = json!(lists.address.to_string());
+    let edge = Edge::new(&config);
+    let mut client = edge.client();
+    // A broken connection puts the server out of use. It is removed and comes back as a new one.
+    client.ask(&ask("post", "p-1"));
+    a.next().close();
+    assert_failed(&client.answer());
+    lists.push(entry("s-1", a.address, "a", "removed"));
+    lists.push(entry("s-1", a.address, "a", "up"));
+    client.ask(&ask("post", "p-2"));
+    a.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+    // Removed while a keyed request is there, which may have run: another try stays in its zone.
+    client.ask(&ask("slip", "k-1"));
+    let seen = a.next();
+    lists.push(entry("s-2", b.address, "b", "up"));
+    lists.push(entry("s-3", c.address, "a", "up"));
+    lists.push(entry("s-1", a.address, "a", "removed"));
+    seen.answer("500 Internal Server Error", "", "");
+    c.next().answer("200 OK", "", "once");
+    assert_eq!(client.answer().body, b"once");
+    b.no_request();
+}
+
+#[test]
+fn a_new_server_at_an_old_address_gets_no_old_connection() {
+    let (a, lists) = (App::new(), Lists::new());
+    let mut config = config(&[entry("s-1", a.address, "a", "up")]);
+    config["discovery"] = json!(lists.address.to_string());
+    let edge = Edge::new(&config);
+    let mut client = edge.client();
+    client.ask(&ask("post", "p-1"));
+    a.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+    // The new one is told of before the old one's end.
+    lists.push(entry("s-2", a.address, "a", "up"));
+    a.ended();
+    lists.push(entry("s-1", a.address, "a", "removed"));
+    client.ask(&ask("post", "p-2"));
+    a.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn with_no_server_a_request_is_answered_by_half_of_its_time() {
+    let edge = Edge::new(&config(&[]));
+    let mut client = edge.client();
+    let begun = std::time::Instant::now();
+    client.ask(&Ask { deadline_ms: 16_000, ..ask("post", "p-1") });
+    assert!(client.answer().refused());
+    assert!(begun.elapsed().as_millis() < 12_000, "{:?}", begun.elapsed());
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -158,3 +158,31 @@
     // A warm one gets 1,000 / 3.2 in that second, and 0.2 to 0.25 of it is sure.
     assert!(cold <= 70, "{cold} requests in the first second");
 }
+
+#[test]
+fn customers_that_come_once_and_servers_that_have_gone_are_forgotten() {
+    let mut n = Node::new(fleet(3), 4);
+    let mut counter = Counter::default();
+    for k in 0..3_000 {
+        n.wait(20 * MS);
+        for action in n.tick() {
+            settle(&mut n, &mut counter, vec![action]);
+        }
+        // Each second one server is replaced by another under a new id.
+        if k % 50 == 0 {
+            let (old, new) = (k / 50, k / 50 + 4);
+            let entries =
+                vec![member(old as u32, MemberState::Out, 0), member(new as u32, MemberState::In, 0)];
+            n.event(Event::Members { kind: ListKind::Changes, entries });
+        }
+        let asked = stranger(&mut n, k, 3);
+        let actions = settle(&mut n, &mut counter, asked);
+        for (id, server) in sent(&actions) {
+            n.end(&id, 0, server, Outcome::Ok);
+        }
+    }
+    // 50 customers a second, each with a bucket that is full again after 6 s; and 4 servers at a time.
+    let (customers, servers) = n.node.kept();
+    assert!(customers <= 50 * 8, "{customers} customers of 3000 in a minute are kept");
+    assert_eq!(servers, 4);
+}
