--- a/src/control.rs
+++ b/src/control.rs
@@ -309,7 +309,13 @@
             self.patience.insert(new.class, new.due.saturating_sub(now));
         }
         // Danger: a try that comes as its client gives up is overdue before any answer could come.
-        if self.overloaded(&id) || self.hopeless(&id) || now + TICK + self.latency as Micros / 4 > new.due {
+        if let Some(over) = self.overloaded(&id) {
+            // By Little's law the excess over the limit is also the time in which it drains.
+            let told = self.set.limits.retry_after && !marked;
+            let relief = (over as Micros).clamp(TICK, self.set.limits.max_retry_after.max(TICK));
+            return self.refuse(&id, if told { relief } else { 0 }, out);
+        }
+        if self.hopeless(&id) || now + TICK + self.latency as Micros / 4 > new.due {
             return self.refuse(&id, 0, out);
         }
         match self.draw(&id, true, out) {
@@ -881,18 +887,20 @@
 
     // ---- Overload ----
 
+    /// By how much what is to be expected passes the limit, if it does.
     /// Danger: a full fleet, where everything is answered late. The cheapest work goes first. Judged by what
     /// is out now, so that an idle fleet always lets in: old latencies alone latch it shut.
-    fn overloaded(&self, id: &RequestId) -> bool {
-        let Some(r) = self.requests.get(id) else { return false };
-        let Some(plan) = self.set.plans.get(r.plan) else { return false };
+    fn overloaded(&self, id: &RequestId) -> Option<f64> {
+        let r = self.requests.get(id)?;
+        let plan = self.set.plans.get(r.plan)?;
         let class = &self.set.classes[r.class];
         let credit = self.set.classes.iter().map(|c| c.credit).fold(1e-9, f64::max);
         let factor = self.set.plans.iter().map(|p| p.worth_factor).fold(1e-9, f64::max);
         let rank = class.credit / credit * plan.worth_factor / factor;
         let share = SHED_CHEAPEST + (SHED_DEAREST - SHED_CHEAPEST) * rank;
         // All classes queue at the same servers: the shortest aim rules, or the patient class takes all.
-        self.expected() > self.shortest_aim() * share
+        let over = self.expected() - self.shortest_aim() * share;
+        (over > 0.0).then_some(over)
     }
 
     /// The latency to expect of a new request, by Little's law: what this node has out over the rate at which
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -83,7 +83,10 @@
             n.tick();
         }
         let (_, actions) = n.ask(0, 1.0);
-        refusals += usize::from(refused(&actions).is_some());
+        if let Some(advice) = refused(&actions) {
+            refusals += 1;
+            assert!((1..=2 * SECOND).contains(&advice), "turned away with no word of when to come back");
+        }
         out.extend(sent(&actions));
     }
     assert!(refusals > 50, "{refusals} refused of 200 in 0.2 s on two servers at 20 a second");
