Take the settling of connections out again; advice tells the smoothed decline

The time told was too short to be true: the number judged by is smoothed over 0.2 s, so the excess alone does not drain it. It is now the time in which the smoothed number falls under the limit if nothing more is sent.

--- a/src/control.rs
+++ b/src/control.rs
@@ -310,9 +310,8 @@
         }
         // Danger: a try that comes as its client gives up is overdue before any answer could come.
         if let Some(over) = self.overloaded(&id) {
-            // By Little's law the excess over the limit is also the time in which it drains.
             let told = self.set.limits.retry_after && !marked;
-            let relief = (over as Micros).clamp(TICK, self.set.limits.max_retry_after.max(TICK));
+            let relief = over.clamp(TICK, self.set.limits.max_retry_after.max(TICK));
             return self.refuse(&id, if told { relief } else { 0 }, out);
         }
         if self.hopeless(&id) || now + TICK + self.latency as Micros / 4 > new.due {
@@ -887,10 +886,11 @@
 
     // ---- Overload ----
 
-    /// By how much what is to be expected passes the limit, if it does.
+    /// If the fleet is full for this request, how soon it is not, if nothing more were sent: what is expected
+    /// is smoothed, so it falls by a constant share each tick.
     /// Danger: a full fleet, where everything is answered late. The cheapest work goes first. Judged by what
     /// is out now, so that an idle fleet always lets in: old latencies alone latch it shut.
-    fn overloaded(&self, id: &RequestId) -> Option<f64> {
+    fn overloaded(&self, id: &RequestId) -> Option<Micros> {
         let r = self.requests.get(id)?;
         let plan = self.set.plans.get(r.plan)?;
         let class = &self.set.classes[r.class];
@@ -899,8 +899,8 @@
         let rank = class.credit / credit * plan.worth_factor / factor;
         let share = SHED_CHEAPEST + (SHED_DEAREST - SHED_CHEAPEST) * rank;
         // All classes queue at the same servers: the shortest aim rules, or the patient class takes all.
-        let over = self.expected() - self.shortest_aim() * share;
-        (over > 0.0).then_some(over)
+        let over = self.expected() / (self.shortest_aim() * share).max(1.0);
+        (over > 1.0).then(|| (over.ln() / HELD_GAIN * TICK as f64) as Micros)
     }
 
     /// The latency to expect of a new request, by Little's law: what this node has out over the rate at which
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -23,8 +23,6 @@
 const STALL: Duration = Duration::from_millis(250);
 /// A connection has this long at least to come up.
 const CONNECT_LEAST: Duration = Duration::from_millis(60);
-/// How long a connection stands idle before it is used again.
-const SETTLE: Duration = Duration::from_millis(10);
 /// How long a probe may take.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
@@ -256,11 +254,7 @@
         let (address, generation) = {
             let mut hosts = self.hosts.borrow_mut();
             let Some(host) = hosts.get_mut(&server).filter(|h| h.up) else { return Err(NoLine::Failed) };
-            // Danger: a close or a second copy may come right behind an answer, and what is written into that
-            // is lost. A connection is used again once it has stood idle for a moment.
-            while let Some(place) = host.idle.iter().rposition(|k| !fresh_only && k.since.elapsed() >= SETTLE)
-            {
-                let kept = host.idle.remove(place);
+            while let Some(kept) = host.idle.pop().filter(|_| !fresh_only) {
                 if kept.since.elapsed() < self.keep && kept.connection.usable() {
                     let generation = host.generation;
                     return Ok(Line { connection: kept.connection, generation, reused: true });
