--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -139,10 +139,11 @@
 
     /// Tells a client's connection to close: the first that has stayed silent from its start, else the one
     /// that has been idle for longest. Danger: a flood of silent connections would push out those in use; while
-    /// some are too new to tell, these are waited for.
+    /// half of all are too new to tell, these are waited for. With fewer, waiting would keep out the others.
     pub fn close_an_idle_client(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let first = idle.first_entry().filter(|first| !first.key().0 || self.fresh.get() == 0);
+        let flood = self.fresh.get() * 2 >= self.for_clients;
+        let first = idle.first_entry().filter(|first| !first.key().0 || !flood);
         let first = first.map(|first| first.remove_entry());
         first.is_some_and(|(_, close)| {
             close.notify_one();
@@ -164,3 +165,23 @@
         b.ease();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_kept_connection_makes_room_unless_half_of_all_are_too_new_to_tell() {
+        let budget = Budget::new(KEPT_BACK + 20);
+        budget.idle(Rc::default(), true);
+        (0..5).for_each(|_| budget.fresh());
+        assert!(budget.close_an_idle_client(), "a few new ones must not keep it");
+        budget.idle(Rc::default(), true);
+        budget.fresh();
+        assert!(!budget.close_an_idle_client(), "a flood must not push it out");
+        budget.idle(Rc::default(), false);
+        assert!(budget.close_an_idle_client(), "one that stayed silent goes first");
+        budget.matured();
+        assert!(budget.close_an_idle_client());
+    }
+}
