--- /dev/null
+++ b/crates/decisions/src/control/choice.rs
@@ -0,0 +1,145 @@
+//! Server choice: the list of app servers, their health, cold starts, and which one gets an attempt.
+
+use super::measure::*;
+use super::*;
+
+/// First ejection of a suspect server; doubles up to the last.
+const EJECT: Micros = 400_000;
+const EJECT_MAX: Micros = 6_400_000;
+/// A cold server no slower than the fleet gets this much over its sure share; far under the fall multiple.
+const COLD_PACE: f64 = 1.5;
+/// How soon own counts outweigh the lot, in attempts out at each server.
+const SEEN: f64 = 60.0;
+/// How much a sure failure adds to a server's cost.
+const FAIL_COST: f64 = 10.0;
+
+impl Controller {
+    pub(super) fn on_members(&mut self, kind: ListKind, entries: Vec<Member>, out: &mut Vec<Action>) {
+        let now = self.now;
+        if kind == ListKind::Stale || (kind == ListKind::Lost && self.set.list_on_request) {
+            // Danger: an old list after a restart names dead servers and hides cold ones. Ask anew.
+            out.push(if self.set.list_on_request { Action::WatchList } else { Action::FetchList });
+        }
+        if kind == ListKind::Lost {
+            return;
+        }
+        if kind != ListKind::Changes {
+            self.servers.values_mut().for_each(|s| (s.listed, s.gone) = (false, true));
+        }
+        for m in entries {
+            // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
+            let slow = Bucket { store: lot(&mut self.random), at: now };
+            let (started, latency) = (m.started, self.latency);
+            let new = || Server { started, latency, heard: now, slow, ..Server::default() };
+            let s = self.servers.entry(m.server).or_insert_with(new);
+            (s.zone, s.cell) = (m.zone, m.cell);
+            s.size = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
+            s.listed = m.state == MemberState::In;
+            s.gone = m.state == MemberState::Out;
+            if m.started > s.started {
+                (s.started, s.strikes, s.breaks, s.ejected) = (m.started, 0, 0, 0);
+                (s.slow, s.latency) = (slow, self.latency);
+            }
+        }
+        self.forget();
+    }
+
+    /// What this node sends a second to a warm server, in the mean.
+    pub(super) fn per_server(&self) -> f64 {
+        let warm: f64 = self.servers.values().filter(|s| s.listed).map(|s| self.warmth(s)).sum();
+        self.sends.get(self.now, RATE_SPAN) / warm.max(1.0)
+    }
+
+    /// The share of its capacity that a server surely has by now.
+    pub(super) fn warmth(&self, s: &Server) -> f64 {
+        let rules = &self.set.rules;
+        if s.started == 0 || rules.cold == 0 {
+            return 1.0;
+        }
+        let age = self.now.saturating_sub(s.started) as f64 / rules.cold as f64;
+        let pace = if s.latency < self.latency { COLD_PACE } else { 1.0 };
+        (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
+    }
+
+    /// An attempt out for longer than this is past what the fleet usually needs.
+    pub(super) fn overdue(&self) -> f64 {
+        self.latency + 4.0 * self.deviation
+    }
+
+    /// Silence while others answer, by the oldest attempt out since the last ejection. Danger: what hung
+    /// before, and may not be sent again, would keep a server shut long after it has recovered.
+    pub(super) fn silent(&self, s: &Server) -> bool {
+        let Some(&oldest) = s.out.iter().find(|&&sent| sent >= s.ejected) else { return false };
+        let since = self.now.saturating_sub(oldest.max(s.heard)) as f64;
+        since > self.overdue() * if s.out.len() > 2 { 1.0 } else { 2.0 }
+    }
+
+    /// How many attempts a server is at. Danger: what hung before the last ejection, and what got lost while
+    /// later attempts were answered, stays out until its client gives up; one or two look like a full fleet.
+    /// It does harm where single requests work for much longer than others: these are not seen.
+    pub(super) fn working(&self, s: &Server) -> usize {
+        let lost = s.answered.saturating_sub(self.overdue() as Micros);
+        s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
+    }
+
+    /// The server where an attempt should do best, or none that may take it.
+    pub(super) fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<ServerId> {
+        let r = self.requests.get(id)?;
+        let class = &self.set.classes[r.class];
+        let bound = r.ran.map(|(_, place)| place);
+        let per_server = self.per_server();
+        let safe = class.effect == Effect::Safe;
+        // Danger: a node with next to nothing out would always take the largest server. The less its own
+        // counts tell, the more the lot decides: exponential, so that servers are drawn by their size.
+        let (mut held, mut listed) = (0, 0);
+        self.servers
+            .values()
+            .for_each(|s| (held, listed) = (held + s.out.len(), listed + usize::from(s.listed)));
+        let blind = 1.0 / (1.0 + SEEN * held as f64 / listed.max(1) as f64);
+        let now = self.now;
+        let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
+        let kinds = [r.class, self.set.classes.len() + r.plan].map(common);
+        let failing = kinds.iter().any(|k| k.1 > 0.01);
+        let mut best: Option<(bool, f64, ServerId)> = None;
+        for (&key, s) in &self.servers {
+            let in_group = match (class.effect, class.group, bound) {
+                (Effect::Keyed, Group::Zone, Some((zone, _))) => s.zone == zone,
+                (Effect::Keyed, Group::Cell, Some((_, cell))) => s.cell == cell,
+                _ => true,
+            };
+            if !s.listed || !in_group || Some(key) == not {
+                continue;
+            }
+            let warmth = self.warmth(s);
+            // Danger: a cold server pushed over. This node's 1/n part of the guaranteed share, counted in
+            // what it sends a warm one, is all it gets.
+            let span = self.now.saturating_sub(s.slow.at) as f64 / 1e6;
+            if warmth < 1.0 && s.slow.store + per_server * warmth * span < 1.0 {
+                continue;
+            }
+            let closed = s.ejected > self.now || self.silent(s);
+            if !closed && s.strikes > 0 && (!safe || s.out.back().is_some_and(|&sent| sent >= s.ejected)) {
+                continue;
+            }
+            let load = s.out.iter().filter(|&&sent| sent >= s.ejected).count() as f64;
+            let slowness = (s.latency / self.latency).clamp(0.25, 4.0);
+            let lot = -(1.0 - lot(&mut self.random)).ln();
+            let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.size * warmth.max(0.05));
+            let far = if s.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
+            let share = |t: &Tally, prior| t.mean(now, prior, TALLY_SPAN);
+            let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| share(t, prior));
+            let fails = if failing { kinds.map(risk) } else { [0.0; 2] };
+            let cost = cost * far * (1.0 + FAIL_COST * fails[0].max(fails[1])).powi(2);
+            if best.is_none_or(|(c, b, _)| (closed, cost) < (c, b)) {
+                best = Some((closed, cost, key));
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    pub(super) fn strike(&mut self, key: ServerId) {
+        let Some(s) = self.servers.get_mut(&key).filter(|s| s.ejected <= self.now) else { return };
+        s.ejected = self.now + (EJECT << s.strikes.min(8)).min(EJECT_MAX);
+        s.strikes += 1;
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control/overload.rs
@@ -0,0 +1,51 @@
+//! Overload: which request is shed when the fleet is full, and how soon it is not.
+
+use super::*;
+
+/// Smoothing of the mean time of answers, and how many requests out it weighs as much as.
+pub(super) const MEAN_SPAN: f64 = 4.0e6;
+const EVIDENCE: f64 = 3.0;
+/// A request is shed when its expected latency is past this share of its aim: the cheapest and the dearest
+/// work. Work times vary about as much as their mean, hence well under the whole.
+/// Lost attempts are left out of what is held, hence 0.48 and not the half as before.
+pub(super) const SHED_CHEAPEST: f64 = 0.25;
+pub(super) const SHED_DEAREST: f64 = 0.48;
+
+impl Controller {
+    /// If the fleet is full for this request, how soon it is not, if nothing more were sent: what is expected
+    /// is smoothed, so it falls by a constant share each tick.
+    /// Danger: a full fleet, where everything is answered late. The cheapest work goes first. Judged by what
+    /// is out now, so that an idle fleet always lets in: old latencies alone latch it shut.
+    pub(super) fn overloaded(&self, id: &RequestId) -> Option<Micros> {
+        let r = self.requests.get(id)?;
+        let plan = self.set.plans.get(r.plan)?;
+        let class = &self.set.classes[r.class];
+        let credit = self.set.classes.iter().map(|c| c.credit).fold(1e-9, f64::max);
+        let factor = self.set.plans.iter().map(|p| p.worth_factor).fold(1e-9, f64::max);
+        let rank = class.credit / credit * plan.worth_factor / factor;
+        let share = SHED_CHEAPEST + (SHED_DEAREST - SHED_CHEAPEST) * rank;
+        // All classes queue at the same servers: the shortest aim rules, or the patient class takes all.
+        let over = self.expected() / (self.shortest_aim() * share).max(1.0);
+        (over > 1.0).then(|| (over.ln() / HELD_GAIN * TICK as f64) as Micros)
+    }
+
+    /// The latency to expect of a new request, by Little's law: what this node has out over the rate at which
+    /// answers come, on the servers that answer. Danger: a node that sees a few requests a second has one or
+    /// none out, and one alone would look like a full fleet. So the mean of recent answers weighs as much as
+    /// `EVIDENCE` requests out; with no answers it is forgotten.
+    pub(super) fn expected(&self) -> f64 {
+        let mut rate = 0.0;
+        let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
+        for s in self.servers.values().filter(|s| ok(s)) {
+            rate += s.done.get(self.now, DONE_SPAN);
+        }
+        let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
+        let age = 1.0 - (-(self.now.saturating_sub(self.begun) as f64) / DONE_SPAN).exp();
+        let rate = (rate > 0.0).then_some(rate / age.max(1e-3) + EVIDENCE * 1e6 / mean.max(1.0));
+        rate.map_or(0.0, |rate| (self.held + EVIDENCE) / rate * 1e6)
+    }
+
+    pub(super) fn shortest_aim(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.on_time).min().unwrap_or(0) as f64
+    }
+}
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,8 +31,3 @@
 
 pub mod control;
 pub mod interface;
-pub mod wire;
-
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct Readme;
--- a/src/net/budget.rs
+++ b/crates/node/src/net/budget.rs
@@ -11,8 +11,6 @@
 
 /// Descriptors kept back for the listener, discovery, the counter, the runtime and the standard streams.
 const KEPT_BACK: usize = 24;
-/// The share of the slots that clients may hold: every request in work needs one on either side.
-const CLIENT_SHARE: f64 = 0.6;
 /// How long a connection that is told to close has for it before the next one is told so.
 const CLOSE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -40,12 +38,13 @@
 }
 
 impl Budget {
-    /// A budget for a process that may hold `descriptors`.
-    pub fn new(descriptors: usize) -> Rc<Self> {
+    /// A budget for a process that may hold `descriptors`. Clients may hold `client_share` of the slots: every
+    /// request in work needs one on either side.
+    pub fn new(descriptors: usize, client_share: f64) -> Rc<Self> {
         let most = descriptors.saturating_sub(KEPT_BACK).max(4);
         Rc::new(Budget {
             most,
-            for_clients: ((most as f64 * CLIENT_SHARE) as usize).max(2),
+            for_clients: ((most as f64 * client_share) as usize).max(2),
             used: Cell::new(0),
             clients: Cell::new(0),
             eased: Notify::new(),
@@ -172,7 +171,7 @@
 
     #[test]
     fn a_kept_connection_makes_room_unless_half_of_all_are_too_new_to_tell() {
-        let budget = Budget::new(KEPT_BACK + 20);
+        let budget = Budget::new(KEPT_BACK + 20, 0.6);
         budget.idle(Rc::default(), true);
         (0..5).for_each(|_| budget.fresh());
         assert!(budget.close_an_idle_client(), "a few new ones must not keep it");
--- a/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -6,45 +6,36 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::str::FromStr;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
-use mountbend::wire::{Env, WireEffect};
+use mountbend::interface::{Micros, RequestId};
+use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, IDEMPOTENCY_KEY, REQUEST_ID};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout, timeout_at, Instant};
 
+use crate::operator::Front;
+
 use super::budget::{Budget, Slot, Ticket};
 use super::http::{whole, BadBody};
-use super::node::{Answer, Node};
-use super::servers::{Forward, BODY_MOST, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
+use super::node::Node;
+use super::ports::{Answer, Forward};
+use super::servers::Servers;
 
-const CLASS: HeaderName = HeaderName::from_static("x-class");
-const PLAN: HeaderName = HeaderName::from_static("x-tariff");
-const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
-const RETRY: HeaderName = HeaderName::from_static("x-retry");
 /// A head is at most this long. It bounds what a connection may hold in buffers, too.
 const HEAD_MOST: usize = 16 * 1024;
-/// Ids longer than this, waits and sizes past these, and customers from here on are absurd.
-const ID_MOST: usize = 128;
-const DEADLINE_MOST_MS: u64 = 3_600_000;
-const CUSTOMERS: u64 = 1 << 33;
 /// A new connection without a request by then counts as idle: what comes with it lies there from the start.
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
-/// How long a head may take, from connecting or from its first byte, and then a body.
-const HEAD_WAIT: Duration = Duration::from_millis(1_500);
-const BODY_WAIT: Duration = Duration::from_millis(1_500);
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
 /// How long a connection that is told to close may still take to answer what crosses.
@@ -52,31 +43,15 @@
 /// Pause of the listener when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// What the settings say of requests.
-pub struct Rules {
-    classes: Vec<(String, WireEffect)>,
-    plans: Vec<String>,
-    nodes: u32,
-    largest_units: f64,
-}
-
-impl Rules {
-    /// Reads them off the settings.
-    pub fn new(env: &Env) -> Self {
-        Rules {
-            classes: env.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
-            plans: env.tariffs.iter().map(|p| p.name.clone()).collect(),
-            nodes: env.n_instances.max(1),
-            largest_units: Some(env.largest_units()).filter(|&most| most > 0.0).unwrap_or(f64::MAX),
-        }
-    }
-}
-
 /// The clients' side of a node.
 pub struct Clients {
     node: Rc<Node>,
+    servers: Rc<Servers>,
     rules: Rules,
     budget: Rc<Budget>,
+    /// How long a head may take, from connecting or from its first byte, and then a body.
+    head_wait: Duration,
+    body_wait: Duration,
     /// Each change tells the connections open by then to close as soon as they are idle.
     closing: watch::Sender<u32>,
     /// The open connections.
@@ -86,11 +61,20 @@
 
 impl Clients {
     /// The clients' side of this node.
-    pub fn new(node: Rc<Node>, rules: Rules, budget: Rc<Budget>) -> Rc<Self> {
+    pub fn new(
+        node: Rc<Node>,
+        servers: Rc<Servers>,
+        rules: Rules,
+        budget: Rc<Budget>,
+        front: &Front,
+    ) -> Rc<Self> {
         let clients = Rc::new(Clients {
             node,
+            servers,
             rules,
             budget,
+            head_wait: front.head_wait.0,
+            body_wait: front.body_wait.0,
             closing: watch::channel(0).0,
             open: RefCell::default(),
             opened: Cell::default(),
@@ -101,7 +85,9 @@
                 tokio::time::sleep(LOOK).await;
                 let Some(clients) = weak.upgrade() else { return };
                 let open = clients.open.borrow();
-                open.values().filter(|idle| idle.overdue()).for_each(|idle| idle.cut.notify_one());
+                open.values()
+                    .filter(|idle| idle.overdue(clients.head_wait))
+                    .for_each(|idle| idle.cut.notify_one());
             }
         });
         clients
@@ -130,9 +116,8 @@
     }
 
     async fn slot(&self) -> Slot {
-        let close_one = || {
-            self.budget.exhausted() && self.node.servers.close_an_idle() || self.budget.close_an_idle_client()
-        };
+        let close_one =
+            || self.budget.exhausted() && self.servers.close_an_idle() || self.budget.close_an_idle_client();
         self.budget.room(|| self.budget.for_client(), close_one).await
     }
 
@@ -237,12 +222,14 @@
         if head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(bad("bodies come with a length, in no transfer encoding\n"));
         }
-        let new = self.read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now)?;
+        let new = (self.rules)
+            .read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now)
+            .map_err(|Malformed(why)| bad(why))?;
         let last_call = self.node.last_call(new.due);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(bad("a GET has no body\n"));
         }
-        let body_by = last_call.min(Instant::now() + BODY_WAIT);
+        let body_by = last_call.min(Instant::now() + self.body_wait);
         let body = match timeout_at(body_by, whole(body, BODY_MOST)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BadBody::TooLong)) => {
@@ -276,91 +263,6 @@
             Err(_) => Err(Rejected(StatusCode::GATEWAY_TIMEOUT, "")),
         }
     }
-
-    /// Reads what the decisions have to know. Danger: what is malformed never reaches them.
-    fn read(
-        &self,
-        method: &Method,
-        path: &str,
-        query: Option<&str>,
-        headers: &HeaderMap,
-        now: Micros,
-    ) -> Result<NewRequest, Rejected> {
-        let named = [&REQUEST_ID, &CLASS, &PLAN, &DEADLINE, &WEIGHT, &RETRY, &IDEMPOTENCY_KEY];
-        if named.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
-            return Err(bad("a header comes twice\n"));
-        }
-        let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
-        let id =
-            text(&REQUEST_ID).filter(|id| !id.is_empty() && id.len() <= ID_MOST).ok_or(bad("no id\n"))?;
-        let name = text(&CLASS).ok_or(bad("no class\n"))?;
-        let class = self.rules.classes.iter().position(|(n, _)| n == name).ok_or(bad("no such class\n"))?;
-        if path.split('/').nth(1) != Some(name) {
-            return Err(bad("the path is not the class's\n"));
-        }
-        let keyed = headers.contains_key(IDEMPOTENCY_KEY);
-        let fits = match self.rules.classes[class].1 {
-            WireEffect::Safe => *method == Method::GET,
-            WireEffect::Keyed => *method == Method::POST && keyed,
-            WireEffect::Unsafe => *method == Method::POST && !keyed,
-        };
-        if !fits {
-            return Err(bad("method and key are not the class's\n"));
-        }
-        let plan = text(&PLAN).and_then(|name| self.rules.plans.iter().position(|n| n == name));
-        let plan = plan.ok_or(bad("no such plan\n"))?;
-        let mut keys = query.unwrap_or_default().split('&').filter_map(|pair| pair.strip_prefix("key="));
-        let customer = (keys.next())
-            .filter(|_| keys.next().is_none())
-            .filter(|k| k.len() == 16 && k.bytes().all(|b| b.is_ascii_hexdigit()))
-            .and_then(|k| u64::from_str_radix(k, 16).ok())
-            .filter(|&k| k < CUSTOMERS)
-            .ok_or(bad("no key of 16 hex digits\n"))?;
-        let wait = text(&DEADLINE).and_then(whole_number::<u64>).filter(|&ms| ms <= DEADLINE_MOST_MS);
-        let wait = wait.ok_or(bad("no deadline in milliseconds\n"))?;
-        let (units, spread, first_node) =
-            text(&WEIGHT).and_then(|v| self.weight(v)).ok_or(bad("no weight\n"))?;
-        Ok(NewRequest {
-            id: RequestId::from(id),
-            customer: CustomerId(customer),
-            class,
-            plan,
-            units,
-            first_node,
-            spread,
-            marked_retry: text(&RETRY) == Some("1"),
-            due: now + wait * 1000,
-        })
-    }
-
-    fn weight(&self, text: &str) -> Option<(f64, u32, u32)> {
-        let (mut units, mut spread, mut first) = (None, None, None);
-        for pair in text.split(',') {
-            // A part that comes twice says nothing.
-            let again = match pair.trim().split_once('=')? {
-                ("units", v) => units.replace(number(v)?).is_some(),
-                ("spread", v) => spread.replace(whole_number(v)?).is_some(),
-                ("first", v) => first.replace(whole_number(v)?).is_some(),
-                _ => false,
-            };
-            if again {
-                return None;
-            }
-        }
-        let units = units.filter(|u| *u > 0.0 && *u <= self.rules.largest_units)?;
-        let spread = spread.filter(|s| (1..=self.rules.nodes).contains(s))?;
-        Some((units, spread, first.filter(|&f| f < self.rules.nodes)?))
-    }
-}
-
-/// A whole number in digits alone.
-fn whole_number<T: FromStr>(text: &str) -> Option<T> {
-    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
-}
-
-/// A number in decimal notation, with no sign or exponent.
-fn number(text: &str) -> Option<f64> {
-    text.bytes().all(|b| b.is_ascii_digit() || b == b'.').then(|| text.parse().ok()).flatten()
 }
 
 /// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
@@ -466,8 +368,8 @@
     }
 
     /// Whether a head has been under way for too long.
-    fn overdue(&self) -> bool {
-        !self.busy.get() && self.head_since.get().is_some_and(|since| since.elapsed() > HEAD_WAIT)
+    fn overdue(&self, head_wait: Duration) -> bool {
+        !self.busy.get() && self.head_since.get().is_some_and(|since| since.elapsed() > head_wait)
     }
 
     fn matured(&self) {
--- a/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -2,9 +2,12 @@
 
 pub mod budget;
 pub mod clients;
+pub mod clock;
 pub mod counter;
 pub mod discovery;
 pub mod http;
+pub mod members;
 pub mod node;
+pub mod ports;
 pub mod reuse;
 pub mod servers;
--- a/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -3,8 +3,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use bytes::Bytes;
 use mountbend::control::Controller;
@@ -13,48 +13,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use super::counter::Counter;
-use super::discovery::Discovery;
-use super::servers::{Forward, Servers};
+use super::clock::Clock;
+use super::ports::{Answer, Core, Forward, MemberSource, QuotaStore, Upstream};
 
 /// Attempts are given up this long before the client gives up, so that the answer still reaches it.
 const STOP_BEFORE: Micros = 25_000;
 /// What is unanswered this long before the client gives up has failed.
 const FAIL_BEFORE: Micros = 15_000;
 
-/// Unix time in microseconds that never goes back: the machine's clock at the start, then monotonic time.
-pub struct Clock {
-    start: Micros,
-    at: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: unix.as_micros() as Micros, at: Instant::now() }
-    }
-
-    /// Now.
-    pub fn now(&self) -> Micros {
-        self.start + self.at.elapsed().as_micros() as Micros
-    }
-
-    /// A time of this clock as the runtime's timers take it.
-    pub fn instant(&self, time: Micros) -> Instant {
-        self.at + Duration::from_micros(time.saturating_sub(self.start))
-    }
-}
-
-/// The one final answer to a request.
-pub enum Answer {
-    /// An app server's answer.
-    Served(Bytes),
-    /// Turned away: a repeat is harmless. How long to stay away, if told.
-    Refused(Micros),
-    /// Failed, nothing promised.
-    Failed,
-}
-
 struct Attempt {
     server: ServerId,
     sent: Micros,
@@ -71,45 +37,52 @@
     attempts: Vec<Attempt>,
 }
 
+/// What the node is joined to.
+pub struct Peers {
+    /// The app servers.
+    pub upstream: Rc<dyn Upstream>,
+    /// Where the shared counts live.
+    pub store: Rc<dyn QuotaStore>,
+    /// Who tells of app servers.
+    pub members: Rc<dyn MemberSource>,
+}
+
 /// One edge node.
 pub struct Node {
     /// The node's clock.
-    pub clock: Clock,
-    /// The app servers.
-    pub servers: Rc<Servers>,
-    counter: Rc<Counter>,
-    discovery: Rc<Discovery>,
+    pub clock: Rc<Clock>,
+    peers: Peers,
     try_limit: usize,
     controller: RefCell<Controller>,
     open: RefCell<BTreeMap<RequestId, Open>>,
     events: RefCell<VecDeque<Event>>,
     busy: Cell<bool>,
     stopping: Cell<bool>,
+    me: Weak<Node>,
 }
 
 /// A request under an id that is still in work.
 pub struct Duplicate;
 
 impl Node {
-    /// A node that knows nothing yet.
+    /// A node that knows nothing yet, joined to the peers that `join` makes. They may tell it things only once
+    /// this has returned.
     pub fn new(
         controller: Controller,
         try_limit: u32,
-        servers: Rc<Servers>,
-        counter: Rc<Counter>,
-        discovery: Rc<Discovery>,
+        clock: Rc<Clock>,
+        join: impl FnOnce(Weak<dyn Core>) -> Peers,
     ) -> Rc<Self> {
-        Rc::new(Node {
-            clock: Clock::new(),
-            servers,
-            counter,
-            discovery,
+        Rc::new_cyclic(|me: &Weak<Node>| Node {
+            clock,
+            peers: join(me.clone()),
             try_limit: try_limit.max(1) as usize,
             controller: RefCell::new(controller),
             open: RefCell::default(),
             events: RefCell::default(),
             busy: Cell::new(false),
             stopping: Cell::new(false),
+            me: me.clone(),
         })
     }
 
@@ -129,7 +102,7 @@
     }
 
     /// The last moment of a planned stop: what is still unanswered has failed.
-    pub fn fail_all(self: &Rc<Self>) {
+    pub fn fail_all(&self) {
         let left: Vec<_> = self.open.borrow().keys().cloned().collect();
         for id in left {
             let waited = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take());
@@ -140,55 +113,24 @@
         }
     }
 
-    /// Hands an event to the decisions and carries out what they say. Danger: actions may cause events at
-    /// once; these wait until the actions of the earlier event are all done, or the decisions would be
-    /// entered twice.
-    pub fn event(self: &Rc<Self>, event: Event) {
-        self.events.borrow_mut().push_back(event);
-        if self.busy.replace(true) {
-            return;
-        }
-        let mut actions = Vec::new();
-        loop {
-            let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            let over = match &event {
-                Event::Ended(e) => Some(e.id.clone()),
-                Event::Gone { id } => Some(id.clone()),
-                _ => None,
-            };
-            self.controller.borrow_mut().handle(self.clock.now(), event, &mut actions);
-            for action in actions.drain(..) {
-                self.perform(action);
-            }
-            if let Some(id) = over {
-                self.forget(&id);
-            }
-        }
-        self.busy.set(false);
-    }
-
-    fn perform(self: &Rc<Self>, action: Action) {
+    fn perform(&self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Refuse { id, retry_after } => self.finish(&id, Answer::Refused(retry_after)),
             Action::Fail { id } => self.finish(&id, Answer::Failed),
             Action::Cancel { id, attempt } => self.end(&id, attempt as usize, Outcome::Cancelled, None),
-            Action::Probe { server } => {
-                let node = self.clone();
-                tokio::task::spawn_local(async move {
-                    let outcome = node.servers.probe(server).await;
-                    node.event(Event::Probed { server, outcome });
-                });
-            }
-            Action::Count { name, amount, keep_for } => self.counter.add(self, name, amount, keep_for),
+            Action::Probe { server } => self.peers.upstream.probe(server),
+            Action::Count { name, amount, keep_for } => self.peers.store.add(name, amount, keep_for),
             Action::Timer { id, after } => {
-                let node = self.clone();
+                let node = self.me.clone();
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_micros(after)).await;
-                    node.event(Event::Timer { id });
+                    if let Some(node) = node.upgrade() {
+                        node.event(Event::Timer { id });
+                    }
                 });
             }
-            Action::FetchList => self.discovery.fetch(self),
+            Action::FetchList => self.peers.members.fetch(),
             // The list is watched from the start on.
             Action::WatchList => {}
         }
@@ -197,7 +139,7 @@
     /// Takes a request; its answer comes through the receiver. Danger: an id that is still in work must not
     /// be entered again, or a request that may not run twice would.
     pub fn take(
-        self: &Rc<Self>,
+        &self,
         request: NewRequest,
         forward: Forward,
     ) -> Result<oneshot::Receiver<Answer>, Duplicate> {
@@ -222,7 +164,7 @@
     }
 
     /// Nobody waits for this request any more: its client has gone, or it has just been told that it failed.
-    pub fn gone(self: &Rc<Self>, id: &RequestId) {
+    pub fn gone(&self, id: &RequestId) {
         let waited = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
         if waited.is_some() {
             self.event(Event::Gone { id: id.clone() });
@@ -245,7 +187,7 @@
         }
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: Micros) {
+    fn send(&self, id: RequestId, server: ServerId, timeout: Micros) {
         let now = self.clock.now();
         let mut requests = self.open.borrow_mut();
         let Some(open) = requests.get_mut(&id) else {
@@ -271,18 +213,13 @@
             }));
         }
         let stop = if timeout > 0 { open.stop.min(now + timeout) } else { open.stop };
-        let (node, forward) = (self.clone(), open.forward.clone());
-        let key = id.clone();
-        let task = tokio::task::spawn_local(async move {
-            let (outcome, body) = node.servers.attempt(&node.clock, server, &forward, stop).await;
-            node.end(&key, number, outcome, body);
-        });
-        attempt.task = Some(task.abort_handle());
+        let task = self.peers.upstream.attempt(id, number, server, open.forward.clone(), stop);
+        attempt.task = Some(task);
         open.attempts.push(attempt);
     }
 
     /// An attempt is over; a second end of the same one is dropped. With a body, it has served the request.
-    fn end(self: &Rc<Self>, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
+    fn end(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
         let mut requests = self.open.borrow_mut();
         let Some(open) = requests.get_mut(id) else { return };
         let Some(attempt) = open.attempts.get_mut(number) else { return };
@@ -311,3 +248,36 @@
         }));
     }
 }
+
+impl Core for Node {
+    /// Hands an event to the decisions and carries out what they say. Danger: actions may cause events at
+    /// once; these wait until the actions of the earlier event are all done, or the decisions would be
+    /// entered twice.
+    fn event(&self, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.busy.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            let over = match &event {
+                Event::Ended(e) => Some(e.id.clone()),
+                Event::Gone { id } => Some(id.clone()),
+                _ => None,
+            };
+            self.controller.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.perform(action);
+            }
+            if let Some(id) = over {
+                self.forget(&id);
+            }
+        }
+        self.busy.set(false);
+    }
+
+    fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
+        self.end(id, number, outcome, body);
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/ports.rs
@@ -0,0 +1,86 @@
+//! The seams between the node and its peers: what it needs of each, and what they tell it.
+//!
+//! The node holds each peer as one of these traits and knows no other thing of it; a peer knows the node as
+//! [`Core`]. A second quota store or member source implements the same trait and nothing else changes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
+use mountbend::interface::{CountName, Event, Micros, Outcome, RequestId, ServerId};
+use std::rc::Rc;
+use tokio::task::AbortHandle;
+
+/// What peers tell the node. It takes each thing in at once; what follows from it may call the peer again
+/// before this returns, so nothing may be borrowed meanwhile.
+pub trait Core {
+    /// Something has happened that the decisions are to know.
+    fn event(&self, event: Event);
+    /// An attempt has ended; with a body, it has served the request. A second end of the same one is dropped.
+    fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>);
+}
+
+/// Where the shared counts live: an amount is added to a named count in one step, and its total comes back.
+pub trait QuotaStore {
+    /// Adds `amount` units to a name that, if new, is kept for `keep_for` microseconds. Told once, as
+    /// [`Event::Counted`], at the store's time-out at the latest: `Ok` (added; the total), `Full` and
+    /// `ConnectFailed` (nothing was added), `TimedOut` (it may have been, or may yet be), `Reset` (it may have
+    /// been, and the store is alive), `Error` (it was, but the total can't be read).
+    fn add(&self, name: CountName, amount: f64, keep_for: Micros);
+    /// Whether the outcome of every call has been told.
+    fn settled(&self) -> bool;
+}
+
+/// Who tells of app servers. What it hears goes to [`super::members::Members`].
+pub trait MemberSource {
+    /// Asks for the whole list once more; told as a whole list, or as lost.
+    fn fetch(&self);
+}
+
+/// The app servers: where they are, and attempts at them.
+pub trait Upstream {
+    /// Starts an attempt, to be given up at `stop`; told once through [`Core::attempt_over`]. Nothing is sent
+    /// again once a byte may have gone. Aborting the task closes its connection: so an app server learns that
+    /// the attempt is given up.
+    fn attempt(
+        &self,
+        id: RequestId,
+        number: usize,
+        server: ServerId,
+        forward: Rc<Forward>,
+        stop: Micros,
+    ) -> AbortHandle;
+    /// Asks an app server whether it is alive; told as [`Event::Probed`].
+    fn probe(&self, server: ServerId);
+    /// What is known of an app server; without a usable address the last one stands. False if there is none.
+    fn set(&self, server: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool;
+    /// Forgets an app server that has been removed.
+    fn remove(&self, server: ServerId);
+    /// Forgets all but these.
+    fn keep_only(&self, listed: &[ServerId]);
+}
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// An app server's answer.
+    Served(Bytes),
+    /// Turned away: a repeat is harmless. How long to stay away, in microseconds, if told; else 0.
+    Refused(Micros),
+    /// Failed, nothing promised.
+    Failed,
+}
+
+/// What goes on to an app server.
+pub struct Forward {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// `X-Request-Id`.
+    pub id: HeaderValue,
+    /// `Idempotency-Key`.
+    pub key: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
--- a/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -3,23 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderName, HeaderValue, HOST};
-use hyper::{Method, Request, StatusCode, Uri};
-use mountbend::interface::{Micros, Outcome, ServerId};
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, Uri};
+use mountbend::interface::{Event, Micros, Outcome, RequestId, ServerId};
+use pinerelay_protocol::outcome::{outcome, BodyEnd};
+use pinerelay_protocol::request::{BODY_MOST, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
+use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Slot};
+use super::clock::Clock;
 use super::http::{framed, whole, BadBody, Broken, Connection};
-use super::node::Clock;
+use super::ports::{Core, Forward, Upstream};
 use super::reuse::Reuse;
 
-/// Bodies hold at most this much.
-pub const BODY_MOST: usize = 64 * 1024;
 /// How long an answer may take from its first byte to its last.
 const STALL: Duration = Duration::from_millis(250);
 /// A connection has this long at least to come up.
@@ -27,28 +29,6 @@
 /// How long a probe may take.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 
-/// The request's id.
-pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-/// The key that lets app servers drop repeats.
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// How long the sender will wait, in milliseconds.
-pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
-const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
-
-/// What goes on to an app server.
-pub struct Forward {
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// `X-Request-Id`.
-    pub id: HeaderValue,
-    /// `Idempotency-Key`.
-    pub key: Option<HeaderValue>,
-    /// The body.
-    pub body: Bytes,
-}
-
 struct Kept {
     connection: Connection,
     since: Instant,
@@ -73,6 +53,9 @@
     connect_timeout: Duration,
     keep: Duration,
     reuse: Reuse,
+    clock: Rc<Clock>,
+    core: Weak<dyn Core>,
+    me: Weak<Servers>,
 }
 
 /// A connection to an app server, and of which generation.
@@ -93,15 +76,24 @@
 impl Servers {
     /// No app servers yet. Idle connections are dropped at half the time after which the peer may do so: a
     /// request that crosses the peer's close could not be told from one that ran.
-    pub fn new(budget: Rc<Budget>, connect_timeout: Micros, conn_idle: Micros) -> Rc<Self> {
+    pub fn new(
+        budget: Rc<Budget>,
+        connect_timeout: Micros,
+        conn_idle: Micros,
+        clock: Rc<Clock>,
+        core: Weak<dyn Core>,
+    ) -> Rc<Self> {
         let or = |value: Micros, default| if value > 0 { value } else { default };
-        let servers = Rc::new(Servers {
+        let servers = Rc::new_cyclic(|me: &Weak<Servers>| Servers {
             hosts: RefCell::default(),
             generation: Cell::default(),
             budget,
             connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
             keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
             reuse: Reuse::new(),
+            clock,
+            core,
+            me: me.clone(),
         });
         let weak = Rc::downgrade(&servers);
         tokio::task::spawn_local(async move {
@@ -126,49 +118,6 @@
         idle < self.keep && self.reuse.allows(idle) && kept.connection.usable()
     }
 
-    /// What discovery says of an app server; without a usable address the last one stands. False if there is
-    /// none at all.
-    pub fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
-        let next = self.generation.get() + 1;
-        self.generation.set(next);
-        // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
-        let same = hosts.iter_mut().filter(|(&other, h)| other != id && h.address == address);
-        same.for_each(|(_, old)| {
-            old.generation = next;
-            old.idle.clear();
-        });
-        let host = hosts.entry(id).or_insert_with(|| Host {
-            address,
-            host: host_header(address),
-            since_ms,
-            up,
-            generation: next,
-            idle: Vec::new(),
-        });
-        if host.address != address || host.since_ms != since_ms {
-            (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
-            host.generation = next;
-            host.idle.clear();
-        }
-        host.up = up;
-        if !up {
-            host.idle.clear();
-        }
-        true
-    }
-
-    /// Forgets all that a whole list does not name.
-    pub fn keep_only(&self, listed: &[ServerId]) {
-        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
-    }
-
-    /// Forgets an app server that has been removed.
-    pub fn remove(&self, id: ServerId) {
-        self.hosts.borrow_mut().remove(&id);
-    }
-
     /// Closes the connection that has been idle for longest, to free its descriptor.
     pub fn close_an_idle(&self) -> bool {
         let mut hosts = self.hosts.borrow_mut();
@@ -177,14 +126,13 @@
     }
 
     /// Makes one attempt and tells how it ended, as the protocol's table has it. With the body, if served.
-    pub async fn attempt(
+    async fn outcome_of(
         &self,
-        clock: &Clock,
         server: ServerId,
         forward: &Forward,
         stop: Micros,
     ) -> (Outcome, Option<Bytes>) {
-        let until = clock.instant(stop);
+        let until = self.clock.instant(stop);
         let mut fresh_only = false;
         let mut request = None;
         loop {
@@ -194,7 +142,7 @@
                 Err(_) | Ok(Err(NoLine::Failed)) => return (Outcome::ConnectFailed, None),
                 Ok(Err(NoLine::Shed)) => return (Outcome::Ignored, None),
             };
-            let left = stop.saturating_sub(clock.now()) / 1000;
+            let left = stop.saturating_sub(self.clock.now()) / 1000;
             let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
                 return (Outcome::ConnectFailed, None);
             };
@@ -242,21 +190,20 @@
         message: Request<Full<Bytes>>,
     ) -> Result<(Outcome, Option<Bytes>, bool), Broken> {
         let response = connection.send(message).await?;
-        let status = response.status();
         if !framed(&response) {
             return Err(Broken::Spoilt);
         }
-        let not_run = response.headers().get(NOT_RUN).is_some_and(|v| v == "1");
-        let body = whole(response.into_body(), BODY_MOST).await;
-        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
-        Ok(match body {
-            // The head alone says that it has not run, whatever became of the rest.
-            body if turned_away && not_run => (Outcome::Full, None, body.is_ok()),
-            Err(BadBody::Broken) => (Outcome::Reset, None, false),
-            Err(_) => return Err(Broken::Spoilt),
-            Ok(body) if status == StatusCode::OK => (Outcome::Ok, Some(body), true),
-            Ok(_) => (Outcome::Error, None, true),
-        })
+        let (head, body) = response.into_parts();
+        let (body, end) = match whole(body, BODY_MOST).await {
+            Ok(body) => (Some(body), BodyEnd::Whole),
+            Err(BadBody::Broken) => (None, BodyEnd::Broken),
+            Err(_) => (None, BodyEnd::Spoilt),
+        };
+        let outcome = outcome(head.status, &head.headers, end);
+        if outcome == Outcome::Error && end == BodyEnd::Spoilt {
+            return Err(Broken::Spoilt);
+        }
+        Ok((outcome, body.filter(|_| outcome == Outcome::Ok), end == BodyEnd::Whole))
     }
 
     /// A kept connection or a new one.
@@ -306,8 +253,7 @@
         }
     }
 
-    /// Asks an app server whether it is alive.
-    pub async fn probe(&self, server: ServerId) -> Outcome {
+    async fn probed(&self, server: ServerId) -> Outcome {
         let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
             return Outcome::ConnectFailed;
         };
@@ -332,6 +278,77 @@
     }
 }
 
+impl Upstream for Servers {
+    fn attempt(
+        &self,
+        id: RequestId,
+        number: usize,
+        server: ServerId,
+        forward: Rc<Forward>,
+        stop: Micros,
+    ) -> AbortHandle {
+        let (servers, core) = (self.me.clone(), self.core.clone());
+        let task = tokio::task::spawn_local(async move {
+            let Some(servers) = servers.upgrade() else { return };
+            let (outcome, body) = servers.outcome_of(server, &forward, stop).await;
+            if let Some(core) = core.upgrade() {
+                core.attempt_over(&id, number, outcome, body);
+            }
+        });
+        task.abort_handle()
+    }
+
+    fn probe(&self, server: ServerId) {
+        let (servers, core) = (self.me.clone(), self.core.clone());
+        tokio::task::spawn_local(async move {
+            let Some(servers) = servers.upgrade() else { return };
+            let outcome = servers.probed(server).await;
+            if let Some(core) = core.upgrade() {
+                core.event(Event::Probed { server, outcome });
+            }
+        });
+    }
+
+    fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
+        let next = self.generation.get() + 1;
+        self.generation.set(next);
+        // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
+        let same = hosts.iter_mut().filter(|(&other, h)| other != id && h.address == address);
+        same.for_each(|(_, old)| {
+            old.generation = next;
+            old.idle.clear();
+        });
+        let host = hosts.entry(id).or_insert_with(|| Host {
+            address,
+            host: host_header(address),
+            since_ms,
+            up,
+            generation: next,
+            idle: Vec::new(),
+        });
+        if host.address != address || host.since_ms != since_ms {
+            (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
+            host.generation = next;
+            host.idle.clear();
+        }
+        host.up = up;
+        if !up {
+            host.idle.clear();
+        }
+        true
+    }
+
+    fn keep_only(&self, listed: &[ServerId]) {
+        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
+    }
+
+    fn remove(&self, id: ServerId) {
+        self.hosts.borrow_mut().remove(&id);
+    }
+}
+
 fn host_header(address: SocketAddr) -> HeaderValue {
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("localhost"))
 }
--- /dev/null
+++ b/crates/node/tests/check.rs
@@ -0,0 +1,112 @@
+//! `pinerelay check` and the command line, as an operator uses them.
+
+mod fakes;
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use fakes::{config, entry, nobody};
+use serde_json::{json, Value};
+
+fn pinerelay(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pinerelay"));
+    command.env_remove("PROXY_CONFIG").env_remove("PINERELAY_OPERATOR");
+    command.args(words).output().expect("the program runs")
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("pinerelay-check-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+/// Checks one file: its exit code and what it says on standard error.
+fn check(name: &str, text: &str) -> (Option<i32>, String) {
+    let path = file(name, text);
+    let out = pinerelay(&["check", path.to_str().expect("UTF-8")]);
+    std::fs::remove_file(path).expect("the file");
+    (out.status.code(), String::from_utf8(out.stderr).expect("text"))
+}
+
+fn sound() -> Value {
+    config(&[entry("s-1", nobody(), "a", "up")])
+}
+
+#[test]
+fn sound_files_are_valid_and_no_socket_is_opened() {
+    // An address that this machine does not have: listening there would fail.
+    let mut config = sound();
+    config["listen"] = json!("192.0.2.1:3000");
+    let config = file("sound.json", &config.to_string());
+    let operator = file("sound.toml", "[counter]\nconnections = 8\n");
+    let out = pinerelay(&["check", config.to_str().expect("UTF-8"), operator.to_str().expect("UTF-8")]);
+    assert_eq!(out.status.code(), Some(0), "{out:?}");
+    assert_eq!(String::from_utf8_lossy(&out.stdout).matches(": valid\n").count(), 2);
+    for path in [config, operator] {
+        std::fs::remove_file(path).expect("the file");
+    }
+}
+
+#[test]
+fn each_fault_of_a_configuration_is_named_with_file_and_key() {
+    type Change = fn(&mut Value);
+    let rows: [(Change, &str); 9] = [
+        (|c| c["listen"] = json!("nowhere"), "listen: \"nowhere\" is no address"),
+        (|c| c["seed"] = json!("xyz"), "seed: \"xyz\" is no hexadecimal number"),
+        (|c| c["settings"]["classes"] = json!([]), "settings.classes: at least one class"),
+        (|c| c["settings"]["zones"] = json!(["a", "a"]), "settings.zones: \"a\" stands there twice"),
+        (|c| c["known"]["endpoints"][0]["status"] = json!("fine"), "known.endpoints[0].status: \"fine\""),
+        (|c| c["known"]["endpoints"][0]["address"] = json!("x"), "known.endpoints[0].address: \"x\""),
+        (|c| c["known"]["endpoints"][0]["zone"] = json!("c"), "known.endpoints[0].zone: \"c\" is not in"),
+        (|c| c["known"]["endpoints"][0] = json!({"name": 7}), "known.endpoints[0]: invalid type"),
+        (|c| c["settings"]["bounds"] = json!(null), "the configuration is malformed"),
+    ];
+    for (change, wanted) in rows {
+        let mut config = sound();
+        change(&mut config);
+        let (code, said) = check("broken.json", &config.to_string());
+        assert_eq!(code, Some(1), "{said}");
+        assert!(said.contains("broken.json: ") && said.contains(wanted), "{said:?} lacks {wanted:?}");
+    }
+    // Several faults are all told at once.
+    let mut config = sound();
+    config["seed"] = json!("xyz");
+    config["settings"]["zones"] = json!(["a", "a"]);
+    let (_, said) = check("two.json", &config.to_string());
+    assert_eq!(said.lines().count(), 2, "{said}");
+}
+
+#[test]
+fn a_file_that_is_missing_or_an_operators_file_that_is_wrong_is_refused() {
+    let out = pinerelay(&["check", "/nonexistent/operator.toml"]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("cannot read /nonexistent/operator.toml"));
+    let (code, said) = check("wrong.toml", "[stop]\npatience = 3\n");
+    assert_eq!(code, Some(1));
+    assert!(said.contains("wrong.toml:2: stop.patience: wanted a time with its unit"), "{said}");
+}
+
+#[test]
+fn a_command_line_that_cannot_be_read_is_told_so_and_nothing_runs() {
+    for words in [&["chek"][..], &["check"], &["--operator"]] {
+        let out = pinerelay(words);
+        assert_eq!(out.status.code(), Some(2), "{words:?}");
+        assert!(String::from_utf8_lossy(&out.stderr).contains("--help"), "{out:?}");
+    }
+    let out = pinerelay(&[]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("PROXY_CONFIG names no configuration"));
+}
+
+#[test]
+fn a_node_does_not_start_with_an_operators_file_that_is_wrong() {
+    let config = file("start.json", &sound().to_string());
+    let operator = file("start.toml", "[fronts]\n");
+    let word = |p: &PathBuf| p.to_str().expect("UTF-8").to_string();
+    let out = pinerelay(&["--config", &word(&config), "--operator", &word(&operator)]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("unknown field `fronts`"), "{out:?}");
+    for path in [config, operator] {
+        std::fs::remove_file(path).expect("the file");
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/request.rs
@@ -0,0 +1,139 @@
+//! A client's request: what its head must hold, and what the decisions are told of it.
+
+use std::str::FromStr;
+
+use http::{HeaderMap, HeaderName, Method};
+use mountbend::interface::{CustomerId, Micros, NewRequest, RequestId};
+
+use crate::settings::{Env, WireEffect};
+
+/// The request's id.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// The key that lets app servers drop repeats.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How long the sender will wait, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// The class, by name.
+pub const CLASS: HeaderName = HeaderName::from_static("x-class");
+/// The plan, by name.
+pub const PLAN: HeaderName = HeaderName::from_static("x-tariff");
+/// Units and the customer's set of nodes.
+pub const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
+/// `1` marks a client's repeat.
+pub const RETRY: HeaderName = HeaderName::from_static("x-retry");
+/// Bodies hold at most this much.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Ids longer than this, waits and sizes past these, and customers from here on are absurd.
+const ID_MOST: usize = 128;
+const DEADLINE_MOST_MS: u64 = 3_600_000;
+const CUSTOMERS: u64 = 1 << 33;
+
+/// What is wrong with a request, in a line for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// What the settings say of requests.
+pub struct Rules {
+    classes: Vec<(String, WireEffect)>,
+    plans: Vec<String>,
+    nodes: u32,
+    largest_units: f64,
+}
+
+impl Rules {
+    /// Reads them off the settings.
+    pub fn new(env: &Env) -> Self {
+        Rules {
+            classes: env.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
+            plans: env.tariffs.iter().map(|p| p.name.clone()).collect(),
+            nodes: env.n_instances.max(1),
+            largest_units: Some(env.largest_units()).filter(|&most| most > 0.0).unwrap_or(f64::MAX),
+        }
+    }
+
+    /// Reads what the decisions have to know. Danger: what is malformed never reaches them.
+    pub fn read(
+        &self,
+        method: &Method,
+        path: &str,
+        query: Option<&str>,
+        headers: &HeaderMap,
+        now: Micros,
+    ) -> Result<NewRequest, Malformed> {
+        let named = [&REQUEST_ID, &CLASS, &PLAN, &DEADLINE, &WEIGHT, &RETRY, &IDEMPOTENCY_KEY];
+        if named.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(Malformed("a header comes twice\n"));
+        }
+        let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
+        let id = text(&REQUEST_ID)
+            .filter(|id| !id.is_empty() && id.len() <= ID_MOST)
+            .ok_or(Malformed("no id\n"))?;
+        let name = text(&CLASS).ok_or(Malformed("no class\n"))?;
+        let class = self.classes.iter().position(|(n, _)| n == name).ok_or(Malformed("no such class\n"))?;
+        if path.split('/').nth(1) != Some(name) {
+            return Err(Malformed("the path is not the class's\n"));
+        }
+        let keyed = headers.contains_key(IDEMPOTENCY_KEY);
+        let fits = match self.classes[class].1 {
+            WireEffect::Safe => *method == Method::GET,
+            WireEffect::Keyed => *method == Method::POST && keyed,
+            WireEffect::Unsafe => *method == Method::POST && !keyed,
+        };
+        if !fits {
+            return Err(Malformed("method and key are not the class's\n"));
+        }
+        let plan = text(&PLAN).and_then(|name| self.plans.iter().position(|n| n == name));
+        let plan = plan.ok_or(Malformed("no such plan\n"))?;
+        let mut keys = query.unwrap_or_default().split('&').filter_map(|pair| pair.strip_prefix("key="));
+        let customer = (keys.next())
+            .filter(|_| keys.next().is_none())
+            .filter(|k| k.len() == 16 && k.bytes().all(|b| b.is_ascii_hexdigit()))
+            .and_then(|k| u64::from_str_radix(k, 16).ok())
+            .filter(|&k| k < CUSTOMERS)
+            .ok_or(Malformed("no key of 16 hex digits\n"))?;
+        let wait = text(&DEADLINE).and_then(whole_number::<u64>).filter(|&ms| ms <= DEADLINE_MOST_MS);
+        let wait = wait.ok_or(Malformed("no deadline in milliseconds\n"))?;
+        let (units, spread, first_node) =
+            text(&WEIGHT).and_then(|v| self.weight(v)).ok_or(Malformed("no weight\n"))?;
+        Ok(NewRequest {
+            id: RequestId::from(id),
+            customer: CustomerId(customer),
+            class,
+            plan,
+            units,
+            first_node,
+            spread,
+            marked_retry: text(&RETRY) == Some("1"),
+            due: now + wait * 1000,
+        })
+    }
+
+    fn weight(&self, text: &str) -> Option<(f64, u32, u32)> {
+        let (mut units, mut spread, mut first) = (None, None, None);
+        for pair in text.split(',') {
+            // A part that comes twice says nothing.
+            let again = match pair.trim().split_once('=')? {
+                ("units", v) => units.replace(number(v)?).is_some(),
+                ("spread", v) => spread.replace(whole_number(v)?).is_some(),
+                ("first", v) => first.replace(whole_number(v)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
+            }
+        }
+        let units = units.filter(|u| *u > 0.0 && *u <= self.largest_units)?;
+        let spread = spread.filter(|s| (1..=self.nodes).contains(s))?;
+        Some((units, spread, first.filter(|&f| f < self.nodes)?))
+    }
+}
+
+/// A whole number in digits alone.
+fn whole_number<T: FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
+/// A number in decimal notation, with no sign or exponent.
+fn number(text: &str) -> Option<f64> {
+    text.bytes().all(|b| b.is_ascii_digit() || b == b'.').then(|| text.parse().ok()).flatten()
+}
--- a/src/bin/mountbend-wirehost.rs
+++ b/crates/wire/src/bin/mountbend-wirehost.rs
@@ -7,7 +7,7 @@
 fn main() -> ExitCode {
     let stdin = io::stdin().lock();
     let stdout = BufWriter::new(io::stdout().lock());
-    match mountbend::wire::run(stdin, stdout) {
+    match mountbend_wire::run(stdin, stdout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("mountbend-wirehost: {error}");
--- a/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter: mapping, malformed lines, and what is unknown.
 
-use mountbend::wire::{run, WireError};
+use mountbend_wire::{run, WireError};
 
 const START: &str = r#"{"time":1000000,"parts":[{"node_id":"node_0","msgs":[{"what":"PowerOn","salt":3,"env":{"n_instances":1,"me":0,"new_setting":4,"bounds":{"try_limit":3},"classes":[{"on_time":500000,"deadline":2000000,"effect":"safe"}]}},{"what":"Pool","list":0,"members":[{"server":12,"condition":"IN","novel":true}]},{"what":"Membership","how":"total","rev":1,"list":0}]}]}"#;
 const KNOCK: &str = r#"{"time":1002000,"parts":[{"node_id":"node_0","msgs":[{"what":"Novelty"},{"what":"Knock","xid":"rq_1","lane":0,"member":"91f03b7c55d20a64","due":2900000,"mood":1}]}]}"#;
