Add the rehearsal kit: stand-ins, a judge of the five rules, scenarios and reports

Need: operators cannot practise month's end on the live halls, and the program starts only with a configuration, a discovery and a counter that nobody but the platform has.

Change: pinerelay-standins (boxes, counter, discovery, billers behind a front, rude clients, a scripted edge node), pinerelay-evidence (records of what they saw), pinerelay-judge (rules and service, from records alone), pinerelay-rehearsal (22 bundled scenarios in TOML, seeded faults on a time line, the real daemon as processes, terminal, JSON and HTML reports). Stand-ins and judge share no code with the daemon.

--- /dev/null
+++ b/crates/rehearsal/src/nodes.rs
@@ -0,0 +1,216 @@
+//! Edge nodes as processes: started, told, killed, watched, and always reaped.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use pinerelay_evidence::{Micros, Recorder, Seen};
+use serde_json::Value;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// How long a node may take to say where it listens.
+const START: Duration = Duration::from_secs(10);
+/// How long a killed process may take to be gone.
+const REAP: Duration = Duration::from_secs(5);
+/// Lines of a node's log that are kept.
+const LOG_MOST: usize = 200;
+
+/// How nodes are started.
+#[derive(Debug, Clone)]
+pub struct Program {
+    /// The program.
+    pub path: PathBuf,
+    /// Words before anything else.
+    pub words: Vec<String>,
+    /// It ends when its standard input does: so it ends with the kit, however that ends.
+    pub tied: bool,
+}
+
+/// One process of a node.
+pub struct Process {
+    node: u32,
+    id: u32,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The last lines of its log.
+    log: Arc<Mutex<Vec<String>>>,
+    /// Whether its end is meant.
+    meant: Arc<Mutex<bool>>,
+    /// Set once it has ended.
+    ended: watch::Receiver<bool>,
+    recorder: Recorder,
+    _tie: Option<ChildStdin>,
+}
+
+impl Process {
+    /// Starts a node with this configuration, written to `config`, and waits until it says where it listens.
+    pub async fn start(
+        program: &Program,
+        node: u32,
+        config: &Path,
+        content: &Value,
+        recorder: &Recorder,
+    ) -> io::Result<Process> {
+        write_config(config, content).await?;
+        recorder.see(Seen::NodeStarted { node });
+        let mut child = Command::new(&program.path)
+            .args(&program.words)
+            .env("PROXY_CONFIG", config)
+            .env_remove("PINERELAY_OPERATOR")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()?;
+        let id = child.id().unwrap_or(0);
+        let tie = child.stdin.take().filter(|_| program.tied);
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let Some(stderr) = child.stderr.take() else { return Err(io::Error::other("no log")) };
+        let mut lines = BufReader::new(stderr).lines();
+        let said = timeout(START, async {
+            while let Some(line) = lines.next_line().await? {
+                let address =
+                    line.strip_prefix("pinerelay: listening on ").and_then(|a| a.trim().parse().ok());
+                keep(&log, line);
+                if address.is_some() {
+                    return Ok(address);
+                }
+            }
+            Ok::<_, io::Error>(None)
+        })
+        .await;
+        let address = match said {
+            Ok(Ok(Some(address))) => address,
+            _ => {
+                let _ = child.start_kill();
+                let _ = timeout(REAP, child.wait()).await;
+                recorder.see(Seen::NodeEnded { node, code: None, meant: false });
+                let last = lock(&log).last().cloned().unwrap_or_default();
+                return Err(io::Error::other(format!("node {node} did not start: {last}")));
+            }
+        };
+        let kept = log.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                keep(&kept, line);
+            }
+        });
+        let (tell, ended) = watch::channel(false);
+        let meant = Arc::new(Mutex::new(false));
+        tokio::spawn(reap(child, node, meant.clone(), recorder.clone(), tell));
+        Ok(Process { node, id, address, log, meant, ended, recorder: recorder.clone(), _tie: tie })
+    }
+
+    /// Tells it to stop, and kills it if it has not ended within the limit.
+    pub async fn stop(&mut self, limit: Duration) {
+        *lock(&self.meant) = true;
+        self.recorder.see(Seen::NodeTold { node: self.node });
+        self.signal("TERM").await;
+        if !self.gone(limit).await {
+            self.signal("KILL").await;
+            self.gone(REAP).await;
+        }
+    }
+
+    /// Kills it, and waits until it is gone.
+    pub async fn kill(&mut self) {
+        *lock(&self.meant) = true;
+        self.recorder.see(Seen::NodeKilled { node: self.node });
+        self.signal("KILL").await;
+        self.gone(REAP).await;
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub async fn move_to(&self, config: &Path, content: &Value) -> io::Result<()> {
+        write_config(config, content).await?;
+        self.recorder.see(Seen::NodeMoved { node: self.node });
+        self.signal("HUP").await;
+        Ok(())
+    }
+
+    /// Whether it has ended.
+    pub fn ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
+    /// Waits until it has ended; false if it has not by then.
+    pub async fn gone(&mut self, limit: Duration) -> bool {
+        timeout(limit, self.ended.wait_for(|ended| *ended)).await.is_ok()
+    }
+
+    /// The last lines of its log.
+    pub fn log(&self) -> Vec<String> {
+        lock(&self.log).clone()
+    }
+
+    /// Records what CPU time it has used and what memory it holds.
+    pub fn sample(&self) {
+        if let (false, Some((cpu, rss_kib))) = (self.ended(), used(self.id)) {
+            self.recorder.see(Seen::NodeUsed { node: self.node, cpu, rss_kib });
+        }
+    }
+
+    async fn signal(&self, name: &str) {
+        if self.ended() {
+            return;
+        }
+        // Signals go through the shell's own kill: the standard library has SIGKILL alone.
+        let text = format!("kill -{name} {}", self.id);
+        let sent = Command::new("sh").args(["-c", &text]).stderr(Stdio::null()).status();
+        // A process that has just ended can't be told anything.
+        let _ = timeout(REAP, sent).await;
+    }
+}
+
+async fn reap(
+    mut child: Child,
+    node: u32,
+    meant: Arc<Mutex<bool>>,
+    recorder: Recorder,
+    tell: watch::Sender<bool>,
+) {
+    let code = child.wait().await.ok().and_then(|s| s.code());
+    let meant = *lock(&meant);
+    recorder.see(Seen::NodeEnded { node, code, meant });
+    let _ = tell.send(true);
+}
+
+/// Replaced and not written over: a node must not read half a file.
+async fn write_config(path: &Path, content: &Value) -> io::Result<()> {
+    let next = path.with_extension("next");
+    tokio::fs::write(&next, content.to_string()).await?;
+    tokio::fs::rename(&next, path).await
+}
+
+fn keep(log: &Mutex<Vec<String>>, line: String) {
+    let mut log = lock(log);
+    if log.len() >= LOG_MOST {
+        log.remove(0);
+    }
+    log.push(line);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// CPU time in microseconds and memory in KiB of a process, as the kernel tells them (proc(5)): time on the CPU
+/// of its main thread, which is the only one of a node that serves.
+pub fn used(id: u32) -> Option<(Micros, u64)> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+    let cpu = text.split_whitespace().next()?.parse::<u64>().ok()? / 1_000;
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    Some((cpu, rss.split_whitespace().next()?.parse().ok()?))
+}
+
+/// Waits a little: for what has to be asked again and again.
+pub async fn moment() {
+    sleep(Duration::from_millis(20)).await;
+}
