Hold what waits behind a lease that calls again; bench a node beside a bare relay

The first of those that waited on an answer drew the lease down and called for the next block; the next one found a call out and, as it had waited once, was refused whatever the quota held.

Change: it is held for that call too if the quota has room.

--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -80,7 +80,7 @@
         if let (true, Some(call)) = (up, &c.call) {
             let expected = c.lease + call.amount.min(left).max(0.0);
             let room = expected - queued >= units || left - call.amount.max(0.0) - queued >= units;
-            return if may_wait && room { Verdict::Held } else { Verdict::Beyond };
+            return if room { Verdict::Held } else { Verdict::Beyond };
         }
         if up && c.seen.is_some() && left + c.lease - queued < units {
             return Verdict::Beyond;
--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -224,3 +224,39 @@
 fn first_promise(n: &mut Node) -> Option<Micros> {
     (0..12).find_map(|_| refused(&n.ask(0, 1.0).1).filter(|&advice| advice > 0))
 }
+
+#[test]
+fn what_waits_behind_the_one_that_calls_again_is_held_and_not_refused() {
+    // A wide quota, far from used up, and a demand for which a block is soon drawn down.
+    let mut set = settings();
+    (set.plans[0].quota_rate, set.plans[0].burst) = (1_000.0, 1_000.0);
+    let mut n = Node::new(set, 4);
+    let mut counter = Counter::default();
+    for _ in 0..200 {
+        n.wait(MS);
+        let (_, actions) = n.ask(0, 1.0);
+        let all = settle(&mut n, &mut counter, actions);
+        sent(&all).into_iter().for_each(|(id, server)| drop(n.end(&id, 0, server, Outcome::Ok)));
+    }
+    // A call for the next block is out, and more wait for it than it will hold.
+    let (name, amount) = loop {
+        n.wait(MS);
+        let (_, actions) = n.ask(0, 1.0);
+        if let Some(call) = call(&actions) {
+            break call;
+        }
+    };
+    let mut held = 0;
+    for _ in 0..40 {
+        let (_, actions) = n.ask(0, 4.0);
+        assert!(refused(&actions).is_none());
+        held += usize::from(sent(&actions).is_empty());
+    }
+    assert!(4.0 * held as f64 > amount, "{held} wait for {amount} units");
+    let total = counter.add(name, amount);
+    let actions = n.counted(name, Outcome::Ok, total);
+    assert!(refused(&actions).is_none(), "refused though hardly a fifth of the quota is used");
+    let all = settle(&mut n, &mut counter, actions);
+    assert!(refused(&all).is_none());
+    assert_eq!(sent(&all).len(), held, "all that waited go on");
+}
--- a/crates/rehearsal/src/cli.rs
+++ b/crates/rehearsal/src/cli.rs
@@ -61,6 +61,19 @@
         #[arg(required = true)]
         scenarios: Vec<String>,
     },
+    /// Measure what one node costs, beside a bare relay in the same run
+    Bench {
+        /// Descriptors that the node may hold
+        #[arg(long, default_value_t = 1024)]
+        sockets: usize,
+    },
+    /// Relay to these addresses and do nothing else
+    #[command(hide = true)]
+    Relay {
+        /// The addresses
+        #[arg(required = true)]
+        to: Vec<std::net::SocketAddr>,
+    },
     /// Run one edge node: how the kit starts its nodes. It ends when its standard input does
     #[command(hide = true)]
     Node,
@@ -123,6 +136,17 @@
             }
         },
         Command::Check { scenarios } => check(&scenarios),
+        Command::Bench { sockets } => bench(sockets),
+        Command::Relay { to } => {
+            tie();
+            match crate::relay::run(to) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("rehearsal: cannot relay: {error}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
         Command::Node => node(),
     }
 }
@@ -158,14 +182,18 @@
     code
 }
 
-/// A node in this process. Danger: a kit that is killed could not end its nodes; they see their standard input
-/// end instead.
-fn node() -> ExitCode {
+/// Danger: a kit that is killed could not end what it started; that sees its standard input end instead.
+fn tie() {
     std::thread::spawn(|| {
         let mut byte = [0];
         while std::io::stdin().read(&mut byte).is_ok_and(|n| n > 0) {}
         std::process::exit(i32::from(NO_VERDICT));
     });
+}
+
+/// A node in this process.
+fn node() -> ExitCode {
+    tie();
     pinerelay::cli::main([OsString::from("pinerelay")])
 }
 
@@ -184,6 +212,26 @@
             scenario.fault.retain(|f| f.at.0 < Duration::from_secs(u64::from(seconds)));
         }
     }
+    on_runtime(all(found, how))
+}
+
+fn bench(sockets: usize) -> ExitCode {
+    on_runtime(async move {
+        let measured = match std::env::current_exe() {
+            Ok(program) => crate::bench::run(&program, own_dir(0), sockets).await,
+            Err(error) => Err(error),
+        };
+        match measured {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("rehearsal: bench: {error}");
+                ExitCode::from(NO_VERDICT)
+            }
+        }
+    })
+}
+
+fn on_runtime(work: impl std::future::Future<Output = ExitCode>) -> ExitCode {
     // As many as there may be, if not so many.
     let _ = rlimit::increase_nofile_limit(DESCRIPTORS);
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
@@ -193,7 +241,7 @@
             return ExitCode::from(NO_VERDICT);
         }
     };
-    let code = runtime.block_on(all(found, how));
+    let code = runtime.block_on(work);
     runtime.shutdown_timeout(LEFT);
     code
 }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,9 +3,11 @@
 //! The stand-ins are `pinerelay-standins`; what they saw is judged by `pinerelay-judge`.
 #![forbid(unsafe_code)]
 
+pub mod bench;
 pub mod cli;
 pub mod load;
 pub mod nodes;
+pub mod relay;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -59,14 +59,14 @@
     let mean_units: f64 = UNITS.iter().enumerate().map(|(n, share)| (n + 1) as f64 * share).sum();
     let usage = (USAGE.0 + USAGE.1) / 2.0 * (1.0 - NEAR_SHARE) + (NEAR.0 + NEAR.1) / 2.0 * NEAR_SHARE;
     let mut all = Vec::new();
-    for (plan, (_, quota, share)) in site.plans().enumerate() {
+    for (plan, (name, quota, share)) in site.plans().enumerate() {
         let units = scenario.load.rate * share * mean_units;
         let count = (units / (quota * usage)).round().max(1.0) as u64;
         // What rounding the number of billers took or gave.
         let even = units / (count as f64 * quota * usage);
         for number in 0..count {
             let biller = Biller::new(scenario, seed, plan as u64, number);
-            biller.ask(scenario, site, quota * even / mean_units, plan, &mut all);
+            biller.ask(scenario, site, quota * even / mean_units, (plan, name), &mut all);
         }
     }
     all.sort_by_key(|p| (p.at, p.biller));
@@ -110,18 +110,31 @@
     }
 
     /// Its requests; at use 1 it makes `rate` a second.
-    fn ask(mut self, scenario: &Scenario, site: &Site, rate: f64, plan: usize, all: &mut Vec<Planned>) {
+    fn ask(
+        mut self,
+        scenario: &Scenario,
+        site: &Site,
+        rate: f64,
+        (plan, name): (usize, &str),
+        all: &mut Vec<Planned>,
+    ) {
         let shape = &scenario.load.shape;
         let tallest = shape.iter().map(|s| s.1).fold(0.0, f64::max);
         let highest = self.spikes.iter().map(|s| s.2).fold(self.usage, f64::max);
-        let most = rate * tallest * highest;
+        let surges: Vec<_> = (scenario.load.surge.iter())
+            .filter(|s| s.plan == name)
+            .map(|s| (s.at.0.as_secs_f64(), (s.at.0 + s.span.0).as_secs_f64(), s.times))
+            .collect();
+        let surge =
+            |at: f64| surges.iter().filter(|s| (s.0..s.1).contains(&at)).map(|s| s.2).product::<f64>();
+        let most = rate * tallest * highest * surges.iter().map(|s| s.2.max(1.0)).product::<f64>();
         if most <= 0.0 {
             return;
         }
         let mut at = self.lots.span(1.0 / most);
         while at < f64::from(scenario.seconds) {
             let spike = self.spikes.iter().find(|s| (s.0..s.1).contains(&at)).map(|s| s.2);
-            let now = rate * factor(shape, at) * spike.unwrap_or(self.usage);
+            let now = rate * factor(shape, at) * spike.unwrap_or(self.usage) * surge(at);
             if self.lots.share() * most < now {
                 let class = draw(site.classes().map(|c| c.1), self.lots.share());
                 let units = draw(UNITS.iter().copied(), self.lots.share()) as u32 + 1;
--- a/crates/rehearsal/src/report/html.rs
+++ b/crates/rehearsal/src/report/html.rs
@@ -216,7 +216,8 @@
         for n in 0..=4 {
             let value = self.most * f64::from(n) / 4.0;
             let y = self.y(value);
-            let label = if self.most < 8.0 { format!("{value:.1}") } else { format!("{value:.0}") };
+            let label = format!("{value:.1}");
+            let label = label.trim_end_matches(".0");
             write!(
                 out,
                 "<line x1=\"{LEFT}\" x2=\"{}\" y1=\"{y:.1}\" y2=\"{y:.1}\" stroke=\"#e4e7ec\"/>\
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -5,6 +5,8 @@
 use pinerelay::strict::{self, within, Checked, FileError, Span};
 use serde::Deserialize;
 
+use crate::site::Site;
+
 /// The most boxes, nodes, and seconds of one rehearsal.
 const BOXES_MOST: u32 = 400;
 const NODES_MOST: u32 = 16;
@@ -90,6 +92,8 @@
     pub over: f64,
     /// The share of billers that ask for up to 7.7 times their quota for some seconds now and then.
     pub spiky: f64,
+    /// Times in which the billers of a plan ask for more.
+    pub surge: Vec<Surge>,
     /// Captured load in place of all that: a file of JSON Lines beside the scenario, each with `t_ms`, `biller`
     /// (16 hex digits), `plan`, `class` and `units`.
     pub replay: Option<PathBuf>,
@@ -98,10 +102,25 @@
 impl Default for Load {
     fn default() -> Self {
         let shape = vec![(0.0, 0.6), (8.0, 1.0)];
-        Load { rate: 170.0, shape, over: 0.09, spiky: 0.15, replay: None }
+        Load { rate: 170.0, shape, over: 0.09, spiky: 0.15, surge: Vec::new(), replay: None }
     }
 }
 
+/// A time in which the billers of a plan ask for more.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Surge {
+    /// From when, from the start of the load.
+    pub at: Span,
+    /// For how long.
+    #[serde(rename = "for")]
+    pub span: Span,
+    /// The plan's name.
+    pub plan: String,
+    /// How many times as much: 0 to 100.
+    pub times: f64,
+}
+
 /// What clients do.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -315,6 +334,7 @@
             .or_else(|| within("fleet.sockets", fleet.sockets, 64, 65_536))
             .or_else(|| within("load.rate", load.rate, 0.1, 50_000.0))
             .or_else(|| self.shape())
+            .or_else(|| self.surge())
             .or_else(|| share("load.over", load.over))
             .or_else(|| share("load.spiky", load.spiky))
             .or_else(|| within("clients.retries", self.clients.retries, 0, 5))
@@ -341,6 +361,19 @@
         None
     }
 
+    fn surge(&self) -> Option<(String, String)> {
+        let site = Site::new(self);
+        self.load.surge.iter().enumerate().find_map(|(n, surge)| {
+            let known = site.plans().any(|p| p.0 == surge.plan);
+            let plans: Vec<_> = site.plans().map(|p| p.0.to_string()).collect();
+            let unknown = || {
+                let why = format!("one of {plans:?} is wanted, not {:?}", surge.plan);
+                (!known).then(|| (format!("load.surge[{n}].plan"), why))
+            };
+            within(format!("load.surge[{n}].times"), surge.times, 0.0, 100.0).or_else(unknown)
+        })
+    }
+
     fn fault_refused(&self, number: usize, fault: &Fault) -> Option<(String, String)> {
         let key = |name: &str| format!("fault[{number}].{name}");
         let kind = fault.kind.name();
@@ -406,6 +439,7 @@
     "nodes-killed",
     "nodes-restarted",
     "rude-clients",
+    "ceiling-pressed",
     "bad-hour",
 ];
 
@@ -438,6 +472,10 @@
             (format!("{head}[fleet]\nboxs = 3\n"), "s.toml:4: fleet.boxs: unknown field `boxs`"),
             (format!("{head}[load]\nshape = []\n"), "load.shape: at least one pair"),
             (format!("{head}[load]\nshape = [[3, 1], [1, 2]]\n"), "load.shape: times that grow"),
+            (
+                format!("{head}[[load.surge]]\nat = \"1s\"\nfor = \"1s\"\nplan = \"gold\"\ntimes = 2\n"),
+                "load.surge[0].plan: one of [\"basic\"",
+            ),
             (fault("kind = \"hangs\""), "fault[0].kind: unknown variant `hangs`"),
             (fault("kind = \"resets\""), "fault[0].share: resets needs it"),
             (fault("kind = \"hang\"\nshare = 0.5"), "fault[0].share: hang takes none"),
--- a/crates/standins/tests/foreign.rs
+++ b/crates/standins/tests/foreign.rs
@@ -195,7 +195,8 @@
     assert_eq!(served.status, StatusCode::OK);
     assert_eq!(made_by(&served.body).map(|b| b.0), Some(1));
     // Rows: no id, an id that no client has, no such class; a deadline that is over; a box that drains.
-    let rows: [(&str, Vec<(&str, String)>, u16, bool); 4] = [
+    type Row<'a> = (&'a str, Vec<(&'a str, String)>, u16, bool);
+    let rows: [Row; 4] = [
         ("/look", vec![], 404, false),
         ("/look", vec![("x-request-id", "rude".into())], 400, false),
         ("/none", vec![("x-request-id", id(2))], 400, false),
