--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -426,6 +426,7 @@
     "spoilt-answers",
     "hall-lost",
     "cold-restarts",
+    "power-cut",
     "drains",
     "counter-slow",
     "counter-silent",
@@ -441,6 +442,7 @@
     "rude-clients",
     "ceiling-pressed",
     "bad-hour",
+    "capacity",
 ];
 
 #[cfg(test)]
--- a/crates/rehearsal/src/site.rs
+++ b/crates/rehearsal/src/site.rs
@@ -84,7 +84,7 @@
         ];
         let top = &mut plans[3];
         top.open_limit = 6;
-        (top.plan.ceiling_rate, top.plan.ceiling_burst) = (48.0, 96.0);
+        (top.plan.ceiling_rate, top.plan.ceiling_burst) = (41.0, 82.0);
         // A tenth, or one of the largest requests, whichever is more.
         top.plan.ceiling_slack = (top.plan.ceiling_burst * 0.1).max(LARGEST);
         Site {
--- a/crates/rehearsal/tests/misdeeds.rs
+++ b/crates/rehearsal/tests/misdeeds.rs
@@ -87,7 +87,7 @@
         ("slip-record".to_string(), false, true, Duration::from_millis(1_500)),
         ("payment-post".to_string(), false, false, Duration::ZERO),
     ];
-    let ceilings = HashMap::from([("enterprise".to_string(), Ceiling { rate: 48.0, burst: 96.0 })]);
+    let ceilings = HashMap::from([("enterprise".to_string(), Ceiling { rate: 41.0, burst: 82.0 })]);
     let mut edges = Vec::new();
     for node in [GUILTY, HONEST] {
         let make = Make {
