End faults with the load, and test a late kit, a stall of a minute and captured load

Need: a fault that lasts longer than the load held up the end of the rehearsal for 45 s, and left it without a verdict.

Change: what would outlast the load ends with it.

--- a/crates/judge/tests/borders.rs
+++ b/crates/judge/tests/borders.rs
@@ -383,6 +383,13 @@
     // In time its rate refills it.
     asked(&[4.0; 40], 400 * MS).clean();
     asked(&[4.0; 40], 300 * MS).breaks(Rule::Ceilings, "more sent on than the ceiling gives");
+    // Nor does it matter how an attempt ended that came whole: its connection died before the answer.
+    let mut story = Story::new();
+    for id in 1..=6 {
+        story.sent_by(SECOND, id, SAFE, 1, 4.0).arrived(SECOND, id, id, 0);
+        story.see(SECOND + MS, Seen::Broke { attempt: id, by_box: true }).answered(SECOND + 2 * MS, id, 502);
+    }
+    story.breaks(Rule::Ceilings, "more sent on than the ceiling gives");
     // A second attempt of the same try takes nothing.
     let mut story = asked(&[4.0, 4.0, 4.0, 4.0, 4.0, 3.5], 0);
     story.arrived(SECOND, 100, 1, 1).replied(SECOND, 100, 200, false);
--- a/crates/rehearsal/src/report/html.rs
+++ b/crates/rehearsal/src/report/html.rs
@@ -247,10 +247,10 @@
     }
 }
 
-/// A round number at or above a value.
+/// A round number at or above a value, whose quarters are round too.
 fn round_up(value: f64) -> f64 {
     let scale = 10f64.powf(value.max(1.0).log10().floor());
-    let round = [1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 8.0, 10.0].into_iter().map(|f| f * scale);
+    let round = [1.0, 1.2, 1.6, 2.0, 2.4, 3.2, 4.0, 4.8, 6.0, 8.0, 10.0].into_iter().map(|f| f * scale);
     round.into_iter().find(|r| *r >= value).unwrap_or(value)
 }
 
@@ -347,7 +347,7 @@
 
     #[test]
     fn round_numbers_are_at_or_above_the_value() {
-        let rows = [(0.0, 1.0), (1.0, 1.0), (7.0, 8.0), (11.0, 15.0), (163.0, 200.0), (950.0, 1000.0)];
+        let rows = [(0.0, 1.0), (1.0, 1.0), (7.0, 8.0), (11.0, 12.0), (163.0, 200.0), (950.0, 1000.0)];
         for (value, round) in rows {
             assert_eq!(round_up(value), round);
         }
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -398,13 +398,15 @@
         sleep_until(begin + fault.at.0).await;
         let kind = fault.kind.name();
         self.recorder.see(Seen::Fault { number, kind: kind.clone(), begins: true });
-        if let Err(error) = self.clone().commit(number, &fault).await {
+        // What would outlast the load ends with it: a stall of a minute must not hold up the end.
+        let left = Duration::from_secs(u64::from(self.scenario.seconds)).saturating_sub(fault.at.0);
+        if let Err(error) = self.clone().commit(number, &fault, fault.lasts().min(left)).await {
             eprintln!("rehearsal: {kind}: {error}");
         }
         self.recorder.see(Seen::Fault { number, kind, begins: false });
     }
 
-    async fn commit(self: Arc<Self>, number: usize, fault: &Fault) -> io::Result<()> {
+    async fn commit(self: Arc<Self>, number: usize, fault: &Fault, lasts: Duration) -> io::Result<()> {
         let (share, times) = (fault.share.unwrap_or(1.0), fault.times.unwrap_or(1.0));
         let boxes = self.targets(number, fault);
         let feel = |change: &dyn Fn(&mut pinerelay_standins::boxes::Mood)| {
@@ -412,7 +414,6 @@
         };
         let counter = lock(&self.counters).last().cloned();
         let count = |change: &dyn Fn(&mut counter::Mood)| counter.iter().for_each(|c| c.feel(|m| change(m)));
-        let lasts = fault.lasts();
         let even = |n: usize| lasts / n.max(1) as u32;
         match fault.kind {
             Kind::Hang => {
@@ -549,7 +550,7 @@
                     sleep(Duration::from_secs(1)).await;
                 }
             }
-            Kind::Rude | Kind::Silent => self.pester(number, fault, times).await,
+            Kind::Rude | Kind::Silent => self.pester(number, fault, lasts, times).await,
         }
         Ok(())
     }
@@ -588,8 +589,8 @@
     }
 
     /// Rude clients, or silent ones, for as long as the fault lasts.
-    async fn pester(&self, number: usize, fault: &Fault, times: f64) {
-        let until = Instant::now() + fault.lasts();
+    async fn pester(&self, number: usize, fault: &Fault, lasts: Duration, times: f64) {
+        let until = Instant::now() + lasts;
         let mut lots = Lots::new(self.options.seed, 0x51 + number as u64);
         let class = self.site.classes().next().map_or("", |c| c.0).to_string();
         let plan = self.site.plans().next().map_or("", |p| p.0).to_string();
--- a/crates/rehearsal/tests/kit.rs
+++ b/crates/rehearsal/tests/kit.rs
@@ -90,6 +90,15 @@
     kept("boxes", &faults.concat());
 }
 
+#[test]
+fn boxes_that_all_stall_for_a_minute_do_not_hold_up_the_kit() {
+    let began = Instant::now();
+    let report = kept("stall", &fault("hang", "for = \"1m\""));
+    assert!(began.elapsed() < Duration::from_secs(40), "{:?}", began.elapsed());
+    let failed = &report["judgement"]["service"]["classes"][2]["failed"];
+    assert!(failed.as_u64() > Some(0), "payment-posts that a box took and never answered have failed");
+}
+
 #[test]
 fn boxes_that_drain_stop_and_restart_cold_break_no_rule() {
     let faults = [
@@ -255,6 +264,37 @@
     assert_eq!(out.status.code(), Some(3));
 }
 
+#[test]
+fn a_kit_that_was_too_late_gives_no_verdict() {
+    let (code, report) = play("late", &small("").replace("\"1s\"", "\"0ms\""));
+    let why = report["verdict"]["none"].as_str().expect("a reason");
+    assert!(why.starts_with("the kit itself was ") && why.ends_with("0 us are allowed"), "{why}");
+    assert!(report["judgement"].is_null());
+    assert_eq!(code, Some(3));
+}
+
+#[test]
+fn captured_load_is_found_beside_its_scenario_and_what_is_wrong_with_it_is_told() {
+    let dir = folder("capture");
+    let line = |plan: &str| {
+        format!("{{\"t_ms\":5,\"biller\":\"00000000000000ab\",\"plan\":\"{plan}\",\"class\":\"bill-lookup\",\"units\":1}}\n")
+    };
+    let scenario = dir.join("captured.toml");
+    std::fs::write(&scenario, "title = \"t\"\nseconds = 1\n[load]\nreplay = \"day.jsonl\"\n")
+        .expect("a file");
+    let check = |lines: &str| {
+        std::fs::write(dir.join("day.jsonl"), lines).expect("a file");
+        wait(kit().args(["check", word(&scenario)]).spawn().expect("the kit"))
+    };
+    let out = check(&(line("basic") + &line("business")));
+    assert!(String::from_utf8_lossy(&out.stdout).contains("valid, 2 requests"), "{out:?}");
+    let out = check(&(line("basic") + &line("gold")));
+    assert_eq!(out.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(said.contains("day.jsonl:2: plan: \"gold\" does not exist"), "{said}");
+    std::fs::remove_dir_all(dir).expect("the folder");
+}
+
 #[test]
 fn words_that_name_no_scenario_and_files_that_are_none_are_refused() {
     let dir = folder("words");
