--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod edge;
 pub mod http;
 pub mod lots;
+pub mod redis;
 pub mod rude;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
