--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -127,6 +127,8 @@
     counters: Lock<Vec<Arc<Counter>>>,
     crowd: Arc<Crowd>,
     nodes: Vec<Mutex<Option<Process>>>,
+    /// Faults that could not be played, and why.
+    unplayed: Lock<Vec<String>>,
 }
 
 /// Runs a rehearsal until its end, or until `interrupt` becomes true.
@@ -150,7 +152,7 @@
             biased;
             _ = interrupt.wait_for(|stop| *stop) => Some("it was cut short".to_string()),
             played = played => match played {
-                Ok(Ok(())) => None,
+                Ok(Ok(())) => lock(&stage.unplayed).first().cloned(),
                 Ok(Err(error)) => Some(error.to_string()),
                 Err(_) => Some(format!("it was not over {} s after its load", OVERTIME.as_secs())),
             },
@@ -215,6 +217,7 @@
             discovery,
             counters: Lock::new(vec![counter]),
             nodes: (0..nodes).map(|_| Mutex::new(None)).collect(),
+            unplayed: Lock::default(),
         };
         let mut addresses = Vec::new();
         for node in 0..nodes {
@@ -401,7 +404,7 @@
         // What would outlast the load ends with it: a stall of a minute must not hold up the end.
         let left = Duration::from_secs(u64::from(self.scenario.seconds)).saturating_sub(fault.at.0);
         if let Err(error) = self.clone().commit(number, &fault, fault.lasts().min(left)).await {
-            eprintln!("rehearsal: {kind}: {error}");
+            lock(&self.unplayed).push(format!("the fault {kind} could not be played: {error}"));
         }
         self.recorder.see(Seen::Fault { number, kind, begins: false });
     }
--- a/crates/standins/src/boxes.rs
+++ b/crates/standins/src/boxes.rs
@@ -168,8 +168,11 @@
         cold: bool,
     ) -> io::Result<StandinBox> {
         let mut listeners = Vec::new();
+        // Danger: while a box is down, a connection that goes out from 127.0.0.1 may be given its port there, and
+        // it could not start again. So it listens at an address that none goes out from.
+        let ip = Ipv4Addr::new(127, 0, 2, (make.number % 250) as u8 + 1);
         for _ in 0..nodes {
-            listeners.push(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?);
+            listeners.push(TcpListener::bind((ip, 0)).await?);
         }
         let addresses = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
         let now = Instant::now();
