--- a/crates/evidence/src/lib.rs
+++ b/crates/evidence/src/lib.rs
@@ -5,7 +5,7 @@
 //! before writing it: so what was caused by a thing never bears an earlier stamp than the thing.
 #![forbid(unsafe_code)]
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
@@ -338,6 +338,11 @@
     },
 }
 
+/// Locks. A stand-in that panicked has left nothing half done that matters more than going on.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 #[derive(Debug)]
 struct Shared {
     began: Instant,
@@ -373,13 +378,12 @@
 
     /// Records a thing seen at this time.
     pub fn see_at(&self, at: Micros, seen: Seen) {
-        // A stand-in that panicked has not left half a record behind.
-        self.0.records.lock().unwrap_or_else(PoisonError::into_inner).push(Record { at, seen });
+        lock(&self.0.records).push(Record { at, seen });
     }
 
     /// All that was seen so far, in the order of time.
     pub fn take(&self) -> Vec<Record> {
-        let mut records = std::mem::take(&mut *self.0.records.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut records = std::mem::take(&mut *lock(&self.0.records));
         records.sort_by_key(|r| r.at);
         records
     }
--- a/crates/judge/src/answers.rs
+++ b/crates/judge/src/answers.rs
@@ -97,7 +97,7 @@
     if over.is_none() && view.last > limit + SOCKET_SLACK && !excused(view, t, view.last) {
         out.push(breach("no answer in time", limit).line(limit, "no end of it was ever seen"));
     }
-    if let Some(over) = over.filter(|_| !t.ends.is_empty()) {
+    if let Some(over) = over {
         let late = t.attempts.iter().map(|&a| &view.attempts[a]);
         if let Some(a) = late.filter(|a| a.first_byte > over + SOCKET_SLACK).min_by_key(|a| a.first_byte) {
             let b = breach("sent on after its final answer", a.first_byte).at_box(a.at_box);
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pinerelay_evidence::{Micros, Recorder, Seen};
+use pinerelay_evidence::{lock, Micros, Recorder, Seen};
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, Command};
@@ -196,10 +196,6 @@
     log.push(line);
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// CPU time in microseconds and memory in KiB of a process, as the kernel tells them (proc(5)): time on the CPU
 /// of its main thread, which is the only one of a node that serves.
 pub fn used(id: u32) -> Option<(Micros, u64)> {
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -6,10 +6,10 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex as Lock, PoisonError};
+use std::sync::{Arc, Mutex as Lock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use pinerelay_evidence::{Listed, Record, Recorder, Seen};
+use pinerelay_evidence::{lock, Listed, Record, Recorder, Seen};
 use pinerelay_judge::terms::Terms;
 use pinerelay_judge::{judge, Judgement};
 use pinerelay_standins::billers::{Crowd, Planned};
@@ -658,10 +658,6 @@
     bands.into_iter().map(|(_, band)| band).collect()
 }
 
-fn lock<T>(mutex: &Lock<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// A folder of this run's own under the machine's folder for such things.
 pub fn own_dir(seed: u64) -> PathBuf {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
--- a/crates/standins/src/billers.rs
+++ b/crates/standins/src/billers.rs
@@ -7,14 +7,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pinerelay_evidence::{Body, Cut, Micros, Recorder, RequestId, Seen};
+use pinerelay_evidence::{lock, Body, Cut, Micros, Recorder, RequestId, Seen};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::boxes::made_by;
 use crate::http::{Line, Message, NoMessage};
-use crate::lock;
 use crate::lots::mix;
 
 /// How long a connection may take to come up.
--- a/crates/standins/src/boxes.rs
+++ b/crates/standins/src/boxes.rs
@@ -11,14 +11,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pinerelay_evidence::{AttemptId, Micros, Recorder, RequestId, Seen};
+use pinerelay_evidence::{lock, AttemptId, Micros, Recorder, RequestId, Seen};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::http::{Line, Message, NoMessage};
-use crate::lock;
 use crate::lots::{mix, Lots};
 
 /// How long a box that is stopping waits for its connections' tasks to be told.
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -10,14 +10,13 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use pinerelay_evidence::{Counted, Recorder, Seen};
+use pinerelay_evidence::{lock, Counted, Recorder, Seen};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
-use crate::lock;
 use crate::lots::{mix, Lots};
 
 /// Connections that it holds of one node; further ones are reset.
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pinerelay_evidence::{Listed, Recorder, Seen};
+use pinerelay_evidence::{lock, Listed, Recorder, Seen};
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -18,7 +18,6 @@
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::http::Line;
-use crate::lock;
 
 /// The longest that a watch waits.
 const WAIT_MOST: Duration = Duration::from_secs(60);
--- a/crates/standins/src/edge.rs
+++ b/crates/standins/src/edge.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pinerelay_evidence::Recorder;
+use pinerelay_evidence::{lock, Recorder};
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,7 +19,6 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 use crate::http::{Line, Message};
-use crate::lock;
 use crate::lots::mix;
 
 /// What it may be told to do wrong.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,10 +15,3 @@
 pub mod lots;
 pub mod redis;
 pub mod rude;
-
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
-/// Locks; a stand-in that panicked has left nothing half done that matters more than going on.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/standins/src/redis/mod.rs
+++ b/crates/standins/src/redis/mod.rs
@@ -14,13 +14,13 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use pinerelay_evidence::lock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, Instant};
 
-use crate::lock;
 use crate::lots::Lots;
 use session::{Refusal, Session, Terms, User};
 use store::{Ms, Store};
