Book a late counter answer in the window whose count it belongs to

A customer's count takes a new name every 30 s. A call that was out at that moment came back with the old window's total and was booked as the new window's: a total far past the burst, so the customer was taken for empty and refused for up to the 30 s.

A call now carries the window that its name was made of, and the total is settled and booked there.

--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -23,6 +23,9 @@
 
 pub(super) struct Call {
     pub(super) amount: f64,
+    /// Whose count it adds to. Danger: an answer may come after the window has ended, and its total booked
+    /// in the next one would leave the customer nothing for all of that.
+    window: u64,
     /// Draws without a call that this one reports too; of them what it stands for as a sample.
     pub(super) told: f64,
     pub(super) proxy: f64,
@@ -137,10 +140,11 @@
 
     pub(super) fn count(&mut self, key: CustomerId, amount: f64, out: &mut Vec<Action>) {
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let name = count_name(key, window_of(key, self.now));
+        let window = window_of(key, self.now);
+        let name = count_name(key, window);
         let proxy = amount.max(0.0) * std::mem::take(&mut c.stands);
         let told = std::mem::take(&mut c.untold) + proxy;
-        c.call = Some(Call { amount, told, proxy, at: self.now, unread: 0, doubtful: false });
+        c.call = Some(Call { amount, window, told, proxy, at: self.now, unread: 0, doubtful: false });
         self.calls.insert(name, key);
         out.push(Action::Count { name, amount: amount + told, keep_for: KEEP });
     }
@@ -178,7 +182,7 @@
         if outcome == Outcome::Ok && total.is_finite() {
             (self.counter_rest, self.counter_until) = (COUNTER_REST, 0);
             c.share = None;
-            settle(c, key, now, &mut call, total);
+            settle(c, &mut call, total);
             (excess, burn) = book(c, plan, key, now, &call, total);
             if call.amount > 0.0 {
                 let empty = if excess > 0.0 { 1.0 } else { 0.0 };
@@ -241,8 +245,8 @@
 /// Clears up whether a doubtful call was added. Danger: what others drew must not be granted here as well. So
 /// it counts as added only if the total grew by its very amount, as not added only if by less; else its units
 /// stay with the counter and nobody gets them, which costs a customer with little left.
-fn settle(c: &mut Customer, key: CustomerId, now: Micros, call: &mut Call, total: f64) {
-    let last = c.seen.filter(|&(w, _)| w == window_of(key, now)).map_or(0.0, |(_, last)| last);
+fn settle(c: &mut Customer, call: &mut Call, total: f64) {
+    let last = c.seen.filter(|&(w, _)| w == call.window).map_or(0.0, |(_, last)| last);
     let (sum, grown) = (call.amount + call.told, total - last);
     let exact = total.abs().max(1.0) * 2e-6;
     if !call.doubtful || (grown - sum).abs() <= exact {
@@ -257,7 +261,7 @@
 /// Books a total. Returns what of the call's amount does not fit into the bucket, and what of the filling
 /// found the bucket full and is to be taken off the total, once that is a burst.
 fn book(c: &mut Customer, plan: &Plan, key: CustomerId, now: Micros, call: &Call, total: f64) -> (f64, f64) {
-    let (amount, window) = (call.amount, window_of(key, now));
+    let (amount, window) = (call.amount, call.window);
     let secs = |from: Micros| now.saturating_sub(from) as f64 / 1e6;
     let last = c.seen.filter(|&(w, _)| w == window).map(|(_, last)| last);
     let fallen = last.is_some_and(|last| total + plan.burst / 2.0 < last + amount);
--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -260,3 +260,63 @@
     assert!(refused(&all).is_none());
     assert_eq!(sent(&all).len(), held, "all that waited go on");
 }
+
+/// Asks once, answers all calls and attempts that come of it, and gives all actions.
+fn ask_and_serve(n: &mut Node, counter: &mut Counter) -> Vec<Action> {
+    let (_, actions) = n.ask(0, 1.0);
+    serve(n, counter, actions)
+}
+
+fn serve(n: &mut Node, counter: &mut Counter, actions: Vec<Action>) -> Vec<Action> {
+    let all = settle(n, counter, actions);
+    for (id, server) in sent(&all) {
+        let more = n.end(&id, 0, server, Outcome::Ok);
+        settle(n, counter, more);
+    }
+    all
+}
+
+/// The first instant after `from` at which the customer's count has another name.
+fn next_flip(set: &Settings, from: Micros) -> Micros {
+    let name_at = |now: Micros| {
+        let mut n = Node::new(set.clone(), 2);
+        n.now = now;
+        call(&n.ask(0, 1.0).1).expect("a stranger's first request asks for a lease").0
+    };
+    let (mut flip, mut step) = (from, SECOND);
+    while step > 0 {
+        while name_at(flip + step) == name_at(from) {
+            flip += step;
+        }
+        step /= 10;
+    }
+    flip + 1
+}
+
+#[test]
+fn an_answer_that_comes_after_its_window_has_ended_is_booked_in_its_own() {
+    let mut set = settings();
+    (set.plans[0].quota_rate, set.plans[0].burst) = (10.0, 20.0);
+    let flip = next_flip(&set, 100 * SECOND);
+    let (mut n, mut counter) = (Node::new(set, 4), Counter::default());
+    // A calm customer, far within its quota: the old window's total outgrows the burst all the same.
+    n.now = flip - 25 * SECOND;
+    while n.now + 600 * MS < flip {
+        n.wait(500 * MS);
+        ask_and_serve(&mut n, &mut counter);
+    }
+    // One call goes out just before the flip and is answered just after it.
+    n.now = flip - 1;
+    let late = (0..20).find_map(|_| call(&n.ask(0, 1.0).1));
+    let (name, amount) = late.expect("a call out as the window ends");
+    n.wait(20 * MS);
+    let total = counter.add(name, amount);
+    let actions = n.counted(name, Outcome::Ok, total);
+    serve(&mut n, &mut counter, actions);
+    let mut turned_away = 0;
+    for _ in 0..40 {
+        n.wait(500 * MS);
+        turned_away += usize::from(refused(&ask_and_serve(&mut n, &mut counter)).is_some());
+    }
+    assert_eq!(turned_away, 0, "of 40 requests of a customer far within its quota");
+}
