Give a fleet that is cold as a whole what it can do, from the first moment

After a power cut no box is warm, and a cold box's part is one of what warm ones get. The fleet was given in all what it had been given just before, so it could not grow. Tries at boxes already dead counted as given, and the first box back got a part of these. Boxes no slower than a cold fleet counted as warm after 9.8 s of 17, all at once. And the slow answers of cold boxes were taken for overload, which refused everything.

Where no listed box is surely warm, a cold one's part is now one of what a warm one last carried, of one request after the other by all nodes, or of 1.5 times what is answered now. No box warms up sooner than is sure, and overload leaves out what an answer takes longer for the cold alone. Elsewhere nothing changes.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -144,6 +144,11 @@
     /// How long new tries of a class wait.
     patience: BTreeMap<usize, Micros>,
     servers: BTreeMap<ServerId, Server>,
+    /// Whether a listed server is warm for sure; what such a one carries for this node, requests a second,
+    /// and how long an answer usually takes there. Both stay as they were while none is warm.
+    any_warm: bool,
+    carried: Rate,
+    usual: f64,
     latency: f64,
     deviation: f64,
     /// What is out at servers that answer, smoothed.
@@ -166,6 +171,7 @@
             counter_rest: COUNTER_REST,
             asking: 1.0,
             latency: LATENCY_START,
+            usual: LATENCY_START,
             deviation: LATENCY_START / 2.0,
             retries: RETRY_STORE / 2.0,
             ..Controller::default()
@@ -256,6 +262,7 @@
         let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
         let held: usize = self.servers.values().filter(|s| ok(s)).map(|s| self.working(s)).sum();
         self.held += (held as f64 - self.held) * HELD_GAIN;
+        self.measure_warm();
         for id in std::mem::take(&mut self.parked) {
             let Some(r) = self.requests.get(&id) else { continue };
             // Danger: what is turned away late has cost its client the time to go elsewhere.
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -1,6 +1,7 @@
 //! Server choice: the list of app servers, their health, cold starts, and which one gets an attempt.
 
 use super::measure::*;
+use super::overload::MEAN_SPAN;
 use super::*;
 
 /// First ejection of a suspect server; doubles up to the last.
@@ -8,6 +9,10 @@
 const EJECT_MAX: Micros = 6_400_000;
 /// A cold server no slower than the fleet gets this much over its sure share; far under the fall multiple.
 const COLD_PACE: f64 = 1.5;
+/// Where no server is warm, what they are sent may grow by this much over what they answer.
+const COLD_GROWTH: f64 = 1.5;
+/// Smoothing of what a warm server carries: over minutes of a rush, and little of a crash's last moments.
+const CARRY_SPAN: f64 = 15.0e6;
 /// How soon own counts outweigh the lot, in attempts out at each server.
 const SEEN: f64 = 60.0;
 /// How much a sure failure adds to a server's cost.
@@ -41,23 +46,54 @@
                 (s.slow, s.latency) = (slow, self.latency);
             }
         }
+        self.measure_warm();
         self.forget();
     }
 
+    /// Looks whether a server is past its cold start for sure, and what such a one carries for this node and
+    /// how long its answers take. What it carries is told by answers: what is sent doubles as servers die,
+    /// and falls on the last that is listed.
+    pub(super) fn measure_warm(&mut self) {
+        let (now, cold) = (self.now, self.set.rules.cold);
+        let warm = |s: &&Server| s.listed && (s.started == 0 || now >= s.started.saturating_add(cold));
+        let (mut count, mut done) = (0.0, 0.0);
+        let each = |s: &Server| (count, done) = (count + 1.0, done + s.done.get(now, DONE_SPAN));
+        self.servers.values().filter(warm).for_each(each);
+        self.any_warm = count > 0.0;
+        let gain = 1.0 - (-(now.saturating_sub(self.carried.at) as f64) / CARRY_SPAN).exp();
+        self.carried.at = now;
+        if self.any_warm {
+            self.carried.value += (done / count - self.carried.value) * gain;
+            self.usual += (self.times.mean(now, self.usual, MEAN_SPAN) - self.usual) * gain;
+        }
+    }
+
     /// What this node sends a second to a warm server, in the mean.
+    /// Danger: a fleet that is cold as a whole (after a power cut) has no warm one to tell, and a part of
+    /// next to nothing is nothing: it would idle until it is warm by the clock. There it is what a warm one
+    /// carried last, or, at all nodes together, one request after the other, or a little more than is
+    /// answered now. It does harm where the servers that come back are some times smaller than before.
     pub(super) fn per_server(&self) -> f64 {
-        let warm: f64 = self.servers.values().filter(|s| s.listed).map(|s| self.warmth(s)).sum();
-        self.sends.get(self.now, RATE_SPAN) / warm.max(1.0)
+        let listed = self.servers.values().filter(|s| s.listed);
+        if self.any_warm {
+            let warmth: f64 = listed.map(|s| self.warmth(s)).sum();
+            return self.sends.get(self.now, RATE_SPAN) / warmth.max(1.0);
+        }
+        let sum = |(w, d), s: &Server| (w + self.warmth(s), d + s.done.get(self.now, DONE_SPAN));
+        let (warmth, done) = listed.fold((0.0, 0.0), sum);
+        let in_turn = 1e6 / (self.latency * f64::from(self.set.nodes.max(1)));
+        (done / warmth.max(0.05) * COLD_GROWTH).max(self.carried.value).max(in_turn)
     }
 
-    /// The share of its capacity that a server surely has by now.
+    /// The share of its capacity that a server surely has by now. To be no slower than a fleet that is cold as
+    /// a whole tells nothing.
     pub(super) fn warmth(&self, s: &Server) -> f64 {
         let rules = &self.set.rules;
         if s.started == 0 || rules.cold == 0 {
             return 1.0;
         }
         let age = self.now.saturating_sub(s.started) as f64 / rules.cold as f64;
-        let pace = if s.latency < self.latency { COLD_PACE } else { 1.0 };
+        let pace = if self.any_warm && s.latency < self.latency { COLD_PACE } else { 1.0 };
         (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
     }
 
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -40,9 +40,20 @@
             rate += s.done.get(self.now, DONE_SPAN);
         }
         let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
+        let (mean, by_cold) = if self.any_warm { (mean, 0.0) } else { self.all_cold(mean) };
         let age = 1.0 - (-(self.now.saturating_sub(self.begun) as f64) / DONE_SPAN).exp();
         let rate = (rate > 0.0).then_some(rate / age.max(1e-3) + EVIDENCE * 1e6 / mean.max(1.0));
-        rate.map_or(0.0, |rate| (self.held + EVIDENCE) / rate * 1e6)
+        rate.map_or(0.0, |rate| (self.held + EVIDENCE) / rate * 1e6 - by_cold)
+    }
+
+    /// Where no server is warm: the mean that may weigh as evidence, and what an answer takes longer for the
+    /// cold alone. Danger: a cold server takes some times as long for a request though nothing waits there. A
+    /// fleet that is cold as a whole would be taken for full, and let nothing in until it has warmed up.
+    fn all_cold(&self, mean: f64) -> (f64, f64) {
+        let listed = self.servers.values().filter(|s| s.listed);
+        let (count, warmth) = listed.fold((0.0, 0.0), |(n, w), s| (n + 1.0, w + self.warmth(s)));
+        let by_cold = if count > 0.0 { self.usual * (count / warmth.max(0.05) - 1.0) } else { 0.0 };
+        (mean.min(by_cold + self.shortest_aim() * SHED_CHEAPEST), by_cold)
     }
 
     pub(super) fn shortest_aim(&self) -> f64 {
