--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -85,8 +85,8 @@
         (done / warmth.max(0.05) * COLD_GROWTH).max(self.carried.value).max(in_turn)
     }
 
-    /// The share of its capacity that a server surely has by now. To be no slower than a fleet that is cold as
-    /// a whole tells nothing.
+    /// The share of its capacity that a server surely has by now. To be no slower than a fleet that is cold
+    /// as a whole tells nothing.
     pub(super) fn warmth(&self, s: &Server) -> f64 {
         let rules = &self.set.rules;
         if s.started == 0 || rules.cold == 0 {
