Keep the shared counts in a Redis if the operator's file names one

Operators want the counts in a store they already run. A table [redis] there puts them into one server (redis://, RESP2 or RESP3, user and password from a file or a variable), moved by SIGHUP. Without it nothing changes: the platform's counter stays the default.

A count is a hash in which each node writes fields of its own, always all of them with the values they have from now on. To ask again says the same, and what a store lost comes back with the node's next call. Leases that came too late are taken back and told as not added.

The stand-in now answers late calls side by side and knows RANDOMKEY.

--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -9,5 +9,6 @@
 pub mod members;
 pub mod node;
 pub mod ports;
+pub mod redis;
 pub mod reuse;
 pub mod servers;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use pinerelay_store_redis::server::Settings as Redis;
 use serde::Deserialize;
 
 use crate::strict::{self, within, Checked, FileError, Span};
@@ -14,6 +15,8 @@
     pub front: Front,
     /// The quota counter.
     pub counter: CounterPart,
+    /// The Redis that holds the shared counts in place of the quota counter; the counter holds them without it.
+    pub redis: Option<Redis>,
     /// The planned stop.
     pub stop: Stop,
 }
@@ -99,6 +102,7 @@
             .or_else(|| within("front.head_wait", self.front.head_wait, Span::ms(100), Span::ms(60_000)))
             .or_else(|| within("front.body_wait", self.front.body_wait, Span::ms(100), Span::ms(60_000)))
             .or_else(|| within("counter.connections", self.counter.connections, 1, 32))
+            .or_else(|| self.redis.as_ref()?.unfit().map(|u| (format!("redis.{}", u.key), u.why)))
             .or_else(|| within("stop.idle_after", stop.idle_after, Span::ms(0), Span::ms(10_000)))
             .or_else(|| within("stop.deaf_after", stop.deaf_after, Span::ms(0), Span::ms(10_000)))
             .or_else(|| within("stop.patience", stop.patience, Span::ms(1), Span::ms(600_000)))
@@ -146,6 +150,10 @@
                 "[counter]\nconnections = 33\n",
                 &["operator.toml: counter.connections: 1 to 32 is wanted, not 33"],
             ),
+            ("[redis]\nprefix = \"a\"\n", &["operator.toml:1: redis: missing field `url`"]),
+            ("[redis]\nurl = \"redis://a\"\nport = 1\n", &["operator.toml:3", "redis.port: unknown field"]),
+            ("[redis]\nurl = \"http://a\"\n", &["operator.toml: redis.url: redis://HOST[:PORT][/DATABASE]"]),
+            ("[redis]\nurl = \"redis://a\"\nresp = 1\n", &["redis.resp: 2 or 3 is wanted, not 1"]),
             ("[stop]\npatience = \"900ms\"\n", &["stop.patience: more than stop.idle_after", "(900ms)"]),
         ];
         for (text, wanted) in rows {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -22,8 +22,11 @@
 use crate::net::members::Members;
 use crate::net::node::{Node, Peers};
 use crate::net::ports::{Core, QuotaStore};
+use crate::net::redis;
 use crate::net::servers::Servers;
 use crate::operator::Operator;
+use crate::strict::FileError;
+use pinerelay_store_redis::store::RedisStore;
 
 /// Danger: SIGKILL may come as soon as the longest deadline (3 s at most) and 0.7 s after SIGTERM, and what it
 /// finds unanswered is lost. What is open this long after SIGTERM has failed; a node stays no longer than the
@@ -36,15 +39,37 @@
 /// Runs a node until it has stopped; returns early if it can't start.
 pub fn run(path: PathBuf, operator: Option<PathBuf>) -> Result<(), StartError> {
     let config = Config::read(&path)?;
-    let operator = operator.map(|file| Operator::read(&file)).transpose()?.unwrap_or_default();
+    let file = operator;
+    let operator = file.as_deref().map(Operator::read).transpose()?.unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(LocalOptions::default())
         .map_err(StartError::System)?;
-    runtime.block_on(serve(config, path, operator))
+    runtime.block_on(serve(config, path, operator, file))
 }
 
-async fn serve(config: Config, path: PathBuf, operator: Operator) -> Result<(), StartError> {
+/// Where the shared counts live.
+#[derive(Clone)]
+enum Store {
+    Counter(Rc<Counter>),
+    Redis(Rc<RedisStore>),
+}
+
+impl Store {
+    fn port(&self) -> Rc<dyn QuotaStore> {
+        match self {
+            Store::Counter(counter) => counter.clone(),
+            Store::Redis(redis) => redis.clone(),
+        }
+    }
+}
+
+async fn serve(
+    config: Config,
+    path: PathBuf,
+    operator: Operator,
+    file: Option<PathBuf>,
+) -> Result<(), StartError> {
     let Checked { listen: at, discovery, counter, seed } = config.checked()?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
@@ -63,21 +88,30 @@
     let counter_at = counter.filter(|_| settings.counter.allowed);
     let (wait, try_limit) = (settings.counter.wait, settings.limits.try_limit);
     let controller = Controller::new(seed, settings);
+    let redis_at = match (&operator.redis, &file) {
+        (Some(settings), Some(file)) => Some(redis::server(settings, file)?),
+        _ => None,
+    };
     let mut joined = None;
     let node = Node::new(controller, try_limit, clock.clone(), |core| {
         let servers = Servers::new(budget.clone(), connect_timeout, conn_idle, clock, core.clone());
-        let counter = Counter::new(counter_at, wait, operator.counter.connections, core.clone());
+        let store = match redis_at {
+            Some(server) => Store::Redis(redis::store(server, wait, core.clone())),
+            None => {
+                Store::Counter(Counter::new(counter_at, wait, operator.counter.connections, core.clone()))
+            }
+        };
         let members = Members::new(zones, kinds, servers.clone(), core);
         let discovery = Discovery::new(discovery, members);
-        joined = Some((servers.clone(), counter.clone(), discovery.clone()));
-        Peers { upstream: servers, store: counter, members: discovery }
+        joined = Some((servers.clone(), store.clone(), discovery.clone()));
+        Peers { upstream: servers, store: store.port(), members: discovery }
     });
     // The closure above has run by now.
-    let Some((servers, counter, discovery)) = joined else { return Ok(()) };
+    let Some((servers, store, discovery)) = joined else { return Ok(()) };
     let listener = listen(at, operator.front.backlog).map_err(|e| StartError::Listen(at, e))?;
     eprintln!("pinerelay: listening on {}", listener.local_addr().map_err(StartError::System)?);
     discovery.start(config.known);
-    tokio::task::spawn_local(reload(hangup, path, discovery, counter.clone()));
+    tokio::task::spawn_local(reload(hangup, path, file, discovery, store.clone()));
     let clients = Clients::new(node.clone(), servers, rules, budget.clone(), &operator.front);
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
 
@@ -90,7 +124,7 @@
     accepting.abort();
     node.event(Event::Stopping);
     clients.close_idle();
-    let over = || !node.waited_for() && budget.clients() == 0 && counter.settled();
+    let over = || !node.waited_for() && budget.clients() == 0 && store.port().settled();
     while !over() && Instant::now() < last {
         sleep(LAST_LOOKS).await;
     }
@@ -101,18 +135,40 @@
     Ok(())
 }
 
-/// On each SIGHUP reads the configuration again and moves discovery and the counter to where it says, also
-/// during a stop. Of a file that is no configuration the log says so, and all stays as it was.
-async fn reload(mut hangup: Signal, path: PathBuf, discovery: Rc<Discovery>, counter: Rc<Counter>) {
+/// On each SIGHUP reads the configuration again and moves discovery and the counter, or Redis, to where it and the
+/// operator's file say, also during a stop. Of a file that can't be used the log says so, and all stays as it was.
+async fn reload(
+    mut hangup: Signal,
+    path: PathBuf,
+    file: Option<PathBuf>,
+    discovery: Rc<Discovery>,
+    store: Store,
+) {
     while hangup.recv().await.is_some() {
-        let peers = NewPeers::read(&path);
-        match peers {
+        match NewPeers::read(&path) {
             Ok(NewPeers { discovery: at, counter: counts }) => {
                 discovery.move_to(at);
-                counter.move_to(counts);
+                if let Store::Counter(counter) = &store {
+                    counter.move_to(counts);
+                }
             }
             Err(error) => eprintln!("pinerelay: the old configuration stays: {error}"),
         }
+        let Some(file) = &file else { continue };
+        let moved = Operator::read(file).and_then(|new| match (&store, &new.redis) {
+            (Store::Redis(redis), Some(settings)) => {
+                redis.move_to(redis::server(settings, file)?);
+                Ok(())
+            }
+            (Store::Counter(_), None) => Ok(()),
+            _ => {
+                let why = "from the counter to Redis or back the node goes by a restart only".to_string();
+                Err(FileError::Refused { path: file.clone(), key: "redis".into(), why })
+            }
+        });
+        if let Err(error) = moved {
+            eprintln!("pinerelay: the old store stays: {error}");
+        }
     }
 }
 
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -441,28 +441,33 @@
     log: BufReader<ChildStderr>,
 }
 
-fn launch(config: &str) -> (Child, PathBuf) {
+fn launch(config: &str, operator: Option<&Path>) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("pinerelay-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a file");
-    let child = Command::new(env!("CARGO_BIN_EXE_pinerelay"))
-        .env("PROXY_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the node starts");
-    (child, path)
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pinerelay"));
+    command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
+    if let Some(file) = operator {
+        command.env("PINERELAY_OPERATOR", file);
+    }
+    (command.spawn().expect("the node starts"), path)
 }
 
 /// How a node with this configuration ends, and what it says.
 pub fn start_badly(config: &str) -> (ExitStatus, String) {
-    let out = launch(config).0.wait_with_output().expect("an end");
+    let out = launch(config, None).0.wait_with_output().expect("an end");
     (out.status, String::from_utf8(out.stderr).expect("text"))
 }
 
 impl Edge {
     pub fn new(config: &Value) -> Edge {
-        let (mut child, path) = launch(&config.to_string());
+        Edge::with(config, None)
+    }
+
+    /// A node that is given an operator's file too.
+    pub fn with(config: &Value, operator: Option<&Path>) -> Edge {
+        let (mut child, path) = launch(&config.to_string(), operator);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
         let mut line = String::new();
         while !line.starts_with("pinerelay: listening on ") {
--- /dev/null
+++ b/crates/node/tests/redis.rs
@@ -0,0 +1,118 @@
+//! The edge node with its counts in Redis: leases, the planned stop, and a move by SIGHUP.
+
+mod fakes;
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use fakes::*;
+use pinerelay_standins::redis::resp::Reply;
+use pinerelay_standins::redis::session::User;
+use pinerelay_standins::redis::Redis;
+use serde_json::{json, Value};
+use tokio::runtime::Runtime;
+
+/// An operator's file, gone with the test.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, redis: &Redis) -> File {
+        let file = File(std::env::temp_dir().join(format!("pinerelay-{}-{name}.toml", std::process::id())));
+        file.names(redis);
+        file
+    }
+
+    fn names(&self, redis: &Redis) {
+        let text = format!("[redis]\nurl = \"redis://{}\"\nprefix = \"bole\"\n", redis.address(0));
+        std::fs::write(&self.0, text).expect("a file");
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A configuration that waits for the store as long as a busy machine may take.
+fn patient(app: &App) -> Value {
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    config["settings"]["domain"]["count_wait"] = json!(20_000_000);
+    config
+}
+
+fn start(runtime: &Runtime) -> Redis {
+    runtime.block_on(Redis::start(vec![User::open()], 1, 1)).expect("a stand-in")
+}
+
+/// What stands in the only count, in units; none if there is no count.
+fn stands(redis: &Redis) -> Option<f64> {
+    let Reply::Bulk(key) = redis.look(&["RANDOMKEY"]) else { return None };
+    let key = String::from_utf8(key).expect("text");
+    assert!(key.starts_with("bole:q:"), "{key}");
+    let Reply::Array(values) = redis.look(&["HVALS", &key]) else { panic!("a hash is expected") };
+    let parts = values.iter().map(|v| match v {
+        Reply::Bulk(text) => String::from_utf8_lossy(text).parse::<i64>().expect("a whole number"),
+        other => panic!("{other:?}"),
+    });
+    Some(parts.sum::<i64>() as f64 / 1e6)
+}
+
+fn serve(app: &App, client: &mut Client, id: &str) {
+    client.ask(&Ask { plan: "paid", ..ask("post", id) });
+    app.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn leases_are_taken_in_redis_and_handed_back_at_the_planned_stop() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (app, redis) = (App::new(), start(&runtime));
+    let file = File::new("stop", &redis);
+    let edge = Edge::with(&patient(&app), Some(&file.0));
+    let mut client = edge.client();
+    serve(&app, &mut client, "p-1");
+    drop(client);
+    edge.terminate();
+    // Beside the lease the node tells what of the filling found the bucket full. The last that it does is to give
+    // the rest of the lease back.
+    let (mut most, patience) = (0.0f64, Instant::now() + Duration::from_secs(30));
+    while stands(&redis).expect("a count") > most - 0.5 {
+        most = most.max(stands(&redis).expect("a count"));
+        assert!(Instant::now() < patience, "{most} units stand there, and nothing comes back");
+        std::thread::yield_now();
+    }
+    let (status, log) = edge.end();
+    assert!(status.success(), "{log}");
+}
+
+#[test]
+fn sighup_moves_the_node_to_another_redis_with_what_it_holds() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (app, one, two) = (App::new(), start(&runtime), start(&runtime));
+    let file = File::new("move", &one);
+    let edge = Edge::with(&patient(&app), Some(&file.0));
+    let mut client = edge.client();
+    serve(&app, &mut client, "p-1");
+    let held = stands(&one).expect("a count");
+    file.names(&two);
+    edge.signal("HUP");
+    let mut number = 1;
+    while stands(&two).is_none() {
+        number += 1;
+        serve(&app, &mut client, &format!("p-{number}"));
+    }
+    let moved = stands(&two).expect("a count");
+    assert!(moved >= held, "{moved} units came along of {held}");
+}
+
+#[test]
+fn a_node_whose_redis_is_away_serves_its_even_share() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (app, redis) = (App::new(), start(&runtime));
+    redis.feel(|m| m.down = 1);
+    let file = File::new("away", &redis);
+    let edge = Edge::with(&patient(&app), Some(&file.0));
+    let mut client = edge.client();
+    serve(&app, &mut client, "p-1");
+}
--- a/crates/standins/src/redis/mod.rs
+++ b/crates/standins/src/redis/mod.rs
@@ -7,6 +7,7 @@
 pub mod session;
 pub mod store;
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::lots::Lots;
 use session::{Refusal, Session, Terms, User};
@@ -168,13 +169,16 @@
     }
 }
 
-/// How writing an answer ends.
-enum Written {
-    Fine,
-    /// Nothing more comes on this connection.
-    Over,
+/// Answers to calls that came together: when they go out, and whether their connection ends with them.
+struct Answers {
+    due: Instant,
+    bytes: Vec<u8>,
+    last: bool,
 }
 
+/// How much is read at once: some tens of calls, so that a pipeline is taken in whole.
+const READ: usize = 16 * 1024;
+
 impl Inner {
     fn now(&self, state: &State) -> Ms {
         // Not 0 at its start: times before it can be told.
@@ -188,7 +192,9 @@
             let state = lock(&self.state);
             (Session::new(self.sessions.fetch_add(1, Ordering::Relaxed), &state.users), state.lives)
         };
-        let mut buffer = BytesMut::new();
+        let mut buffer = BytesMut::with_capacity(READ);
+        // Answers that are late hold up neither calls nor each other: all wait side by side, in order.
+        let mut waiting: VecDeque<Answers> = VecDeque::new();
         loop {
             let (deaf, over) = {
                 let state = lock(&self.state);
@@ -198,28 +204,30 @@
                 let _ = stream.set_zero_linger();
                 return;
             }
+            let due = waiting.front().map(|a| a.due);
+            let closing = waiting.back().is_some_and(|a| a.last);
             tokio::select! {
                 biased;
                 _ = moods.changed() => {}
-                got = stream.read_buf(&mut buffer), if !deaf => {
-                    if !matches!(got, Ok(count) if count > 0) {
+                _ = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    let Some(answers) = waiting.pop_front() else { continue };
+                    if stream.write_all(&answers.bytes).await.is_err() || answers.last {
                         return;
                     }
-                    if let Written::Over = self.answer_all(&mut session, &mut buffer, &mut stream).await {
+                }
+                got = stream.read_buf(&mut buffer), if !deaf && !closing => {
+                    if !matches!(got, Ok(count) if count > 0) {
                         return;
                     }
+                    waiting.push_back(self.answer_all(&mut session, &mut buffer));
+                    buffer.reserve(READ);
                 }
             }
         }
     }
 
     /// Answers the calls that have come whole.
-    async fn answer_all(
-        &self,
-        session: &mut Session,
-        buffer: &mut BytesMut,
-        stream: &mut TcpStream,
-    ) -> Written {
+    fn answer_all(&self, session: &mut Session, buffer: &mut BytesMut) -> Answers {
         let mut out = Vec::new();
         let mut late = Duration::ZERO;
         let mut cut = false;
@@ -255,14 +263,6 @@
                 }
             }
         }
-        if !late.is_zero() {
-            sleep(late).await;
-        }
-        let written = stream.write_all(&out).await;
-        if written.is_err() || cut || session.over {
-            Written::Over
-        } else {
-            Written::Fine
-        }
+        Answers { due: Instant::now() + late, bytes: out, last: cut || session.over }
     }
 }
--- a/crates/standins/src/redis/store.rs
+++ b/crates/standins/src/redis/store.rs
@@ -248,6 +248,11 @@
                 Reply::Number(new)
             }
             "DBSIZE" => Reply::Number(self.keys(db, now) as i64),
+            "RANDOMKEY" => {
+                let live = |k: &Kept| k.expires.is_none_or(|at| at > now);
+                let first = self.databases[db].iter().filter(|(_, k)| live(k)).map(|(key, _)| key).min();
+                first.map_or(Reply::Null, |key| Reply::Bulk(key.clone()))
+            }
             "FLUSHDB" | "FLUSHALL" => {
                 let all = if name == "FLUSHDB" { db..db + 1 } else { 0..DATABASES };
                 for database in all {
@@ -352,7 +357,7 @@
         "SET" | "PEXPIRE" | "EXPIRE" | "HDEL" => -3,
         "HSET" => -4,
         "DEL" | "UNLINK" | "EXISTS" => -2,
-        "DBSIZE" => 1,
+        "DBSIZE" | "RANDOMKEY" => 1,
         "FLUSHDB" | "FLUSHALL" => -1,
         _ => return None,
     })
