--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -36,6 +36,8 @@
 const LATENCY_START: f64 = 100_000.0;
 /// How long failures by kind are remembered.
 const TALLY_SPAN: f64 = 15.0e6;
+/// Failures are told apart by kind: classes from 0, plans from here on. There may come to be more classes.
+const PLANS: usize = 1 << 32;
 /// The most that the retry budget saves up, in further attempts.
 const RETRY_STORE: f64 = 20.0;
 
@@ -83,6 +85,8 @@
     class: usize,
     plan: usize,
     units: f64,
+    /// Most attempts, as it stood when it came.
+    try_limit: u32,
     arrived: Micros,
     due: Micros,
     marked: bool,
@@ -195,6 +199,11 @@
             Event::Timer { .. } => self.on_tick(out),
             Event::Stopping => self.hand_back(0, out),
             Event::Probed { .. } => {}
+            // Danger: what is open must not change its effect in flight. A table that shrank is not taken.
+            Event::Retuned { classes, try_limit } if classes.len() >= self.set.classes.len() => {
+                (self.set.classes, self.set.limits.try_limit) = (classes, try_limit);
+            }
+            Event::Retuned { .. } => {}
         }
     }
 
@@ -203,6 +212,11 @@
         (self.customers.len(), self.servers.len())
     }
 
+    /// Whether a listed server gets nothing new for now.
+    pub fn avoids(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.listed && (s.ejected > self.now || self.silent(s)))
+    }
+
     fn on_request(&mut self, new: NewRequest, out: &mut Vec<Action>) {
         if new.class >= self.set.classes.len() || self.requests.contains_key(&new.id) {
             return;
@@ -219,8 +233,9 @@
         c.asked.add(now, units, RATE_SPAN);
         c.mean += (units - c.mean) * 0.1;
         let (class, plan, due, marked) = (new.class, new.plan, new.due, new.marked_retry);
-        let request =
-            Request { customer: key, class, plan, units, due, marked, arrived: now, ..Request::default() };
+        let (arrived, try_limit) = (now, self.set.limits.try_limit);
+        let r = Request { customer: key, class, plan, units, try_limit, ..Request::default() };
+        let request = Request { due, marked, arrived, ..r };
         self.requests.insert(id.clone(), request);
         if !new.marked_retry {
             self.patience.insert(new.class, new.due.saturating_sub(now));
--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -68,7 +68,7 @@
         let bad = matches!(end.outcome, Outcome::Error | Outcome::Full);
         if bad || end.outcome == Outcome::Ok {
             let bad = if bad { 1.0 } else { 0.0 };
-            for kind in [r.class, self.set.classes.len() + r.plan] {
+            for kind in [r.class, PLANS + r.plan] {
                 s.tally.entry(kind).or_default().add(now, bad, TALLY_SPAN);
                 self.tally.entry(kind).or_default().add(now, bad, TALLY_SPAN);
             }
@@ -124,7 +124,7 @@
     pub(super) fn may_resend(&self, id: &RequestId) -> bool {
         let Some(r) = self.requests.get(id) else { return false };
         let class = &self.set.classes[r.class];
-        let fits = (r.attempts.len() as u32) < self.set.limits.try_limit
+        let fits = (r.attempts.len() as u32) < r.try_limit
             && self.now + self.latency as Micros / 2 < r.due
             && !r.answered
             && !r.stream
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -134,7 +134,7 @@
         let blind = 1.0 / (1.0 + SEEN * held as f64 / listed.max(1) as f64);
         let now = self.now;
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
-        let kinds = [r.class, self.set.classes.len() + r.plan].map(common);
+        let kinds = [r.class, PLANS + r.plan].map(common);
         let failing = kinds.iter().any(|k| k.1 > 0.01);
         let mut best: Option<(bool, f64, ServerId)> = None;
         for (&key, s) in &self.servers {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -319,6 +319,13 @@
     },
     /// The node is about to end and takes no more requests.
     Stopping,
+    /// The settings have changed; open requests keep theirs.
+    Retuned {
+        /// The classes: those there were, each under its number, and new ones behind them.
+        classes: Vec<Class>,
+        /// Most attempts for one request.
+        try_limit: u32,
+    },
 }
 
 /// What a node does.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,6 +9,7 @@
 use pinerelay_protocol::settings::Env;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::strict::FileError;
 
@@ -16,6 +17,9 @@
 #[derive(Deserialize)]
 pub struct Config {
     listen: String,
+    /// Where operators call, if they may.
+    #[serde(default)]
+    ops: Option<String>,
     discovery: String,
     #[serde(default)]
     counter: Option<String>,
@@ -48,6 +52,8 @@
 pub struct Checked {
     /// Where to listen.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub ops: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Where the counter is, if there is one.
@@ -56,21 +62,6 @@
     pub seed: u64,
 }
 
-/// What a new configuration may change while the node runs; the rest of it waits for the next start.
-pub struct NewPeers {
-    /// Where discovery is.
-    pub discovery: SocketAddr,
-    /// Where the counter is, if there is one.
-    pub counter: Option<SocketAddr>,
-}
-
-#[derive(Deserialize)]
-struct PeersFile {
-    discovery: String,
-    #[serde(default)]
-    counter: Option<String>,
-}
-
 /// Why a node could not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -82,6 +73,12 @@
     Malformed(PathBuf, serde_json::Error),
     /// A key holds no address.
     Address(&'static str, String),
+    /// A key is missing that the running configuration has.
+    Missing(PathBuf, String),
+    /// A key holds what can't be used.
+    Unfit(PathBuf, String),
+    /// PROXY_FD names no listening socket.
+    Inherited(String),
     /// The seed is no number.
     Seed(String),
     /// The operator's file is not valid.
@@ -101,6 +98,9 @@
                 write!(f, "{}: the configuration is malformed: {error}", path.display())
             }
             StartError::Address(what, text) => write!(f, "{what}: {text:?} is no address"),
+            StartError::Missing(path, key) => write!(f, "{}: {key} is missing", path.display()),
+            StartError::Unfit(path, why) => write!(f, "{}: {why}", path.display()),
+            StartError::Inherited(why) => write!(f, "PROXY_FD: {why}"),
             StartError::Seed(text) => write!(f, "seed: {text:?} is no hexadecimal number of 64 bits"),
             StartError::Operator(error) => error.fmt(f),
             StartError::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
@@ -127,6 +127,7 @@
     pub fn checked(&self) -> Result<Checked, StartError> {
         Ok(Checked {
             listen: address("listen", &self.listen)?,
+            ops: self.ops.as_deref().map(|text| address("ops", text)).transpose()?,
             discovery: address("discovery", &self.discovery)?,
             counter: self.counter.as_deref().map(|text| address("counter", text)).transpose()?,
             seed: u64::from_str_radix(&self.seed, 16).map_err(|_| StartError::Seed(self.seed.clone()))?,
@@ -177,13 +178,77 @@
     }
 }
 
-impl NewPeers {
-    /// Reads them off a configuration that has been replaced.
-    pub fn read(path: &Path) -> Result<Self, StartError> {
-        let peers: PeersFile = read(path)?;
-        let counter = peers.counter.as_deref().map(|text| address("counter", text)).transpose()?;
-        Ok(NewPeers { discovery: address("discovery", &peers.discovery)?, counter })
+/// A configuration as it stands in its file: what the next one is held against.
+pub struct Running(Value);
+
+impl Running {
+    /// Reads the configuration that a node starts with.
+    pub fn start(path: &Path) -> Result<(Self, Config), StartError> {
+        let config = read(path)?;
+        Ok((Running(read(path)?), config))
+    }
+
+    /// Reads one that has replaced it, for a running node: whole and usable, or an error. Danger: half of a file that
+    /// is being written, or one with a key gone, must change nothing, not even an address.
+    pub fn next(&self, path: &Path) -> Result<(Self, Config), StartError> {
+        let value: Value = read(path)?;
+        if let Some(key) = missing(&self.0, &value, "") {
+            return Err(StartError::Missing(path.into(), key));
+        }
+        let config: Config = read(path)?;
+        config.checked()?;
+        match unfit(&config.settings) {
+            Some(why) => Err(StartError::Unfit(path.into(), why)),
+            None => Ok((Running(value), config)),
+        }
+    }
+}
+
+/// The first key that the running configuration has and the new one lacks. Of the entries of a list those keys are
+/// wanted that all entries have now; what app servers are known may change altogether.
+fn missing(running: &Value, new: &Value, at: &str) -> Option<String> {
+    match (running, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| {
+            let path = if at.is_empty() { key.clone() } else { format!("{at}.{key}") };
+            match new.get(key) {
+                None => Some(path),
+                Some(_) if path == "known" => None,
+                Some(new) => missing(old, new, &path),
+            }
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let objects: Vec<_> = old.iter().filter_map(Value::as_object).collect();
+            let first = objects.first()?;
+            let wanted: Vec<_> =
+                first.keys().filter(|k| objects.iter().all(|o| o.contains_key(*k))).collect();
+            new.iter().enumerate().find_map(|(place, entry)| {
+                let gone = wanted.iter().find(|key| entry.get(key).is_none())?;
+                Some(format!("{at}[{place}].{gone}"))
+            })
+        }
+        (Value::Object(_) | Value::Array(_), _) => Some(at.to_string()),
+        _ => None,
+    }
+}
+
+/// What of new settings a node can't run with.
+fn unfit(env: &Env) -> Option<String> {
+    if env.classes.is_empty() {
+        return Some("settings.classes: at least one class is wanted".into());
+    }
+    if env.bounds.try_limit == 0 {
+        return Some("settings.bounds.try_limit: a positive number is wanted".into());
     }
+    env.classes.iter().enumerate().find_map(|(place, class)| {
+        let why = match class {
+            c if c.name.is_empty() => "name: a name is wanted",
+            c if c.deadline == 0 => "deadline: a positive number is wanted",
+            c if c.on_time == 0 => "on_time: a positive number is wanted",
+            c if env.classes[..place].iter().any(|o| o.name == c.name) => "name: stands there twice",
+            _ => return None,
+        };
+        Some(format!("settings.classes[{place}].{why}"))
+    })
 }
 
 fn address(what: &'static str, text: &str) -> Result<SocketAddr, StartError> {
--- a/crates/node/src/net/budget.rs
+++ b/crates/node/src/net/budget.rs
@@ -40,8 +40,9 @@
 impl Budget {
     /// A budget for a process that may hold `descriptors`. Clients may hold `client_share` of the slots: every
     /// request in work needs one on either side.
-    pub fn new(descriptors: usize, client_share: f64) -> Rc<Self> {
-        let most = descriptors.saturating_sub(KEPT_BACK).max(4);
+    /// `more` are kept back beside those that every node needs.
+    pub fn new(descriptors: usize, more: usize, client_share: f64) -> Rc<Self> {
+        let most = descriptors.saturating_sub(KEPT_BACK + more).max(4);
         Rc::new(Budget {
             most,
             for_clients: ((most as f64 * client_share) as usize).max(2),
@@ -171,7 +172,7 @@
 
     #[test]
     fn a_kept_connection_makes_room_unless_half_of_all_are_too_new_to_tell() {
-        let budget = Budget::new(KEPT_BACK + 20, 0.6);
+        let budget = Budget::new(KEPT_BACK + 20, 0, 0.6);
         budget.idle(Rc::default(), true);
         (0..5).for_each(|_| budget.fresh());
         assert!(budget.close_an_idle_client(), "a few new ones must not keep it");
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -13,12 +13,13 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use mountbend::interface::{Micros, RequestId};
-use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, IDEMPOTENCY_KEY, REQUEST_ID};
+use mountbend::interface::{Micros, NewRequest, RequestId};
+use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
@@ -27,6 +28,7 @@
 use crate::operator::Front;
 
 use super::budget::{Budget, Slot, Ticket};
+use super::figures::{self, Figures};
 use super::http::{whole, BadBody};
 use super::node::Node;
 use super::ports::{Answer, Forward};
@@ -36,6 +38,8 @@
 const HEAD_MOST: usize = 16 * 1024;
 /// A new connection without a request by then counts as idle: what comes with it lies there from the start.
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
+/// Clients use new classes 1.2 s after the node has heard of them at the earliest (the operators' page on retuning).
+const FORMER: Duration = Duration::from_millis(1_200);
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
 /// How long a connection that is told to close may still take to answer what crosses.
@@ -47,7 +51,10 @@
 pub struct Clients {
     node: Rc<Node>,
     servers: Rc<Servers>,
-    rules: Rules,
+    rules: RefCell<Rc<Rules>>,
+    /// The rules before the last retuning, and until when they are still heeded.
+    former: RefCell<Option<(Rc<Rules>, Instant)>>,
+    figures: Rc<Figures>,
     budget: Rc<Budget>,
     /// How long a head may take, from connecting or from its first byte, and then a body.
     head_wait: Duration,
@@ -66,12 +73,15 @@
         servers: Rc<Servers>,
         rules: Rules,
         budget: Rc<Budget>,
+        figures: Rc<Figures>,
         front: &Front,
     ) -> Rc<Self> {
         let clients = Rc::new(Clients {
             node,
             servers,
-            rules,
+            rules: RefCell::new(Rc::new(rules)),
+            former: RefCell::default(),
+            figures,
             budget,
             head_wait: front.head_wait.0,
             body_wait: front.body_wait.0,
@@ -93,6 +103,26 @@
         clients
     }
 
+    /// Reads requests by new rules. Clients learn of them later than the node does: what fits the old ones alone is
+    /// taken by these for a moment.
+    pub fn retune(&self, rules: Rules) {
+        let old = self.rules.replace(Rc::new(rules));
+        self.former.replace(Some((old, Instant::now() + FORMER)));
+    }
+
+    /// What the decisions have to know of a request, and its class's name.
+    fn read(&self, head: &request::Parts, now: Micros) -> Result<NewRequest, Malformed> {
+        let read =
+            |rules: &Rules| rules.read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now);
+        read(&self.rules.borrow()).or_else(|malformed| {
+            let mut former = self.former.borrow_mut();
+            if former.as_ref().is_some_and(|(_, until)| Instant::now() > *until) {
+                *former = None;
+            }
+            former.as_ref().and_then(|(rules, _)| read(rules).ok()).ok_or(malformed)
+        })
+    }
+
     /// Tells all open connections to close when idle.
     pub fn close_idle(&self) {
         self.closing.send_modify(|n| *n += 1);
@@ -222,9 +252,8 @@
         if head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(bad("bodies come with a length, in no transfer encoding\n"));
         }
-        let new = (self.rules)
-            .read(&head.method, head.uri.path(), head.uri.query(), &head.headers, now)
-            .map_err(|Malformed(why)| bad(why))?;
+        let new = self.read(&head, now).map_err(|Malformed(why)| bad(why))?;
+        let class = head.headers.get(CLASS).cloned();
         let last_call = self.node.last_call(new.due);
         if head.method == Method::GET && !body.is_end_stream() {
             return Err(bad("a GET has no body\n"));
@@ -252,16 +281,24 @@
             body,
         };
         let id = new.id.clone();
+        let _pending = self.figures.taken();
         let answer =
             self.node.take(new, forward).map_err(|_| Rejected(StatusCode::CONFLICT, "id in use\n"))?;
         // When the client goes away, this future is dropped with its connection.
         let _gone = Gone { node: &self.node, id: &id };
-        match timeout_at(last_call, answer).await {
+        let answer = match timeout_at(last_call, answer).await {
             Ok(Ok(answer)) => Ok(answer),
             // Never a refusal: nothing is known of what the attempts have done.
             Ok(Err(_)) => Ok(Answer::Failed),
             Err(_) => Err(Rejected(StatusCode::GATEWAY_TIMEOUT, "")),
-        }
+        };
+        let result = match &answer {
+            Ok(Answer::Served(_)) => figures::Result::Completed,
+            Ok(Answer::Refused(_)) => figures::Result::Rejected,
+            Ok(Answer::Failed) | Err(_) => figures::Result::Failed,
+        };
+        self.figures.ended(class.as_ref().and_then(|c| c.to_str().ok()).unwrap_or_default(), result);
+        answer
     }
 }
 
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -55,20 +55,22 @@
 /// Discovery as this node sees it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    members: Members,
+    members: Rc<Members>,
     /// The newest version taken in. Versions are an agent's own; none is known of a new one.
     index: Cell<Option<u64>>,
+    heard: Cell<bool>,
     watcher: RefCell<Option<AbortHandle>>,
     me: Weak<Discovery>,
 }
 
 impl Discovery {
     /// Discovery at this address; what it tells goes to these members.
-    pub fn new(address: SocketAddr, members: Members) -> Rc<Self> {
+    pub fn new(address: SocketAddr, members: Rc<Members>) -> Rc<Self> {
         Rc::new_cyclic(|me| Discovery {
             address: Cell::new(address),
             members,
             index: Cell::default(),
+            heard: Cell::default(),
             watcher: RefCell::default(),
             me: me.clone(),
         })
@@ -80,6 +82,11 @@
         self.spawn();
     }
 
+    /// Whether the whole list has been heard of the agent.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+
     /// Goes on with the agent at this address. Danger: its versions have nothing to do with the old one's, so
     /// it is asked for the whole list first, and what the old one still says is dropped with its watch.
     pub fn move_to(&self, address: SocketAddr) {
@@ -147,7 +154,7 @@
     async fn exchange(&self, connection: &mut Option<Connection>, path: &str) -> Result<List, Failure> {
         let mut line = match connection.take().filter(Connection::usable) {
             Some(line) => line,
-            None => Connection::open(self.address.get(), ()).await.map_err(|_| Failure::Broken)?,
+            None => Connection::open(self.address.get(), (), None).await.map_err(|_| Failure::Broken)?,
         };
         let mut request = Request::new(Full::<Bytes>::default());
         *request.uri_mut() = path.parse::<Uri>().map_err(|_| Failure::Broken)?;
@@ -165,6 +172,7 @@
 
     fn take(&self, list: List, kind: ListKind) {
         self.index.set(Some(list.index));
+        self.heard.set(self.heard.get() || kind == ListKind::Whole);
         self.members.take(kind, list.endpoints);
     }
 }
--- a/crates/node/src/net/http.rs
+++ b/crates/node/src/net/http.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -27,7 +27,8 @@
 
 /// An open connection. Dropping it closes the socket, whatever is under way on it.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Told>,
+    written: Rc<Written>,
     driver: AbortHandle,
     heard: Rc<Heard>,
 }
@@ -55,10 +56,77 @@
     }
 }
 
+/// What is told once a request has been written whole.
+pub type OnWritten = Option<Rc<dyn Fn()>>;
+
+/// How far the request under way has been written.
+struct Written {
+    /// Its last byte has been handed to the connection.
+    given: Cell<bool>,
+    /// Something of it has gone to the socket.
+    some: Cell<bool>,
+    told: Cell<bool>,
+    tell: OnWritten,
+}
+
+impl Written {
+    fn begin(&self, given: bool) {
+        self.given.set(given);
+        self.some.set(false);
+        self.told.set(false);
+    }
+
+    /// All that the connection was handed has gone to the socket.
+    fn flushed(&self) {
+        if self.given.get() && self.some.get() && !self.told.replace(true) {
+            self.tell.iter().for_each(|tell| tell());
+        }
+    }
+}
+
+/// A body that tells when its last piece has been taken.
+struct Told {
+    body: Full<Bytes>,
+    written: Rc<Written>,
+}
+
+impl Body for Told {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if self.body.is_end_stream() {
+            self.written.given.set(true);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A socket that notes when an answer begins.
 struct Watched {
     stream: TcpStream,
     heard: Rc<Heard>,
+    written: Rc<Written>,
+}
+
+impl Watched {
+    fn wrote(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(1..)) = polled {
+            self.written.some.set(true);
+        }
+    }
 }
 
 impl AsyncRead for Watched {
@@ -79,7 +147,9 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.wrote(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -87,7 +157,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.wrote(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -95,7 +167,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.written.flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -121,13 +197,15 @@
 
 impl Connection {
     /// Connects. `held` lives as long as the socket.
-    pub async fn open<H: 'static>(address: SocketAddr, held: H) -> io::Result<Self> {
+    pub async fn open<H: 'static>(address: SocketAddr, held: H, tell: OnWritten) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let heard = Rc::<Heard>::default();
+        let (given, some, told) = Default::default();
+        let written = Rc::new(Written { given, some, told, tell });
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MOST)
-            .handshake(TokioIo::new(Watched { stream, heard: heard.clone() }))
+            .handshake(TokioIo::new(Watched { stream, heard: heard.clone(), written: written.clone() }))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -135,7 +213,7 @@
             // What breaks here is told to the request under way as well.
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver: task.abort_handle(), heard })
+        Ok(Connection { sender, written, driver: task.abort_handle(), heard })
     }
 
     /// Whether it is still open, as far as this side knows.
@@ -154,8 +232,11 @@
         if self.sender.ready().await.is_err() {
             return Err(Broken::Unwritten(Box::new(request)));
         }
+        self.written.begin(request.body().is_end_stream());
+        let written = self.written.clone();
+        let request = request.map(|body| Told { body, written });
         self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
-            Some(request) => Broken::Unwritten(Box::new(request)),
+            Some(request) => Broken::Unwritten(Box::new(request.map(|told| told.body))),
             None if e.error().is_parse() => Broken::Spoilt,
             None => Broken::Doubtful,
         })
--- a/crates/node/src/net/members.rs
+++ b/crates/node/src/net/members.rs
@@ -7,13 +7,25 @@
 use mountbend::interface::{Event, ListKind, Member, MemberState, ServerId};
 use pinerelay_protocol::list::{number, Endpoint};
 
+use super::figures::MemberFigures;
+use super::maintenance::Maintenance;
 use super::ports::{Core, Upstream};
 
+/// An app server as its source tells it.
+struct Told {
+    name: String,
+    member: Member,
+    since_ms: u64,
+    /// What the decisions were told last: its state, and when it started.
+    passed_on: (MemberState, u64),
+}
+
 /// The app servers by name and number, as the sources name them.
 pub struct Members {
     zones: Vec<String>,
     kinds: Vec<String>,
-    names: RefCell<BTreeMap<ServerId, String>>,
+    told: RefCell<BTreeMap<ServerId, Told>>,
+    maintenance: Rc<Maintenance>,
     upstream: Rc<dyn Upstream>,
     core: Weak<dyn Core>,
 }
@@ -23,24 +35,69 @@
     pub fn new(
         zones: Vec<String>,
         kinds: Vec<String>,
+        maintenance: Rc<Maintenance>,
         upstream: Rc<dyn Upstream>,
         core: Weak<dyn Core>,
-    ) -> Self {
-        Members { zones, kinds, names: RefCell::default(), upstream, core }
+    ) -> Rc<Self> {
+        Rc::new(Members { zones, kinds, told: RefCell::default(), maintenance, upstream, core })
     }
 
     /// Takes in entries of a list, or that a source has lost its way.
     pub fn take(&self, kind: ListKind, entries: Vec<serde_json::Value>) {
         let entries: Vec<Member> = entries.into_iter().filter_map(|value| self.entry(value)).collect();
         if kind != ListKind::Changes && kind != ListKind::Lost {
-            self.names.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
+            self.told.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
             self.upstream.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
+            self.maintenance.forget(|name| self.known(name));
         }
+        self.pass_on(kind, entries);
+    }
+
+    /// Whether an app server of this name is on the list.
+    pub fn known(&self, name: &str) -> bool {
+        self.told.borrow().get(&number(name)).is_some_and(|t| t.name == name)
+    }
+
+    /// Who is held out by hand may have changed: tells the decisions of those that it concerns.
+    pub fn reconsider(&self) {
+        let mut entries = Vec::new();
+        for (&id, told) in self.told.borrow_mut().iter_mut() {
+            let (state, since_ms) = self.effective(told);
+            if (state, since_ms) != told.passed_on {
+                told.passed_on = (state, since_ms);
+                self.upstream.set(id, None, since_ms, state == MemberState::In);
+                let started = since_ms.saturating_mul(1000);
+                entries.push(Member { state, started, ..told.member.clone() });
+            }
+        }
+        if !entries.is_empty() {
+            self.pass_on(ListKind::Changes, entries);
+        }
+    }
+
+    /// How many there are, and how many of them get nothing new.
+    pub fn figures(&self) -> MemberFigures {
+        let told = self.told.borrow();
+        let avoids = |id| self.core.upgrade().is_some_and(|core| core.avoids(id));
+        let avoided = told.iter().filter(|(&id, t)| t.passed_on.0 != MemberState::In || avoids(id)).count();
+        MemberFigures { listed: told.len(), avoided }
+    }
+
+    fn pass_on(&self, kind: ListKind, entries: Vec<Member>) {
         if let Some(core) = self.core.upgrade() {
             core.event(Event::Members { kind, entries });
         }
     }
 
+    /// State and start as they hold here. What operators hold out is as one that drains, whatever its source says.
+    fn effective(&self, told: &Told) -> (MemberState, u64) {
+        let state = match told.member.state {
+            MemberState::In if self.maintenance.holds(&told.name) => MemberState::Draining,
+            state => state,
+        };
+        (state, self.maintenance.started(&told.name, told.since_ms))
+    }
+
     fn entry(&self, value: serde_json::Value) -> Option<Member> {
         let e: Endpoint = match serde_json::from_value(value) {
             Ok(e) => e,
@@ -50,11 +107,10 @@
             }
         };
         let server = number(&e.name);
-        let mut names = self.names.borrow_mut();
-        let name = names.entry(server).or_insert_with(|| e.name.clone());
-        if *name != e.name {
+        let mut all = self.told.borrow_mut();
+        if let Some(other) = all.get(&server).filter(|t| t.name != e.name) {
             // Danger: two app servers under one number would share their state. The later one is left out.
-            eprintln!("pinerelay: discovery: {} and {name} have the same number", e.name);
+            eprintln!("pinerelay: discovery: {} and {} have the same number", e.name, other.name);
             return None;
         }
         // Danger: what is not known to want work must get none.
@@ -62,16 +118,9 @@
             eprintln!("pinerelay: discovery: {} is {:?}, taken as draining", e.name, e.status);
             MemberState::Draining
         });
-        if state == MemberState::Out {
-            names.remove(&server);
-            self.upstream.remove(server);
-        } else if !self.upstream.set(server, e.address.parse().ok(), e.since_ms, state == MemberState::In) {
-            eprintln!("pinerelay: discovery: {} has no usable address", e.name);
-            return None;
-        }
         let place =
             |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(list.len()) as u32;
-        Some(Member {
+        let member = Member {
             server,
             zone: place(&self.zones, &e.zone),
             kind: place(&self.kinds, &e.kind),
@@ -79,6 +128,20 @@
             state,
             weight: e.weight.unwrap_or(1.0),
             started: e.since_ms.saturating_mul(1000),
-        })
+        };
+        let mut told = Told { name: e.name, member, since_ms: e.since_ms, passed_on: (state, e.since_ms) };
+        let (state, since_ms) = self.effective(&told);
+        told.passed_on = (state, since_ms);
+        let entry = Member { state, started: since_ms.saturating_mul(1000), ..told.member.clone() };
+        if state == MemberState::Out {
+            all.remove(&server);
+            self.upstream.remove(server);
+        } else if self.upstream.set(server, e.address.parse().ok(), since_ms, state == MemberState::In) {
+            all.insert(server, told);
+        } else {
+            eprintln!("pinerelay: discovery: {} has no usable address", told.name);
+            return None;
+        }
+        Some(entry)
     }
 }
--- a/crates/node/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -35,6 +35,7 @@
     /// Attempts are given up at this time.
     stop: Micros,
     attempts: Vec<Attempt>,
+    try_limit: usize,
 }
 
 /// What the node is joined to.
@@ -52,7 +53,7 @@
     /// The node's clock.
     pub clock: Rc<Clock>,
     peers: Peers,
-    try_limit: usize,
+    try_limit: Cell<usize>,
     controller: RefCell<Controller>,
     open: RefCell<BTreeMap<RequestId, Open>>,
     events: RefCell<VecDeque<Event>>,
@@ -76,7 +77,7 @@
         Rc::new_cyclic(|me: &Weak<Node>| Node {
             clock,
             peers: join(me.clone()),
-            try_limit: try_limit.max(1) as usize,
+            try_limit: Cell::new(try_limit.max(1) as usize),
             controller: RefCell::new(controller),
             open: RefCell::default(),
             events: RefCell::default(),
@@ -96,6 +97,12 @@
         self.stopping.set(true);
     }
 
+    /// New settings: the whole table of classes, and the most attempts for one request. Open requests keep theirs.
+    pub fn retune(&self, classes: Vec<Class>, try_limit: u32) {
+        self.try_limit.set(try_limit.max(1) as usize);
+        self.event(Event::Retuned { classes, try_limit });
+    }
+
     /// Whether a client still waits for an answer.
     pub fn waited_for(&self) -> bool {
         self.open.borrow().values().any(|o| o.answer.is_some())
@@ -149,6 +156,7 @@
             forward: Rc::new(forward),
             stop: request.due.saturating_sub(STOP_BEFORE),
             attempts: Vec::new(),
+            try_limit: self.try_limit.get(),
         };
         match self.open.borrow_mut().entry(request.id.clone()) {
             std::collections::btree_map::Entry::Occupied(_) => return Err(Duplicate),
@@ -196,7 +204,7 @@
         };
         let number = open.attempts.len();
         let mut attempt = Attempt { server, sent: now, task: None };
-        if open.answer.is_none() || number >= self.try_limit || now >= open.stop {
+        if open.answer.is_none() || number >= open.try_limit || now >= open.stop {
             open.attempts.push(attempt);
             let finished = open.answer.is_none();
             drop(requests);
@@ -280,4 +288,8 @@
     fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
         self.end(id, number, outcome, body);
     }
+
+    fn avoids(&self, server: ServerId) -> bool {
+        self.controller.borrow().avoids(server)
+    }
 }
--- /dev/null
+++ b/crates/node/src/net/ops.rs
@@ -0,0 +1,155 @@
+//! The operators' address: whether the node is ready, its figures, and app servers taken out and brought back.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use super::figures::Figures;
+use super::http::whole;
+use super::maintenance::{Call, Maintenance};
+use super::members::Members;
+
+/// So many callers at a time; one descriptor each. With all places taken the oldest caller goes.
+pub const CALLERS: usize = 12;
+/// How long a caller may take. One that finishes no call must not hold its place for good.
+const CALL_WAIT: Duration = Duration::from_secs(4);
+/// No body of a call is longer: it holds one name.
+const BODY_MOST: usize = 4 * 1024;
+/// Heads are short here.
+const HEAD_MOST: usize = 8 * 1024;
+/// Pause of the listener when accepting fails.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What operators may ask.
+pub struct Ops {
+    figures: Rc<Figures>,
+    members: Rc<Members>,
+    maintenance: Rc<Maintenance>,
+    ready: Cell<bool>,
+}
+
+impl Ops {
+    /// Not ready yet.
+    pub fn new(figures: Rc<Figures>, members: Rc<Members>, maintenance: Rc<Maintenance>) -> Rc<Self> {
+        Rc::new(Ops { figures, members, maintenance, ready: Cell::new(false) })
+    }
+
+    /// Whether this process takes clients.
+    pub fn ready(&self, ready: bool) {
+        self.ready.set(ready);
+    }
+
+    /// Listens at this address.
+    pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+        crate::run::listen(address, 64)
+    }
+
+    /// Answers callers for ever.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    callers.retain(|caller| !caller.is_finished());
+                    if callers.len() >= CALLERS {
+                        callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+                    }
+                    let ops = self.clone();
+                    callers.push_back(tokio::task::spawn_local(ops.call(stream)).abort_handle());
+                }
+                Err(error) => {
+                    eprintln!("pinerelay: operators: accepting a connection failed: {error}");
+                    callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn call(self: Rc<Self>, stream: TcpStream) {
+        // Without it answers are late, not wrong.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| {
+            let ops = self.clone();
+            async move { Ok::<_, Infallible>(ops.answer(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .keep_alive(false)
+            .max_buf_size(HEAD_MOST)
+            .header_read_timeout(None)
+            .serve_connection(TokioIo::new(stream), service);
+        // A caller that breaks off, or takes too long, has no use for an error.
+        let _ = timeout(CALL_WAIT, connection).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = request.into_parts();
+        let get = || (head.method == Method::GET).then_some(()).ok_or(wrong_method("GET"));
+        let result = match head.uri.path() {
+            "/api/ready" => get().and_then(|()| match self.ready.get() {
+                true => Ok("ready\n".to_string()),
+                false => Err((StatusCode::SERVICE_UNAVAILABLE, "this process takes no clients\n".into())),
+            }),
+            "/api/telemetry" => get().map(|()| self.figures.text(self.members.figures())),
+            "/api/exclude" => self.hold(&head.method, body, Call::Exclude).await,
+            "/api/include" => self.hold(&head.method, body, Call::Include).await,
+            _ => Err((StatusCode::NOT_FOUND, "no such call\n".to_string())),
+        };
+        let (status, text) = match result {
+            Ok(text) => (StatusCode::OK, text),
+            Err((status, why)) => (status, why),
+        };
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = status;
+        response
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8"));
+        response
+    }
+
+    /// Takes an app server out, or brings it back. Both may come twice.
+    async fn hold(
+        &self,
+        method: &Method,
+        body: Incoming,
+        call: Call,
+    ) -> Result<String, (StatusCode, String)> {
+        if method != Method::POST {
+            return Err(wrong_method("POST"));
+        }
+        let unreadable =
+            |_| (StatusCode::BAD_REQUEST, "the body is to hold an app server's id\n".to_string());
+        let body = whole(body, BODY_MOST).await.map_err(unreadable)?;
+        let name =
+            std::str::from_utf8(&body).map_err(|_| unreadable(super::http::BadBody::Malformed))?.trim();
+        if !self.members.known(name) && !self.maintenance.holds(name) {
+            return Err((StatusCode::NOT_FOUND, format!("no app server {name:?} is known here\n")));
+        }
+        let kept = self.maintenance.call(name, call);
+        self.members.reconsider();
+        kept.map(|()| "done\n".to_string()).map_err(|error| {
+            let why = format!("done here, but the next process will not know of it: {error}\n");
+            eprintln!("pinerelay: operators: {name}: {}", why.trim_end());
+            (StatusCode::INTERNAL_SERVER_ERROR, why)
+        })
+    }
+}
+
+fn wrong_method(wanted: &str) -> (StatusCode, String) {
+    (StatusCode::METHOD_NOT_ALLOWED, format!("{wanted} is wanted here\n"))
+}
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -19,6 +19,8 @@
     fn event(&self, event: Event);
     /// An attempt has ended; with a body, it has served the request. A second end of the same one is dropped.
     fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>);
+    /// Whether the decisions send an app server nothing new for now, though it is in service.
+    fn avoids(&self, server: ServerId) -> bool;
 }
 
 /// Where the shared counts live: an amount is added to a named count in one step, and its total comes back.
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -18,7 +18,7 @@
 
 use super::budget::{Budget, Slot};
 use super::clock::Clock;
-use super::http::{framed, whole, BadBody, Broken, Connection};
+use super::http::{framed, whole, BadBody, Broken, Connection, OnWritten};
 use super::ports::{Core, Forward, Upstream};
 use super::reuse::Reuse;
 
@@ -53,6 +53,7 @@
     connect_timeout: Duration,
     keep: Duration,
     reuse: Reuse,
+    on_written: OnWritten,
     clock: Rc<Clock>,
     core: Weak<dyn Core>,
     me: Weak<Servers>,
@@ -80,6 +81,7 @@
         budget: Rc<Budget>,
         connect_timeout: Micros,
         conn_idle: Micros,
+        on_written: OnWritten,
         clock: Rc<Clock>,
         core: Weak<dyn Core>,
     ) -> Rc<Self> {
@@ -91,6 +93,7 @@
             connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
             keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
             reuse: Reuse::new(),
+            on_written,
             clock,
             core,
             me: me.clone(),
@@ -223,7 +226,7 @@
         };
         let connect = async {
             let slot = self.slot().await;
-            Connection::open(address, slot).await.map_err(|e| is_descriptors(&e))
+            Connection::open(address, slot, self.on_written.clone()).await.map_err(|e| is_descriptors(&e))
         };
         match timeout(patience, connect).await {
             Ok(Ok(connection)) => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,5 +1,6 @@
 //! The running node: its parts joined, signals, and the planned stop.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -7,20 +8,26 @@
 
 use mountbend::control::Controller;
 use mountbend::interface::{Event, Settings};
+use pinerelay_protocol::classes::ClassTable;
 use pinerelay_protocol::request::Rules;
+use pinerelay_protocol::settings::Env;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::{sleep, Instant};
 
-use crate::config::{Checked, Config, NewPeers, StartError};
+use crate::config::{Checked, Config, Running, StartError};
 use crate::net::budget::Budget;
 use crate::net::clients::Clients;
 use crate::net::clock::Clock;
 use crate::net::counter::Counter;
 use crate::net::discovery::Discovery;
+use crate::net::figures::Figures;
+use crate::net::http::OnWritten;
+use crate::net::maintenance::Maintenance;
 use crate::net::members::Members;
 use crate::net::node::{Node, Peers};
+use crate::net::ops::{Ops, CALLERS};
 use crate::net::ports::{Core, QuotaStore};
 use crate::net::redis;
 use crate::net::servers::Servers;
@@ -33,19 +40,27 @@
 /// rest, which is for answers still being written.
 const PATIENCE_OVER: Duration = Duration::from_millis(300);
 const LAST_GRACE: Duration = Duration::from_millis(200);
+/// How long clients of a socket that is handed on may use their idle connections after SIGTERM. Danger: closed at once,
+/// each close may cross a request; kept for longer, what comes last has too little time for its answer.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
+/// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+/// How often the set of app servers that are held out is looked at: well within the grace of the rule on drains.
+const SHARE_LOOKS: Duration = Duration::from_millis(200);
 /// How often a node that stops looks whether all is answered.
 const LAST_LOOKS: Duration = Duration::from_millis(10);
 
 /// Runs a node until it has stopped; returns early if it can't start.
 pub fn run(path: PathBuf, operator: Option<PathBuf>) -> Result<(), StartError> {
-    let config = Config::read(&path)?;
+    let front = inherited()?;
+    let config = Running::start(&path)?;
     let file = operator;
     let operator = file.as_deref().map(Operator::read).transpose()?.unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(LocalOptions::default())
         .map_err(StartError::System)?;
-    runtime.block_on(serve(config, path, operator, file))
+    runtime.block_on(serve(config, path, operator, file, front))
 }
 
 /// Where the shared counts live.
@@ -64,24 +79,65 @@
     }
 }
 
+/// The listening socket that this process was started with, if any: the descriptor that PROXY_FD names, or the first of
+/// systemd's LISTEN_FDS (sd_listen_fds(3)).
+fn inherited() -> Result<Option<std::net::TcpListener>, StartError> {
+    if let Ok(fd) = std::env::var("PROXY_FD") {
+        let number = fd.parse::<u16>().ok().filter(|&n| n > 2);
+        let number =
+            number.ok_or_else(|| StartError::Inherited(format!("{fd:?} is no descriptor from 3 on")))?;
+        // What the crate reads; no other thread runs yet.
+        std::env::remove_var("LISTEN_PID");
+        std::env::set_var("LISTEN_FDS_FIRST_FD", number.to_string());
+        std::env::set_var("LISTEN_FDS", "1");
+    }
+    let mut handed = listenfd::ListenFd::from_env();
+    match handed.take_tcp_listener(0) {
+        Ok(None) => Ok(None),
+        Ok(Some(listener)) => {
+            listener.set_nonblocking(true).map_err(StartError::System)?;
+            Ok(Some(listener))
+        }
+        Err(error) => Err(StartError::Inherited(error.to_string())),
+    }
+}
+
+/// The file in which the next process finds which app servers are held out. It is named after the address where clients
+/// connect, which both processes share and no other node has.
+fn held_out(listen: SocketAddr) -> Option<PathBuf> {
+    let name = format!("pinerelay-{}.out", listen.to_string().replace(':', "-"));
+    std::env::var_os("TMPDIR").map(|folder| PathBuf::from(folder).join(name))
+}
+
 async fn serve(
-    config: Config,
+    config: (Running, Config),
     path: PathBuf,
     operator: Operator,
     file: Option<PathBuf>,
+    front: Option<std::net::TcpListener>,
 ) -> Result<(), StartError> {
-    let Checked { listen: at, discovery, counter, seed } = config.checked()?;
+    let (running, config) = config;
+    let Checked { listen: at, ops: ops_at, discovery, counter, seed } = config.checked()?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
+    let ops_at = match std::env::var("PROXY_OPS") {
+        Ok(text) => Some(text.parse().map_err(|_| StartError::Address("PROXY_OPS", text))?),
+        Err(_) => ops_at,
+    };
 
     let allowed = rlimit::increase_nofile_limit(config.limits.sockets as u64).map_err(StartError::System)?;
-    let budget = Budget::new(config.limits.sockets.min(allowed as usize), operator.front.client_share);
+    let for_ops = if ops_at.is_some() { CALLERS + 1 } else { 0 };
+    let sockets = config.limits.sockets.min(allowed as usize);
+    let budget = Budget::new(sockets, for_ops, operator.front.client_share);
     let mut env = config.settings;
     let (zones, kinds) = (std::mem::take(&mut env.zones), std::mem::take(&mut env.kinds));
     let (connect_timeout, conn_idle) = (env.bounds.connect_timeout, env.bounds.conn_idle);
-    let patience = Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
-    let rules = Rules::new(&env);
+    let patience = Rc::new(Cell::new(longest(&env)));
+    let mut classes = ClassTable::default();
+    let rules = Rules::new(&env, &classes.take(&env.classes));
+    let figures = Rc::new(Figures::default());
+    env.classes.iter().for_each(|class| figures.name(&class.name));
     let settings = Settings::from(env);
 
     let clock = Rc::new(Clock::new());
@@ -92,36 +148,70 @@
         (Some(settings), Some(file)) => Some(redis::server(settings, file)?),
         _ => None,
     };
+    let maintenance = Rc::new(Maintenance::new(ops_at.and_then(|_| held_out(at))));
     let mut joined = None;
     let node = Node::new(controller, try_limit, clock.clone(), |core| {
-        let servers = Servers::new(budget.clone(), connect_timeout, conn_idle, clock, core.clone());
+        let sent = figures.clone();
+        let on_written: OnWritten = Some(Rc::new(move || sent.sent()));
+        let servers =
+            Servers::new(budget.clone(), connect_timeout, conn_idle, on_written, clock, core.clone());
         let store = match redis_at {
             Some(server) => Store::Redis(redis::store(server, wait, core.clone())),
             None => {
                 Store::Counter(Counter::new(counter_at, wait, operator.counter.connections, core.clone()))
             }
         };
-        let members = Members::new(zones, kinds, servers.clone(), core);
-        let discovery = Discovery::new(discovery, members);
-        joined = Some((servers.clone(), store.clone(), discovery.clone()));
+        let members = Members::new(zones, kinds, maintenance.clone(), servers.clone(), core);
+        let discovery = Discovery::new(discovery, members.clone());
+        joined = Some((servers.clone(), store.clone(), members, discovery.clone()));
         Peers { upstream: servers, store: store.port(), members: discovery }
     });
     // The closure above has run by now.
-    let Some((servers, store, discovery)) = joined else { return Ok(()) };
-    let listener = listen(at, operator.front.backlog).map_err(|e| StartError::Listen(at, e))?;
+    let Some((servers, store, members, discovery)) = joined else { return Ok(()) };
+    // Danger: the socket of another is met by the next process; one of its own is closed with this one.
+    let handed_on = front.is_some();
+    let listener = match front {
+        Some(listener) => TcpListener::from_std(listener).map_err(StartError::System)?,
+        None => listen(at, operator.front.backlog).map_err(|e| StartError::Listen(at, e))?,
+    };
     eprintln!("pinerelay: listening on {}", listener.local_addr().map_err(StartError::System)?);
     discovery.start(config.known);
-    tokio::task::spawn_local(reload(hangup, path, file, discovery, store.clone()));
-    let clients = Clients::new(node.clone(), servers, rules, budget.clone(), &operator.front);
+    let ops = Ops::new(figures.clone(), members.clone(), maintenance.clone());
+    if let Some(at) = ops_at {
+        let listener = Ops::listen(at).map_err(|e| StartError::Listen(at, e))?;
+        eprintln!("pinerelay: operators call at {}", listener.local_addr().map_err(StartError::System)?);
+        tokio::task::spawn_local(ops.clone().serve(listener));
+        tokio::task::spawn_local(share(maintenance, members));
+    }
+    let clients =
+        Clients::new(node.clone(), servers, rules, budget.clone(), figures.clone(), &operator.front);
+    let retuned = Retuned {
+        running,
+        classes,
+        patience: patience.clone(),
+        node: node.clone(),
+        clients: clients.clone(),
+        figures,
+    };
+    tokio::task::spawn_local(reload(hangup, path, file, discovery.clone(), store.clone(), retuned));
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
+    tokio::task::spawn_local(readiness(ops.clone(), discovery));
 
     either(&mut terminate, &mut interrupt).await;
-    let last = Instant::now() + patience.min(operator.stop.patience.0) + PATIENCE_OVER;
+    let last = Instant::now() + patience.get().min(operator.stop.patience.0) + PATIENCE_OVER;
     node.stop();
-    sleep(operator.stop.idle_after.0).await;
-    clients.close_idle();
-    sleep(operator.stop.deaf_after.0).await;
-    accepting.abort();
+    ops.ready(false);
+    if handed_on {
+        // Danger: what is accepted from here on would be turned back soon, and the next process serves it.
+        accepting.abort();
+        sleep(LAST_REQUESTS).await;
+        clients.close_idle();
+    } else {
+        sleep(operator.stop.idle_after.0).await;
+        clients.close_idle();
+        sleep(operator.stop.deaf_after.0).await;
+        accepting.abort();
+    }
     node.event(Event::Stopping);
     clients.close_idle();
     let over = || !node.waited_for() && budget.clients() == 0 && store.port().settled();
@@ -135,18 +225,73 @@
     Ok(())
 }
 
-/// On each SIGHUP reads the configuration again and moves discovery and the counter, or Redis, to where it and the
-/// operator's file say, also during a stop. Of a file that can't be used the log says so, and all stays as it was.
+/// The longest deadline of any class.
+fn longest(env: &Env) -> Duration {
+    Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0))
+}
+
+/// Says that this process takes clients once it knows the app servers, or has waited long enough for them. Danger: the
+/// process before it is stopped upon this word, and the list that a node starts with may be old.
+async fn readiness(ops: Rc<Ops>, discovery: Rc<Discovery>) {
+    let begun = Instant::now();
+    while !discovery.heard() && begun.elapsed() < LIST_WAIT {
+        sleep(LAST_LOOKS).await;
+    }
+    ops.ready(true);
+}
+
+/// Looks again and again which app servers the other process of an upgrade was told to hold out or let back.
+async fn share(maintenance: Rc<Maintenance>, members: Rc<Members>) {
+    loop {
+        sleep(SHARE_LOOKS).await;
+        if maintenance.refresh() {
+            members.reconsider();
+        }
+    }
+}
+
+/// What new settings change in a running node.
+struct Retuned {
+    running: Running,
+    classes: ClassTable,
+    patience: Rc<Cell<Duration>>,
+    node: Rc<Node>,
+    clients: Rc<Clients>,
+    figures: Rc<Figures>,
+}
+
+impl Retuned {
+    /// Takes classes and attempts; all else in the settings waits for the next start.
+    fn take(&mut self, env: &Env) {
+        let numbers = self.classes.take(&env.classes);
+        env.classes.iter().for_each(|class| self.figures.name(&class.name));
+        self.node.retune(self.classes.all(), env.bounds.try_limit);
+        self.clients.retune(Rules::new(env, &numbers));
+        self.patience.set(self.patience.get().max(longest(env)));
+    }
+}
+
+/// On each SIGHUP reads the configuration again, takes the classes and attempts of its settings, and moves discovery and
+/// the counter, or Redis, to where it and the operator's file say, also during a stop. Of a file that can't be used the
+/// log says so, and all stays as it was.
 async fn reload(
     mut hangup: Signal,
     path: PathBuf,
     file: Option<PathBuf>,
     discovery: Rc<Discovery>,
     store: Store,
+    mut retuned: Retuned,
 ) {
     while hangup.recv().await.is_some() {
-        match NewPeers::read(&path) {
-            Ok(NewPeers { discovery: at, counter: counts }) => {
+        let next = retuned.running.next(&path).and_then(|(running, config)| {
+            let checked = config.checked()?;
+            Ok((running, config, checked))
+        });
+        retuned.figures.reloaded(next.is_ok());
+        match next {
+            Ok((running, config, Checked { discovery: at, counter: counts, .. })) => {
+                retuned.running = running;
+                retuned.take(&config.settings);
                 discovery.move_to(at);
                 if let Store::Counter(counter) = &store {
                     counter.move_to(counts);
@@ -179,7 +324,7 @@
     }
 }
 
-fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+pub(crate) fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -436,21 +436,32 @@
 
 pub struct Edge {
     pub address: SocketAddr,
+    /// Where operators call, if they may.
+    pub ops: Option<SocketAddr>,
     child: Child,
     path: PathBuf,
     log: BufReader<ChildStderr>,
 }
 
-fn launch(config: &str, operator: Option<&Path>) -> (Child, PathBuf) {
+/// A path in the system's folder for such that no other test has.
+pub fn scratch(ending: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("pinerelay-{}-{number}.json", std::process::id()));
-    std::fs::write(&path, config).expect("a file");
+    std::env::temp_dir().join(format!("pinerelay-{}-{number}{ending}", std::process::id()))
+}
+
+fn launch(config: &str, operator: Option<&Path>) -> (Child, PathBuf) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pinerelay"));
-    command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
     if let Some(file) = operator {
         command.env("PINERELAY_OPERATOR", file);
     }
+    launch_as(command, config)
+}
+
+fn launch_as(mut command: Command, config: &str) -> (Child, PathBuf) {
+    let path = scratch(".json");
+    std::fs::write(&path, config).expect("a file");
+    command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
     (command.spawn().expect("the node starts"), path)
 }
 
@@ -467,15 +478,56 @@
 
     /// A node that is given an operator's file too.
     pub fn with(config: &Value, operator: Option<&Path>) -> Edge {
-        let (mut child, path) = launch(&config.to_string(), operator);
+        Edge::started(launch(&config.to_string(), operator))
+    }
+
+    /// A node that operators may call, and that shares this folder with the processes before and after it.
+    pub fn operated(config: &Value, folder: &Path) -> Edge {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pinerelay"));
+        command.env("PROXY_OPS", "127.0.0.1:0").env("TMPDIR", folder);
+        Edge::started(launch_as(command, &config.to_string())).with_ops()
+    }
+
+    /// The same, with this listening socket as its descriptor 5.
+    pub fn inheriting(config: &Value, folder: &Path, listener: &TcpListener) -> Edge {
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 5<&0 </dev/null", env!("CARGO_BIN_EXE_pinerelay")]);
+        let held = std::os::fd::OwnedFd::from(listener.try_clone().expect("a clone"));
+        command.stdin(Stdio::from(held));
+        command.env("PROXY_FD", "5").env("PROXY_OPS", "127.0.0.1:0").env("TMPDIR", folder);
+        Edge::started(launch_as(command, &config.to_string())).with_ops()
+    }
+
+    fn started((mut child, path): (Child, PathBuf)) -> Edge {
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let mut line = String::new();
-        while !line.starts_with("pinerelay: listening on ") {
-            line.clear();
-            assert!(log.read_line(&mut line).expect("a line") > 0, "the node has ended");
-        }
-        let address = line.trim_end().rsplit(' ').next().expect("an address").parse().expect("an address");
-        Edge { address, child, path, log }
+        let address = address_in(&mut log, "pinerelay: listening on ");
+        Edge { address, ops: None, child, path, log }
+    }
+
+    fn with_ops(mut self) -> Edge {
+        self.ops = Some(address_in(&mut self.log, "pinerelay: operators call at "));
+        self
+    }
+
+    /// One call at the operators' address: its status and body.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let stream = TcpStream::connect(self.ops.expect("an operators' address")).expect("the node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let mut client = Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream };
+        let length = body.len();
+        client
+            .raw(&format!("{method} {path} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{body}"));
+        let answer = client.answer();
+        (answer.status(), String::from_utf8(answer.body).expect("text"))
+    }
+
+    /// One of the node's figures, by its name and labels.
+    pub fn figure(&self, name: &str) -> f64 {
+        let (status, text) = self.call("GET", "/api/telemetry", "");
+        assert_eq!(status, 200);
+        let line =
+            text.lines().find_map(|l| l.strip_prefix("edge_proxy_")?.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap_or_else(|| panic!("no {name} in\n{text}")).parse().expect("a number")
     }
 
     pub fn client(&self) -> Client {
@@ -522,6 +574,16 @@
     }
 }
 
+/// The address at the end of the first line that begins so.
+fn address_in(log: &mut impl BufRead, begin: &str) -> SocketAddr {
+    let mut line = String::new();
+    while !line.starts_with(begin) {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a line") > 0, "the node has ended");
+    }
+    line.trim_end().rsplit(' ').next().expect("an address").parse().expect("an address")
+}
+
 pub struct Client {
     reader: BufReader<TcpStream>,
     stream: TcpStream,
--- /dev/null
+++ b/crates/node/tests/operations.rs
@@ -0,0 +1,294 @@
+//! What operators do with a running node: figures, app servers taken out, settings changed, the program replaced.
+
+mod fakes;
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+
+use fakes::*;
+use serde_json::{json, Value};
+
+/// A folder that is gone after the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let path = scratch(".d");
+        std::fs::create_dir(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Asks again and again until it holds; what a node does a moment later has no other sign.
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let begun = std::time::Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+}
+
+fn served(app: &App, client: &mut Client, ask: &Ask) {
+    client.ask(ask);
+    app.next().answer("200 OK", "", "ok");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn the_figures_tell_what_peers_saw() {
+    let folder = Folder::new();
+    let (app, gone) = (App::new(), App::new());
+    let entries = [entry("s-1", app.address, "a", "up"), entry("s-2", gone.address, "a", "draining")];
+    let edge = Edge::operated(&config(&entries), &folder.0);
+    let mut client = edge.client();
+    served(&app, &mut client, &ask("lookup", "l-1"));
+    served(&app, &mut client, &ask("post", "p-1"));
+    client.ask(&ask("post", "p-2"));
+    let seen = app.next();
+    until("two written whole and one more", || edge.figure("upstream_requests_total") == 3.0);
+    assert_eq!(edge.figure("pending"), 1.0);
+    seen.answer("500 Internal Server Error", "", "");
+    assert_eq!(client.answer().status(), 502);
+    // Each 503 says that it has not run: the last is a refusal. Four attempts are allowed.
+    client.ask(&ask("post", "p-3"));
+    for _ in 0..4 {
+        app.next().answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+    }
+    assert!(client.answer().refused());
+    let count = |class: &str, result: &str| {
+        edge.figure(&format!("downstream_requests_total{{lane=\"{class}\",result=\"{result}\"}}"))
+    };
+    assert_eq!(count("lookup", "completed"), 1.0);
+    assert_eq!(["completed", "rejected", "failed"].map(|r| count("post", r)), [1.0, 1.0, 1.0]);
+    assert_eq!(count("slip", "completed"), 0.0, "a class is there before its first request");
+    assert_eq!(edge.figure("upstream_requests_total"), 7.0);
+    assert_eq!(edge.figure("pending"), 0.0);
+    assert_eq!((edge.figure("members"), edge.figure("members_unavailable")), (2.0, 1.0));
+}
+
+#[test]
+fn callers_are_answered_yes_or_no_and_silent_ones_keep_nobody_out() {
+    let folder = Folder::new();
+    let edge = Edge::operated(&config(&[entry("s-1", nobody(), "a", "up")]), &folder.0);
+    let silent: Vec<_> = (0..40)
+        .map(|_| std::net::TcpStream::connect(edge.ops.expect("an address")).expect("the node accepts"))
+        .collect();
+    until("ready", || edge.call("GET", "/api/ready", "").0 == 200);
+    for (method, path, body, status) in [
+        ("POST", "/api/ready", "", 405),
+        ("GET", "/api/exclude", "", 405),
+        ("GET", "/nowhere", "", 404),
+        ("POST", "/api/exclude", "s-2", 404),
+        ("POST", "/api/include", "s-2", 404),
+        ("POST", "/api/exclude", "", 404),
+        ("POST", "/api/include", "s-1", 200),
+        ("POST", "/api/exclude", " s-1\n", 200),
+        ("POST", "/api/exclude", "s-1", 200),
+    ] {
+        assert_eq!(edge.call(method, path, body).0, status, "{method} {path} {body:?}");
+    }
+    assert_eq!(edge.figure("members_unavailable"), 1.0);
+    drop(silent);
+}
+
+#[test]
+fn what_is_held_out_gets_nothing_new_whatever_discovery_says_and_comes_back() {
+    let folder = Folder::new();
+    let (a, b) = (App::new(), App::new());
+    let entries = [entry("s-1", a.address, "a", "up"), entry("s-2", b.address, "a", "up")];
+    let lists = Lists::holding(1, &entries);
+    let mut config = config(&entries);
+    config["discovery"] = json!(lists.address.to_string());
+    let edge = Edge::operated(&config, &folder.0);
+    lists.watched();
+    let mut client = edge.client();
+    // What is out there already may end.
+    client.ask(&ask("post", "p-0"));
+    let (first, seen) = next_of(&[&a, &b]);
+    let (held, other, name) = if first == 0 { (&a, &b, "s-1") } else { (&b, &a, "s-2") };
+    assert_eq!(edge.call("POST", "/api/exclude", name).0, 200);
+    seen.answer("200 OK", "", "ends");
+    assert_eq!(client.answer().body, b"ends");
+    lists.push(entry(name, held.address, "a", "up"));
+    lists.watched();
+    for number in 1..20 {
+        served(other, &mut client, &ask("post", &format!("p-{number}")));
+    }
+    held.no_request();
+    // Back: with the other one out, it is the only one left. It counts as just started, and is served slowly at first.
+    assert_eq!(edge.call("POST", "/api/include", name).0, 200);
+    assert_eq!(edge.call("POST", "/api/exclude", if first == 0 { "s-2" } else { "s-1" }).0, 200);
+    served(held, &mut client, &ask("post", "p-back"));
+}
+
+/// The same settings with other classes.
+fn with_classes(config: &Value, classes: Value) -> Value {
+    let mut next = config.clone();
+    next["settings"]["classes"] = classes;
+    next
+}
+
+#[test]
+fn new_settings_add_drop_and_change_classes_and_open_requests_keep_their_rules() {
+    let folder = Folder::new();
+    let (a, b) = (App::new(), App::new());
+    let first = config(&[entry("s-1", a.address, "a", "up"), entry("s-2", b.address, "a", "up")]);
+    let edge = Edge::operated(&first, &folder.0);
+    let classes = &first["settings"]["classes"];
+    // Open under the old rules: unsafe, so what may have run is never sent again.
+    let (mut open, mut client) = (edge.client(), edge.client());
+    open.ask(&ask("post", "p-open"));
+    let (_, seen) = next_of(&[&a, &b]);
+    // Dropped: lookup. Changed: post is safe now. New: extra, unsafe.
+    let (mut post, mut extra) = (classes[0].clone(), classes[2].clone());
+    (post["name"], extra["name"]) = (json!("post"), json!("extra"));
+    let mut next = with_classes(&first, json!([classes[1], post, extra]));
+    next["settings"]["bounds"]["try_limit"] = json!(2);
+    edge.reload(&next.to_string());
+    until("taken", || edge.figure("config_reloads_total") == 1.0);
+    seen.answer("500 Internal Server Error", "", "");
+    assert_eq!(open.answer().status(), 502);
+    // New rules: post goes by GET, is safe, and gets two attempts.
+    let text = Ask { class: "lookup", ..ask("lookup", "p-new") }.text().replace("lookup", "post");
+    client.raw(&text);
+    for _ in 0..2 {
+        next_of(&[&a, &b]).1.answer("500 Internal Server Error", "", "");
+    }
+    assert!(client.answer().refused());
+    a.no_request();
+    b.no_request();
+    let text = ask("post", "x-1").text().replace("post", "extra");
+    client.raw(&text);
+    next_of(&[&a, &b]).1.answer("200 OK", "", "new class");
+    assert_eq!(client.answer().body, b"new class");
+    assert_eq!(edge.figure("downstream_requests_total{lane=\"extra\",result=\"completed\"}"), 1.0);
+    // Dropped for good once clients must have heard of it.
+    until("dropped", || {
+        let mut client = edge.client();
+        client.ask(&ask("lookup", "l-1"));
+        match a.poll_once().or_else(|| b.poll_once()) {
+            Some(seen) => seen.answer("200 OK", "", "still known"),
+            None if !client.has_answer() => {}
+            None => return client.answer().status() == 400,
+        }
+        false
+    });
+}
+
+#[test]
+fn of_a_broken_file_nothing_is_taken() {
+    let folder = Folder::new();
+    let app = App::new();
+    let (old, new) = (Lists::new(), Lists::holding(0, &[entry("s-1", app.address, "a", "up")]));
+    let mut first = config(&[entry("s-1", app.address, "a", "up")]);
+    first["discovery"] = json!(old.address.to_string());
+    let mut edge = Edge::operated(&first, &folder.0);
+    old.watched();
+    let mut moved = first.clone();
+    moved["discovery"] = json!(new.address.to_string());
+    let broken = |edit: &dyn Fn(&mut Value)| {
+        let mut value = moved.clone();
+        edit(&mut value);
+        value.to_string()
+    };
+    let without = |at: &str, key: &str| {
+        broken(&|v| {
+            v.pointer_mut(at).and_then(Value::as_object_mut).expect("an object").remove(key).expect("a key");
+        })
+    };
+    let set = |at: &str, to: Value| broken(&|v| *v.pointer_mut(at).expect("a place") = to.clone());
+    let whole = moved.to_string();
+    let rows = [
+        (String::new(), "malformed"),
+        (whole[..whole.len() / 2].to_string(), "malformed"),
+        (without("", "counter"), "counter is missing"),
+        (without("/settings", "tariffs"), "settings.tariffs is missing"),
+        (without("/settings/bounds", "try_limit"), "settings.bounds.try_limit is missing"),
+        (without("/settings/classes/1", "window"), "settings.classes[1].window is missing"),
+        (set("/settings/bounds/try_limit", json!(0)), "settings.bounds.try_limit: a positive number"),
+        (set("/settings/bounds/try_limit", json!(-1)), "malformed"),
+        (set("/settings/classes/0/deadline", json!(0)), "settings.classes[0].deadline: a positive number"),
+        (set("/settings/classes/0/deadline", json!("soon")), "malformed"),
+        (set("/settings/classes", json!([])), "settings.classes: at least one"),
+        (set("/settings/classes/1/name", json!("lookup")), "settings.classes[1].name: stands there twice"),
+        (set("/counter", json!("nowhere")), "counter: \"nowhere\" is no address"),
+    ];
+    for (number, (text, why)) in rows.iter().enumerate() {
+        edge.reload(text);
+        let said = edge.says();
+        assert!(said.starts_with("pinerelay: the old configuration stays: ") && said.contains(why), "{said}");
+        assert_eq!(edge.figure("config_reload_errors_total"), (number + 1) as f64);
+    }
+    assert_eq!(edge.figure("config_reloads_total"), 0.0);
+    // The old discovery is still the one that is heard.
+    old.push(entry("s-1", app.address, "a", "draining"));
+    until("drains", || edge.figure("members_unavailable") == 1.0);
+    edge.reload(&whole);
+    new.watched_from(0);
+    assert_eq!(edge.figure("config_reloads_total"), 1.0);
+}
+
+#[test]
+fn a_new_process_takes_over_the_socket_and_nothing_is_turned_back() {
+    let folder = Folder::new();
+    let (a, b) = (App::new(), App::new());
+    let config = config(&[entry("s-1", a.address, "a", "up"), entry("s-2", b.address, "a", "up")]);
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let old = Edge::inheriting(&config, &folder.0, &platform);
+    assert_eq!(old.address, platform.local_addr().expect("an address"));
+    assert_eq!(old.call("POST", "/api/exclude", "s-2").0, 200);
+    let (mut kept, mut waits) = (old.client(), old.client());
+    served(&a, &mut kept, &ask("post", "p-1"));
+    let new = Edge::inheriting(&config, &folder.0, &platform);
+    until("ready", || new.call("GET", "/api/ready", "").0 == 200);
+    assert_eq!(new.figure("members_unavailable"), 1.0, "what is held out is known to the next process");
+    // A call at the new one holds in the old one too.
+    assert_eq!(new.call("POST", "/api/include", "s-2").0, 200);
+    until("let back in both", || old.figure("members_unavailable") == 0.0);
+    assert_eq!(new.call("POST", "/api/exclude", "s-2").0, 200);
+    until("held out in both", || old.figure("members_unavailable") == 1.0);
+    served(&a, &mut waits, &ask("post", "p-1b"));
+    waits.ask(&ask("post", "p-2"));
+    let seen = a.next();
+    old.terminate();
+    until("not ready", || old.call("GET", "/api/ready", "").0 == 503);
+    seen.answer("200 OK", "", "was open");
+    assert_eq!(waits.answer().body, b"was open");
+    // A kept connection is used once more, and told to end with the answer.
+    kept.ask(&ask("post", "p-3"));
+    a.next().answer("200 OK", "", "old one");
+    let answer = kept.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    // New connections are the new one's, at once.
+    for number in 0..10 {
+        let mut client = new.client();
+        client.ask(&ask("post", &format!("n-{number}")));
+        a.next().answer("200 OK", "", "new one");
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
+    assert!(old.end().0.success());
+    assert_eq!(new.figure("downstream_requests_total{lane=\"post\",result=\"completed\"}"), 10.0);
+    b.no_request();
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_node_with_one_plain_line() {
+    for fd in ["5", "two"] {
+        let path = scratch(".json");
+        std::fs::write(&path, config(&[]).to_string()).expect("a file");
+        let out = std::process::Command::new(env!("CARGO_BIN_EXE_pinerelay"))
+            .envs([("PROXY_FD", fd.as_ref()), ("PROXY_CONFIG", path.as_os_str())])
+            .output()
+            .expect("an end");
+        let said = String::from_utf8(out.stderr).expect("text");
+        assert_eq!(out.status.code(), Some(1), "{said}");
+        assert!(said.starts_with("pinerelay: PROXY_FD: ") && said.lines().count() == 1, "{said}");
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/classes.rs
@@ -0,0 +1,57 @@
+//! The table of classes by number: grown by new settings, so that open requests keep the class they came with.
+
+use mountbend::interface::Class;
+
+use crate::settings::EnvClass;
+
+/// All classes that there are or were, each under the number that the decisions know it by.
+#[derive(Debug, Default)]
+pub struct ClassTable {
+    entries: Vec<EnvClass>,
+}
+
+impl ClassTable {
+    /// Takes in the classes of new settings and tells the number of each. One that stands there already with the
+    /// same rules keeps its number; one whose rules have changed gets a new one, since a request that is open must
+    /// not change its effect.
+    pub fn take(&mut self, classes: &[EnvClass]) -> Vec<usize> {
+        let mut number = |class: &EnvClass| {
+            self.entries.iter().position(|known| known == class).unwrap_or_else(|| {
+                self.entries.push(class.clone());
+                self.entries.len() - 1
+            })
+        };
+        classes.iter().map(&mut number).collect()
+    }
+
+    /// The whole table, as the decisions are told.
+    pub fn all(&self) -> Vec<Class> {
+        self.entries.iter().cloned().map(Class::from).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use mountbend::interface::Effect;
+
+    fn class(name: &str, effect: &str, deadline: u64) -> EnvClass {
+        let text = format!(r#"{{"name":"{name}","effect":"{effect}","on_time":1,"deadline":{deadline}}}"#);
+        serde_json::from_str(&text).expect("a class")
+    }
+
+    #[test]
+    fn numbers_hold_for_good_and_changed_rules_get_a_new_one() {
+        let mut table = ClassTable::default();
+        assert_eq!(table.take(&[class("a", "safe", 9), class("b", "unsafe", 9)]), [0, 1]);
+        assert_eq!(
+            table.take(&[class("b", "unsafe", 9), class("c", "keyed", 9)]),
+            [1, 2],
+            "a dropped, c new"
+        );
+        assert_eq!(table.take(&[class("b", "safe", 9), class("a", "safe", 8)]), [3, 4]);
+        assert_eq!(table.take(&[class("a", "safe", 9), class("b", "unsafe", 9)]), [0, 1], "and back again");
+        let effects: Vec<_> = table.all().iter().map(|c| c.effect).collect();
+        assert_eq!(effects, [Effect::Safe, Effect::Unsafe, Effect::Keyed, Effect::Safe, Effect::Safe]);
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! the list of app servers, the counter's calls, and what an app server's answer means.
 #![forbid(unsafe_code)]
 
+pub mod classes;
 pub mod counter;
 pub mod list;
 pub mod outcome;
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -34,17 +34,19 @@
 
 /// What the settings say of requests.
 pub struct Rules {
-    classes: Vec<(String, WireEffect)>,
+    /// Name, effect, and number in the decisions' table.
+    classes: Vec<(String, WireEffect, usize)>,
     plans: Vec<String>,
     nodes: u32,
     largest_units: f64,
 }
 
 impl Rules {
-    /// Reads them off the settings.
-    pub fn new(env: &Env) -> Self {
+    /// Reads them off the settings, whose classes have these numbers in the decisions' table.
+    pub fn new(env: &Env, numbers: &[usize]) -> Self {
+        let classes = env.classes.iter().zip(numbers);
         Rules {
-            classes: env.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
+            classes: classes.map(|(c, &number)| (c.name.clone(), c.effect, number)).collect(),
             plans: env.tariffs.iter().map(|p| p.name.clone()).collect(),
             nodes: env.n_instances.max(1),
             largest_units: Some(env.largest_units()).filter(|&most| most > 0.0).unwrap_or(f64::MAX),
@@ -69,12 +71,13 @@
             .filter(|id| !id.is_empty() && id.len() <= ID_MOST)
             .ok_or(Malformed("no id\n"))?;
         let name = text(&CLASS).ok_or(Malformed("no class\n"))?;
-        let class = self.classes.iter().position(|(n, _)| n == name).ok_or(Malformed("no such class\n"))?;
+        let class = self.classes.iter().find(|(n, ..)| n == name);
+        let &(_, effect, class) = class.ok_or(Malformed("no such class\n"))?;
         if path.split('/').nth(1) != Some(name) {
             return Err(Malformed("the path is not the class's\n"));
         }
         let keyed = headers.contains_key(IDEMPOTENCY_KEY);
-        let fits = match self.classes[class].1 {
+        let fits = match effect {
             WireEffect::Safe => *method == Method::GET,
             WireEffect::Keyed => *method == Method::POST && keyed,
             WireEffect::Unsafe => *method == Method::POST && !keyed,
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -83,8 +83,9 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after: Micros,
+    /// Most attempts for one request.
     #[serde(default)]
-    try_limit: u32,
+    pub try_limit: u32,
 }
 
 #[derive(Deserialize, Default)]
@@ -97,12 +98,13 @@
 }
 
 /// A class of request.
-#[derive(Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct EnvClass {
     /// Its name.
     #[serde(default)]
     pub name: String,
-    on_time: Micros,
+    /// An answer within this earns full worth.
+    pub on_time: Micros,
     /// The client's longest wait over all its tries.
     pub deadline: Micros,
     /// Whether it may run again.
@@ -131,7 +133,7 @@
     Unsafe,
 }
 
-#[derive(Deserialize, Clone, Copy, Default)]
+#[derive(Debug, Deserialize, Clone, Copy, Default, PartialEq)]
 #[serde(rename_all = "lowercase")]
 enum WireGroup {
     #[default]
