Let an idle fleet be seen as idle: bound the remembered mean, count cold as cold

Ruled out: quota and counter (a tenth of the refusals), parked requests (none), ejected servers (none to two).

Change: the mean weighs as evidence up to what sheds the cheapest, in every fleet and not only in one that is cold as a whole; what cold servers take longer is left out in a fleet that is being replaced, too. Test seen to fail without it.

--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -64,7 +64,8 @@
         self.carried.at = now;
         if self.any_warm {
             self.carried.value += (done / count - self.carried.value) * gain;
-            self.usual += (self.times.mean(now, self.usual, MEAN_SPAN) - self.usual) * gain;
+            let slowed = self.slowed();
+            self.usual += (self.times.mean(now, self.usual * slowed, MEAN_SPAN) / slowed - self.usual) * gain;
         }
     }
 
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -40,20 +40,31 @@
             rate += s.done.get(self.now, DONE_SPAN);
         }
         let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
-        let (mean, by_cold) = if self.any_warm { (mean, 0.0) } else { self.all_cold(mean) };
+        let (mean, by_cold) = self.bounded(mean);
         let age = 1.0 - (-(self.now.saturating_sub(self.begun) as f64) / DONE_SPAN).exp();
         let rate = (rate > 0.0).then_some(rate / age.max(1e-3) + EVIDENCE * 1e6 / mean.max(1.0));
         rate.map_or(0.0, |rate| (self.held + EVIDENCE) / rate * 1e6 - by_cold)
     }
 
-    /// Where no server is warm: the mean that may weigh as evidence, and what an answer takes longer for the
-    /// cold alone. Danger: a cold server takes some times as long for a request though nothing waits there. A
-    /// fleet that is cold as a whole would be taken for full, and let nothing in until it has warmed up.
-    fn all_cold(&self, mean: f64) -> (f64, f64) {
+    /// The mean that may weigh as evidence, and what an answer takes longer because servers are cold. Danger:
+    /// a cold server takes some times as long for a request though nothing waits there, and a fleet that is
+    /// being replaced would be taken for full. And a mean past what sheds, with all shed, gets no new answer:
+    /// remembered alone it must let in, or the node stays shut before an idle fleet.
+    fn bounded(&self, mean: f64) -> (f64, f64) {
+        let by_cold = self.usual * (self.slowed() - 1.0);
+        (mean.min(by_cold + self.shortest_aim() * SHED_CHEAPEST), by_cold)
+    }
+
+    /// How many times as long a request takes in the mean as in a warm fleet: each server gets its share of
+    /// the requests by its warmth, and takes as many times as long by it.
+    pub(super) fn slowed(&self) -> f64 {
         let listed = self.servers.values().filter(|s| s.listed);
         let (count, warmth) = listed.fold((0.0, 0.0), |(n, w), s| (n + 1.0, w + self.warmth(s)));
-        let by_cold = if count > 0.0 { self.usual * (count / warmth.max(0.05) - 1.0) } else { 0.0 };
-        (mean.min(by_cold + self.shortest_aim() * SHED_CHEAPEST), by_cold)
+        if count > 0.0 {
+            count / f64::max(warmth, 0.05)
+        } else {
+            1.0
+        }
     }
 
     pub(super) fn shortest_aim(&self) -> f64 {
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -99,12 +99,23 @@
     }
 
     pub fn end(&mut self, id: &RequestId, attempt: u32, server: ServerId, outcome: Outcome) -> Vec<Action> {
+        self.end_after(50 * MS, id, attempt, server, outcome)
+    }
+
+    pub fn end_after(
+        &mut self,
+        spent: Micros,
+        id: &RequestId,
+        attempt: u32,
+        server: ServerId,
+        outcome: Outcome,
+    ) -> Vec<Action> {
         self.event(Event::Ended(Ended {
             id: id.clone(),
             attempt,
             server,
             outcome,
-            spent: 50 * MS,
+            spent,
             finished: outcome == Outcome::Ok,
             final_units: None,
         }))
--- a/crates/decisions/tests/servers.rs
+++ b/crates/decisions/tests/servers.rs
@@ -217,3 +217,23 @@
         send_one(&mut n, 0);
     }
 }
+
+#[test]
+fn slow_answers_of_the_past_do_not_keep_a_node_shut_before_an_idle_fleet() {
+    let mut n = Node::new(open(), 3);
+    // Answers take 450 ms, past what sheds; then all is quiet for three seconds.
+    for _ in 0..20 {
+        let mut out: Vec<_> = (0..10).filter_map(|_| sent(&n.ask(0, 1.0).1).pop()).collect();
+        for _ in 0..15 {
+            n.wait(20 * MS);
+            n.tick();
+        }
+        out.drain(..).for_each(|(id, server)| drop(n.end_after(450 * MS, &id, 0, server, Outcome::Ok)));
+    }
+    for _ in 0..150 {
+        n.wait(20 * MS);
+        n.tick();
+    }
+    let (_, actions) = n.ask(0, 1.0);
+    assert_eq!(sent(&actions).len(), 1, "what is shed here can never show that the fleet is idle");
+}
