Hand what was learned, and who has just come back, to the next process

And a server put back by hand counted as long started in the next process: the file told only who is out.

Change: memory.rs (latency, rates, how attempts ended; no lease, no promise) is left in $TMPDIR once a second by a process whose socket is handed on, and taken up by the next if it is no older than 5 s; the file of servers held out keeps those put back too.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -7,7 +7,7 @@
 mod choice;
 mod deferral;
 mod leases;
-mod measure;
+pub(crate) mod measure;
 mod overload;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -27,7 +27,7 @@
 const FORGET: Micros = 6_000_000;
 const SWEEP: Micros = 500_000;
 /// Smoothing of demand and draw rates: a few requests of a busy customer, less than a spike lasts.
-const RATE_SPAN: f64 = 2.0e6;
+pub(crate) const RATE_SPAN: f64 = 2.0e6;
 /// Smoothing of the rate of answers: some tens of answers, and well within an overload's onset.
 const DONE_SPAN: f64 = 1.5e6;
 /// The first back-off from a failing counter.
@@ -35,7 +35,7 @@
 /// The latency assumed before the first answer.
 const LATENCY_START: f64 = 100_000.0;
 /// How long failures by kind are remembered.
-const TALLY_SPAN: f64 = 15.0e6;
+pub(crate) const TALLY_SPAN: f64 = 15.0e6;
 /// Failures are told apart by kind: classes from 0, plans from here on. There may come to be more classes.
 const PLANS: usize = 1 << 32;
 /// The most that the retry budget saves up, in further attempts.
@@ -101,7 +101,7 @@
 }
 
 #[derive(Default)]
-struct Server {
+pub(crate) struct Server {
     zone: u32,
     cell: u32,
     size: f64,
@@ -110,10 +110,10 @@
     gone: bool,
     started: Micros,
     out: VecDeque<Micros>,
-    latency: f64,
+    pub(crate) latency: f64,
     done: Rate,
     /// How attempts ended, by kind: class or plan.
-    tally: BTreeMap<usize, Tally>,
+    pub(crate) tally: BTreeMap<usize, Tally>,
     heard: Micros,
     /// When the latest of the attempts was sent that it has answered.
     answered: Micros,
@@ -129,7 +129,7 @@
 pub struct Controller {
     set: Settings,
     random: u64,
-    now: Micros,
+    pub(crate) now: Micros,
     begun: Micros,
     /// When customers and servers were last looked through.
     swept: Micros,
@@ -149,23 +149,25 @@
     parked: VecDeque<RequestId>,
     /// How long new tries of a class wait.
     patience: BTreeMap<usize, Micros>,
-    servers: BTreeMap<ServerId, Server>,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
     /// Whether a listed server is warm for sure; what such a one carries for this node, requests a second,
     /// and how long an answer usually takes there. Both stay as they were while none is warm.
     any_warm: bool,
-    carried: Rate,
-    usual: f64,
-    latency: f64,
-    deviation: f64,
+    pub(crate) carried: Rate,
+    pub(crate) usual: f64,
+    pub(crate) latency: f64,
+    pub(crate) deviation: f64,
     /// What is out at servers that answer, smoothed.
     held: f64,
     /// How attempts ended over the fleet, by kind.
-    tally: BTreeMap<usize, Tally>,
+    pub(crate) tally: BTreeMap<usize, Tally>,
     /// The share of answers and breaks over the fleet that are breaks.
     breaks: Tally,
     times: Tally,
-    sends: Rate,
+    pub(crate) sends: Rate,
     retries: f64,
+    /// What the process before this one knew of servers that are not listed here yet.
+    pub(crate) recalled: BTreeMap<ServerId, (f64, BTreeMap<usize, Tally>)>,
 }
 
 impl Controller {
--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -121,8 +121,8 @@
         }
     }
 
-    /// A long body is on its way. Danger: what is out for as long as its peers take looks like a silent server and
-    /// a full fleet, and its time like a slow one. From here on it is no part of either.
+    /// A long body is on its way. Danger: what is out for as long as its peers take looks like a silent
+    /// server and a full fleet, and its time like a slow one. From here on it is no part of either.
     pub(super) fn on_streams(&mut self, id: &RequestId, attempt: u32, answered: bool) {
         let now = self.now;
         let Some(r) = self.requests.get_mut(id) else { return };
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -35,7 +35,9 @@
             // Danger: a whole request for free at each of a hundred nodes pushes a cold server over at once.
             let slow = Bucket { store: lot(&mut self.random), at: now };
             let (started, latency) = (m.started, self.latency);
-            let new = || Server { started, latency, heard: now, slow, ..Server::default() };
+            let known = self.recalled.remove(&m.server);
+            let (latency, tally) = known.unwrap_or((latency, BTreeMap::new()));
+            let new = || Server { started, latency, tally, heard: now, slow, ..Server::default() };
             let s = self.servers.entry(m.server).or_insert_with(new);
             (s.zone, s.cell) = (m.zone, m.cell);
             s.size = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
--- a/crates/decisions/src/control/measure.rs
+++ b/crates/decisions/src/control/measure.rs
@@ -4,17 +4,17 @@
 
 /// Exponentially weighted rate, units a second.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Rate {
-    pub(super) value: f64,
-    pub(super) at: Micros,
+pub(crate) struct Rate {
+    pub(crate) value: f64,
+    pub(crate) at: Micros,
 }
 
 impl Rate {
-    pub(super) fn get(&self, now: Micros, span: f64) -> f64 {
+    pub(crate) fn get(&self, now: Micros, span: f64) -> f64 {
         self.value * (-(now.saturating_sub(self.at) as f64) / span).exp()
     }
 
-    pub(super) fn add(&mut self, now: Micros, amount: f64, span: f64) {
+    pub(crate) fn add(&mut self, now: Micros, amount: f64, span: f64) {
         self.value = self.get(now, span) + amount * 1e6 / span;
         self.at = now;
     }
@@ -22,32 +22,32 @@
 
 /// Mean of samples, forgotten over a span; of attempts that failed or not, the share that fails.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Tally {
-    pub(super) count: Rate,
-    pub(super) sum: Rate,
+pub(crate) struct Tally {
+    pub(crate) count: Rate,
+    pub(crate) sum: Rate,
 }
 
 impl Tally {
-    pub(super) fn add(&mut self, now: Micros, value: f64, span: f64) {
+    pub(crate) fn add(&mut self, now: Micros, value: f64, span: f64) {
         self.count.add(now, span / 1e6, span);
         self.sum.add(now, value * span / 1e6, span);
     }
 
     /// The mean, with `prior` as one sample of its own.
-    pub(super) fn mean(&self, now: Micros, prior: f64, span: f64) -> f64 {
+    pub(crate) fn mean(&self, now: Micros, prior: f64, span: f64) -> f64 {
         (self.sum.get(now, span) + prior) / (self.count.get(now, span) + 1.0)
     }
 }
 
 /// Token bucket.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Bucket {
-    pub(super) store: f64,
-    pub(super) at: Micros,
+pub(crate) struct Bucket {
+    pub(crate) store: f64,
+    pub(crate) at: Micros,
 }
 
 impl Bucket {
-    pub(super) fn refill(&mut self, now: Micros, rate: f64, most: f64) {
+    pub(crate) fn refill(&mut self, now: Micros, rate: f64, most: f64) {
         let span = now.saturating_sub(self.at) as f64 / 1e6;
         self.store = (self.store + rate * span).min(most);
         self.at = now;
@@ -55,17 +55,17 @@
 }
 
 /// Step of the splitmix64 generator.
-pub(super) const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+pub(crate) const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Finisher of splitmix64: names spread evenly, and the node's seeded random numbers.
-pub(super) fn mix(mut z: u64) -> u64 {
+pub(crate) fn mix(mut z: u64) -> u64 {
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     z ^ (z >> 31)
 }
 
 /// A random number of [0, 1).
-pub(super) fn lot(state: &mut u64) -> f64 {
+pub(crate) fn lot(state: &mut u64) -> f64 {
     *state = mix(state.wrapping_add(GOLDEN));
     (*state >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -59,12 +59,8 @@
     /// the requests by its warmth, and takes as many times as long by it.
     pub(super) fn slowed(&self) -> f64 {
         let listed = self.servers.values().filter(|s| s.listed);
-        let (count, warmth) = listed.fold((0.0, 0.0), |(n, w), s| (n + 1.0, w + self.warmth(s)));
-        if count > 0.0 {
-            count / f64::max(warmth, 0.05)
-        } else {
-            1.0
-        }
+        let (count, warmth) = listed.fold((1e-9, 1e-9), |(n, w), s| (n + 1.0, w + self.warmth(s)));
+        count / warmth
     }
 
     pub(super) fn shortest_aim(&self) -> f64 {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,3 +31,4 @@
 
 pub mod control;
 pub mod interface;
+pub mod memory;
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -48,7 +48,7 @@
 pub struct Node {
     pub now: Micros,
     pub node: Controller,
-    next: u32,
+    pub next: u32,
 }
 
 impl Node {
--- a/crates/decisions/tests/servers.rs
+++ b/crates/decisions/tests/servers.rs
@@ -2,7 +2,9 @@
 
 mod common;
 use common::*;
+use mountbend::control::Controller;
 use mountbend::interface::*;
+use mountbend::memory::Memory;
 
 #[test]
 fn nothing_goes_to_a_draining_or_missing_server() {
@@ -237,3 +239,26 @@
     let (_, actions) = n.ask(0, 1.0);
     assert_eq!(sent(&actions).len(), 1, "what is shed here can never show that the fleet is idle");
 }
+
+#[test]
+fn the_next_process_knows_from_its_first_request_which_server_fails() {
+    let mut old = Node::new(open(), 3);
+    // Server 0 fails whatever it is sent; the others serve. One after the other, so that no lot decides by load.
+    for _ in 0..60 {
+        let (id, server) = send_one(&mut old, 2);
+        let outcome = if server == ServerId(0) { Outcome::Error } else { Outcome::Ok };
+        old.wait(20 * MS);
+        old.end(&id, 0, server, outcome);
+    }
+    let first_ten = |memory: Option<&Memory>| {
+        let mut node = Controller::new(9, open());
+        let mut out = Vec::new();
+        memory.iter().for_each(|memory| node.recall(old.now, memory));
+        let entries = (0..3).map(|i| member(i, MemberState::In, 0)).collect();
+        node.handle(old.now, Event::Members { kind: ListKind::Whole, entries }, &mut out);
+        let mut n = Node { now: old.now, node, next: 0 };
+        (0..10).filter(|_| send_one(&mut n, 2).1 == ServerId(0)).count()
+    };
+    assert!(first_ten(None) >= 2, "a node that knows nothing sends it its part");
+    assert_eq!(first_ten(Some(&old.node.memory())), 0);
+}
--- a/crates/node/src/net/maintenance.rs
+++ b/crates/node/src/net/maintenance.rs
@@ -49,15 +49,6 @@
         }
     }
 
-    /// Takes over a set that another process has written.
-    pub fn replace(&mut self, out: BTreeMap<String, UnixMs>, now: UnixMs) {
-        for (name, since) in std::mem::replace(&mut self.out, out) {
-            if !self.out.contains_key(&name) {
-                self.back.insert(name, (now, since));
-            }
-        }
-    }
-
     /// When an app server has started, if its source says at `told` (0: long ago). Danger: one that was out was
     /// restarted, and is cold. A source that has not told of a start meanwhile will do so later or never, so the
     /// coming back counts as one. It does harm where an app server was out and not restarted: it warms up once more.
@@ -73,23 +64,38 @@
         self.back.retain(|name, _| listed(name));
     }
 
+    /// As a file holds it: `out SINCE NAME` and `back AT SINCE NAME`, a line each.
     fn text(&self) -> String {
-        self.out.iter().map(|(name, since)| format!("{since} {name}\n")).collect()
+        let out = self.out.iter().map(|(name, since)| format!("out {since} {name}\n"));
+        let back = self.back.iter().map(|(name, (at, since))| format!("back {at} {since} {name}\n"));
+        out.chain(back).collect()
+    }
+
+    /// Reads it from a file's text; a line that can't be read is passed over and told.
+    fn read(text: &str) -> Self {
+        let mut held = HeldOut::default();
+        for line in text.lines() {
+            if held.line(line).is_none() {
+                eprintln!("pinerelay: app servers held out: a line can't be read: {line:?}");
+            }
+        }
+        held
     }
-}
 
-/// The lines `SINCE NAME` of a file; what can't be read is passed over and told.
-fn read(text: &str) -> BTreeMap<String, UnixMs> {
-    let mut out = BTreeMap::new();
-    for line in text.lines() {
-        match line.split_once(' ').and_then(|(since, name)| Some((since.parse().ok()?, name))) {
-            Some((since, name)) => {
-                out.insert(name.to_string(), since);
+    fn line(&mut self, line: &str) -> Option<()> {
+        let (kind, rest) = line.split_once(' ')?;
+        let (first, rest) = rest.split_once(' ')?;
+        let first = first.parse().ok()?;
+        match kind {
+            "out" => drop(self.out.insert(rest.into(), first)),
+            "back" => {
+                let (since, name) = rest.split_once(' ')?;
+                self.back.insert(name.into(), (first, since.parse().ok()?));
             }
-            None => eprintln!("pinerelay: app servers held out: a line can't be read: {line:?}"),
+            _ => return None,
         }
+        Some(())
     }
-    out
 }
 
 /// The set, and the file that keeps it for the next process. Both may be called at while they run together.
@@ -153,7 +159,7 @@
         match fs::read_to_string(file) {
             Ok(text) => {
                 self.seen.set(modified);
-                self.held.borrow_mut().replace(read(&text), now());
+                self.held.replace(HeldOut::read(&text));
                 true
             }
             Err(error) => {
@@ -208,8 +214,13 @@
         new.call("a", Call::Include).expect("a file");
         assert!(old.refresh() && old.holds("b") && !old.holds("a"));
         assert!(old.started("a", 1) > 1, "what another process let back is cold here too");
+        assert_eq!(
+            old.started("a", 1),
+            Maintenance::new(Some(file.clone())).started("a", 1),
+            "and in the next"
+        );
         assert!(!old.refresh(), "nothing new");
-        fs::write(&file, "nonsense\n5 c\n").expect("a file");
+        fs::write(&file, "nonsense\nout 5 c\nback 6 d\n").expect("a file");
         let spoilt = Maintenance::new(Some(file));
         assert!(spoilt.holds("c"));
         fs::remove_dir_all(&folder).expect("a folder");
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod figures;
+pub mod handover;
 pub mod http;
 pub mod long;
 pub mod maintenance;
--- a/crates/node/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use mountbend::control::Controller;
 use mountbend::interface::*;
+use mountbend::memory::Memory;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -88,6 +89,11 @@
         })
     }
 
+    /// What the decisions have learned of the fleet.
+    pub fn memory(&self) -> Memory {
+        self.controller.borrow().memory()
+    }
+
     /// Whether a planned stop has begun.
     pub fn stopping(&self) -> bool {
         self.stopping.get()
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,6 @@
 //! The running node: its parts joined, signals, and the planned stop.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -23,6 +23,7 @@
 use crate::net::counter::Counter;
 use crate::net::discovery::Discovery;
 use crate::net::figures::Figures;
+use crate::net::handover::Handover;
 use crate::net::http::OnWritten;
 use crate::net::maintenance::Maintenance;
 use crate::net::members::Members;
@@ -45,6 +46,8 @@
 const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
 /// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
 const LIST_WAIT: Duration = Duration::from_secs(1);
+/// How often what was learned is left for the next process.
+const REMEMBER: Duration = Duration::from_secs(1);
 /// How often the set of app servers that are held out is looked at: well within the grace of the rule on drains.
 const SHARE_LOOKS: Duration = Duration::from_millis(200);
 /// How often a node that stops looks whether all is answered.
@@ -102,10 +105,10 @@
     }
 }
 
-/// The file in which the next process finds which app servers are held out. It is named after the address where clients
-/// connect, which both processes share and no other node has.
-fn held_out(listen: SocketAddr) -> Option<PathBuf> {
-    let name = format!("pinerelay-{}.out", listen.to_string().replace(':', "-"));
+/// A file for the next process. It is named after the address where clients connect, which both processes share and no
+/// other node has.
+fn shared_file(listen: SocketAddr, ending: &str) -> Option<PathBuf> {
+    let name = format!("pinerelay-{}.{ending}", listen.to_string().replace(':', "-"));
     std::env::var_os("TMPDIR").map(|folder| PathBuf::from(folder).join(name))
 }
 
@@ -143,12 +146,17 @@
     let clock = Rc::new(Clock::new());
     let counter_at = counter.filter(|_| settings.counter.allowed);
     let (wait, try_limit) = (settings.counter.wait, settings.limits.try_limit);
-    let controller = Controller::new(seed, settings);
+    let mut controller = Controller::new(seed, settings);
+    // Only a process whose socket is handed on is followed by another while it runs.
+    let handover = front.as_ref().and_then(|_| shared_file(at, "memory")).map(Handover::new);
+    if let Some(memory) = handover.as_ref().and_then(|handover| handover.take(&classes.names())) {
+        controller.recall(clock.now(), &memory);
+    }
     let redis_at = match (&operator.redis, &file) {
         (Some(settings), Some(file)) => Some(redis::server(settings, file)?),
         _ => None,
     };
-    let maintenance = Rc::new(Maintenance::new(ops_at.and_then(|_| held_out(at))));
+    let maintenance = Rc::new(Maintenance::new(ops_at.and_then(|_| shared_file(at, "out"))));
     let mut joined = None;
     let node = Node::new(controller, try_limit, clock.clone(), |core| {
         let sent = figures.clone();
@@ -185,15 +193,20 @@
     }
     let clients =
         Clients::new(node.clone(), servers, rules, budget.clone(), figures.clone(), &operator.front);
+    let names = Rc::new(RefCell::new(classes.names()));
     let retuned = Retuned {
         running,
         classes,
+        names: names.clone(),
         patience: patience.clone(),
         node: node.clone(),
         clients: clients.clone(),
         figures,
     };
     tokio::task::spawn_local(reload(hangup, path, file, discovery.clone(), store.clone(), retuned));
+    if let Some(handover) = handover {
+        tokio::task::spawn_local(remember(handover, names, node.clone()));
+    }
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(readiness(ops.clone(), discovery));
 
@@ -250,10 +263,25 @@
     }
 }
 
+/// Leaves what the node has learned for the process that may take over, again and again until it stops: that one starts
+/// before this one hears of it.
+async fn remember(handover: Handover, names: Rc<RefCell<Vec<String>>>, node: Rc<Node>) {
+    let mut failed = false;
+    while !node.stopping() {
+        sleep(REMEMBER).await;
+        let left = handover.leave(names.borrow().clone(), node.memory());
+        if let (Err(error), false) = (&left, failed) {
+            eprintln!("pinerelay: the next process will have to learn anew: {error}");
+        }
+        failed = left.is_err();
+    }
+}
+
 /// What new settings change in a running node.
 struct Retuned {
     running: Running,
     classes: ClassTable,
+    names: Rc<RefCell<Vec<String>>>,
     patience: Rc<Cell<Duration>>,
     node: Rc<Node>,
     clients: Rc<Clients>,
@@ -264,6 +292,7 @@
     /// Takes classes and attempts; all else in the settings waits for the next start.
     fn take(&mut self, env: &Env) {
         let numbers = self.classes.take(&env.classes);
+        self.names.replace(self.classes.names());
         env.classes.iter().for_each(|class| self.figures.name(&class.name));
         self.node.retune(self.classes.all(), env.bounds.try_limit);
         self.clients.retune(Rules::new(env, &numbers));
--- a/crates/protocol/src/classes.rs
+++ b/crates/protocol/src/classes.rs
@@ -24,6 +24,11 @@
         classes.iter().map(&mut number).collect()
     }
 
+    /// The names by number.
+    pub fn names(&self) -> Vec<String> {
+        self.entries.iter().map(|c| c.name.clone()).collect()
+    }
+
     /// The whole table, as the decisions are told.
     pub fn all(&self) -> Vec<Class> {
         self.entries.iter().cloned().map(Class::from).collect()
