Give a server in good standing that was not heard for 2 s the next request

A cold one costs some times as much as a warm one, and while others have next to nothing out it is never the cheapest; nor is one whose last answers were slow, whose figure then never changes.

Test seen to fail without it.

--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -15,6 +15,8 @@
 const CARRY_SPAN: f64 = 15.0e6;
 /// How soon own counts outweigh the lot, in attempts out at each server.
 const SEEN: f64 = 60.0;
+/// A server in good standing that has answered nothing for so long gets the next request.
+const UNHEARD: Micros = 2_000_000;
 /// How much a sure failure adds to a server's cost.
 const FAIL_COST: f64 = 10.0;
 
@@ -167,8 +169,11 @@
             let far = if s.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
             let share = |t: &Tally, prior| t.mean(now, prior, TALLY_SPAN);
             let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| share(t, prior));
-            let fails = if failing { kinds.map(risk) } else { [0.0; 2] };
-            let cost = cost * far * (1.0 + FAIL_COST * fails[0].max(fails[1])).powi(2);
+            let fails = if failing { kinds.map(risk).into_iter().fold(0.0, f64::max) } else { 0.0 };
+            // Danger: one that was slow, or is cold, is passed over for good while others have room.
+            let sound = !closed && s.strikes == 0 && fails < 0.1;
+            let unheard = sound && s.out.is_empty() && now > s.heard + UNHEARD;
+            let cost = if unheard { 0.0 } else { cost * far * (1.0 + FAIL_COST * fails).powi(2) };
             if best.is_none_or(|(c, b, _)| (closed, cost) < (c, b)) {
                 best = Some((closed, cost, key));
             }
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -7,7 +7,6 @@
 const EVIDENCE: f64 = 3.0;
 /// A request is shed when its expected latency is past this share of its aim: the cheapest and the dearest
 /// work. Work times vary about as much as their mean, hence well under the whole.
-/// Lost attempts are left out of what is held, hence 0.48 and not the half as before.
 pub(super) const SHED_CHEAPEST: f64 = 0.25;
 pub(super) const SHED_DEAREST: f64 = 0.48;
 
@@ -47,9 +46,8 @@
     }
 
     /// The mean that may weigh as evidence, and what an answer takes longer because servers are cold. Danger:
-    /// a cold server takes some times as long for a request though nothing waits there, and a fleet that is
-    /// being replaced would be taken for full. And a mean past what sheds, with all shed, gets no new answer:
-    /// remembered alone it must let in, or the node stays shut before an idle fleet.
+    /// a cold server is slow though nothing waits there, and a fleet being replaced would be taken for full.
+    /// A mean past what sheds, with all shed, gets no new answer: alone it must not shed an idle fleet.
     fn bounded(&self, mean: f64) -> (f64, f64) {
         let by_cold = self.usual * (self.slowed() - 1.0);
         (mean.min(by_cold + self.shortest_aim() * SHED_CHEAPEST), by_cold)
--- a/crates/decisions/tests/servers.rs
+++ b/crates/decisions/tests/servers.rs
@@ -262,3 +262,35 @@
     assert!(first_ten(None) >= 2, "a node that knows nothing sends it its part");
     assert_eq!(first_ten(Some(&old.node.memory())), 0);
 }
+
+#[test]
+fn a_server_that_has_come_back_is_used_though_others_have_room() {
+    let mut n = Node::new(open(), 4);
+    let serve = |n: &mut Node, rounds: usize| {
+        let (mut used, mut out) = ([0; 4], std::collections::VecDeque::new());
+        for _ in 0..rounds {
+            let (id, server) = send_one(n, 0);
+            used[server.0 as usize] += 1;
+            out.push_back((id, server));
+            n.wait(20 * MS);
+            n.tick();
+            if out.len() > 3 {
+                let (id, server) = out.pop_front().expect("an attempt");
+                n.end_after(80 * MS, &id, 0, server, Outcome::Ok);
+            }
+        }
+        out.into_iter().for_each(|(id, server)| drop(n.end_after(80 * MS, &id, 0, server, Outcome::Ok)));
+        used
+    };
+    serve(&mut n, 200);
+    let change = |n: &mut Node, state, started| {
+        let entries = vec![member(0, state, started)];
+        n.event(Event::Members { kind: ListKind::Changes, entries });
+    };
+    change(&mut n, MemberState::Draining, 0);
+    assert_eq!(serve(&mut n, 200)[0], 0);
+    let now = n.now;
+    change(&mut n, MemberState::In, now);
+    // Five seconds, with three or four out at a time: one of the others always has next to none.
+    assert!(serve(&mut n, 250)[0] >= 2, "cold, and passed over for good");
+}
