Let a stand-in box that wakes up drop the keyed repeats it had taken

Change: what a box works on once it wakes up goes past the hall's memory like everything else. Test seen to fail without it (two effects, one wanted).

--- a/crates/standins/src/boxes.rs
+++ b/crates/standins/src/boxes.rs
@@ -427,9 +427,13 @@
                         return false;
                     }
                 }
-                // Woken up: it works on what it had taken.
-                let (end, _) = self.line_up(work, Duration::ZERO);
-                Deal::Work(end, false)
+                // Woken up: it works on what it had taken, unless another of the hall has had its repeat meanwhile.
+                if self.repeats(place, key) {
+                    Deal::Repeat
+                } else {
+                    let (end, _) = self.line_up(work, Duration::ZERO);
+                    Deal::Work(end, false)
+                }
             }
             other => other,
         };
@@ -519,10 +523,8 @@
             }
             mood
         };
-        if let (Some(window), Some(key)) = (self.make.work[place].window, key) {
-            if self.hall.repeat(key, window) {
-                return Deal::Repeat;
-            }
+        if self.repeats(place, key) {
+            return Deal::Repeat;
         }
         let (end, lot) = self.line_up(work, handshake);
         match lot {
@@ -531,6 +533,12 @@
         }
     }
 
+    /// Whether the hall drops it as a repeat; if not, its key is remembered.
+    fn repeats(&self, place: usize, key: Option<u64>) -> bool {
+        let keyed = self.make.work[place].window.zip(key);
+        keyed.is_some_and(|(window, key)| self.hall.repeat(key, window))
+    }
+
     /// Puts work in the line for a core; when it will be done, and a lot for what then goes wrong.
     fn line_up(&self, work: f64, handshake: Duration) -> (Instant, f64) {
         let now = self.recorder.now();
--- a/crates/standins/tests/foreign.rs
+++ b/crates/standins/tests/foreign.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use pinerelay_evidence::{Counted, Listed, Recorder, Seen};
+use pinerelay_evidence::{Counted, Listed, Record, Recorder, Seen};
 use pinerelay_standins::boxes::{made_by, Hall, Make, StandinBox, Work};
 use pinerelay_standins::counter::{self, Counter};
 use pinerelay_standins::discovery::{Discovery, Entry};
@@ -274,6 +274,32 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
+#[tokio::test]
+async fn of_keyed_repeats_that_a_hanging_box_had_taken_one_alone_runs() {
+    let (made, recorder) = a_box(make(), false).await;
+    made.feel(|m| m.hangs += 1);
+    let mut asked = tokio::task::JoinSet::new();
+    for n in [4, 5] {
+        let mut to = hyper_to(made.address(0)).await;
+        asked.spawn(async move {
+            let headers = [("x-request-id", id(n)), ("idempotency-key", id(9))];
+            let headers: Vec<_> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+            ask(&mut to, "/slip", &headers).await.expect("an answer").status
+        });
+    }
+    let mut seen = Vec::new();
+    while seen.iter().filter(|r: &&Record| matches!(r.seen, Seen::Arrived { .. })).count() < 2 {
+        tokio::task::yield_now().await;
+        seen.extend(recorder.take());
+    }
+    made.feel(|m| m.hangs -= 1);
+    while let Some(status) = asked.join_next().await {
+        assert_eq!(status.expect("no panic"), StatusCode::OK);
+    }
+    let ran = recorder.take().iter().filter(|r| matches!(r.seen, Seen::Ran { .. })).count();
+    assert_eq!(ran, 1, "an effect that happened twice");
+}
+
 #[tokio::test]
 async fn a_cold_box_that_is_pushed_falls_over_and_stays_down() {
     let mut make = make();
