Read a configuration once: what is checked is what is taken

A file replaced in between could have been taken with a key gone. It is read and checked once now, at the start too.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -184,22 +184,24 @@
 impl Running {
     /// Reads the configuration that a node starts with.
     pub fn start(path: &Path) -> Result<(Self, Config), StartError> {
-        let config = read(path)?;
-        Ok((Running(read(path)?), config))
+        let text = text(path)?;
+        Ok((Running(parse(path, &text)?), parse(path, &text)?))
     }
 
     /// Reads one that has replaced it, for a running node: whole and usable, or an error. Danger: half of a file that
     /// is being written, or one with a key gone, must change nothing, not even an address.
-    pub fn next(&self, path: &Path) -> Result<(Self, Config), StartError> {
-        let value: Value = read(path)?;
+    pub fn next(&self, path: &Path) -> Result<(Self, Config, Checked), StartError> {
+        // Danger: read twice, the file may be another the second time, and what was checked is not what is taken.
+        let text = text(path)?;
+        let value: Value = parse(path, &text)?;
         if let Some(key) = missing(&self.0, &value, "") {
             return Err(StartError::Missing(path.into(), key));
         }
-        let config: Config = read(path)?;
-        config.checked()?;
+        let config: Config = parse(path, &text)?;
+        let checked = config.checked()?;
         match unfit(&config.settings) {
             Some(why) => Err(StartError::Unfit(path.into(), why)),
-            None => Ok((Running(value), config)),
+            None => Ok((Running(value), config, checked)),
         }
     }
 }
@@ -256,6 +258,13 @@
 }
 
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, StartError> {
-    let text = std::fs::read(path).map_err(|e| StartError::Unreadable(path.into(), e))?;
-    serde_json::from_slice(&text).map_err(|e| StartError::Malformed(path.into(), e))
+    parse(path, &text(path)?)
+}
+
+fn text(path: &Path) -> Result<Vec<u8>, StartError> {
+    std::fs::read(path).map_err(|e| StartError::Unreadable(path.into(), e))
+}
+
+fn parse<T: DeserializeOwned>(path: &Path, text: &[u8]) -> Result<T, StartError> {
+    serde_json::from_slice(text).map_err(|e| StartError::Malformed(path.into(), e))
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -312,10 +312,7 @@
     mut retuned: Retuned,
 ) {
     while hangup.recv().await.is_some() {
-        let next = retuned.running.next(&path).and_then(|(running, config)| {
-            let checked = config.checked()?;
-            Ok((running, config, checked))
-        });
+        let next = retuned.running.next(&path);
         retuned.figures.reloaded(next.is_ok());
         match next {
             Ok((running, config, Checked { discovery: at, counter: counts, .. })) => {
