Give cold servers what a sound warm one carries, and slow ones a second look

Five are cold, believed to bear 0.88 of a warm one, and answer 122 requests a second in 84 ms. Two are warm and hang or fail; they are sent 90 of 276 requests a second, because the cold ones' parts of what is sent are spent. From 20 s on these two are well and get 4 to 16 a second: their latency is one of their bad time, and one request in 2 s does not change it.

Change: a cold server's part is of what is sent to a warm one or of what a sound one has carried, whichever is more, times 1.4; the rule allows three times what a server can do, and the part is by the least it can. An answer in time after 2 s of silence takes a server's latency back to the fleet's. Tests seen to fail without each (119 of 200 requests to failing servers, now 98; 2 of 300 to a server that is well again).

--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -42,7 +42,7 @@
     }
 
     pub(super) fn on_ended(&mut self, end: Ended, out: &mut Vec<Action>) {
-        let now = self.now;
+        let (now, hush) = (self.now, self.hush());
         let Some(r) = self.requests.get_mut(&end.id) else { return };
         let Some(a) = r.attempts.get_mut(end.attempt as usize) else { return };
         if !a.out {
@@ -94,6 +94,11 @@
                 if s.latency < 2.0 * self.latency {
                     self.times.add(now, sample, MEAN_SPAN);
                 }
+                // Danger: a slow one gets next to nothing, and its figure would take minutes to tell that it
+                // is well again. An answer in time after a long silence tells that the figure is old.
+                if now > s.heard + hush && sample < 2.0 * self.latency {
+                    s.latency = s.latency.min(self.latency.max(sample));
+                }
                 s.latency += (sample - s.latency) * LATENCY_GAIN;
                 s.done.add(now, 1.0, DONE_SPAN);
                 s.answered = s.answered.max(sent);
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -9,6 +9,8 @@
 const EJECT_MAX: Micros = 6_400_000;
 /// A cold server no slower than the fleet gets this much over its sure share; far under the fall multiple.
 const COLD_PACE: f64 = 1.5;
+/// What a cold server may take, in its part of what is sent: the part is by the least that it can do.
+const COLD_ROOM: f64 = 1.4;
 /// Where no server is warm, what they are sent may grow by this much over what they answer.
 const COLD_GROWTH: f64 = 1.5;
 /// Smoothing of what a warm server carries: over minutes of a rush, and little of a crash's last moments.
@@ -65,18 +67,21 @@
         let warm = |s: &&Server| s.listed && (s.started == 0 || now >= s.started.saturating_add(cold));
         let (mut count, mut done) = (0.0, 0.0);
         let each = |s: &Server| (count, done) = (count + 1.0, done + s.done.get(now, DONE_SPAN));
-        self.servers.values().filter(warm).for_each(each);
-        self.any_warm = count > 0.0;
+        let sound = |s: &&Server| s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
+        self.servers.values().filter(warm).filter(sound).for_each(each);
+        self.any_warm = self.servers.values().any(|s| warm(&s));
         let gain = 1.0 - (-(now.saturating_sub(self.carried.at) as f64) / CARRY_SPAN).exp();
         self.carried.at = now;
-        if self.any_warm {
+        if count > 0.0 {
             self.carried.value += (done / count - self.carried.value) * gain;
             let slowed = self.slowed();
             self.usual += (self.times.mean(now, self.usual * slowed, MEAN_SPAN) / slowed - self.usual) * gain;
         }
     }
 
-    /// What this node sends a second to a warm server, in the mean.
+    /// What this node sends a second to a warm server, in the mean, or what a sound warm one has carried, with
+    /// the room that cold ones have beyond their sure part. Danger: where warm ones fail, all that cold ones
+    /// are not given goes to these.
     /// Danger: a fleet that is cold as a whole (after a power cut) has no warm one to tell, and a part of
     /// next to nothing is nothing: it would idle until it is warm by the clock. There it is what a warm one
     /// carried last, or, at all nodes together, one request after the other, or a little more than is
@@ -85,7 +90,8 @@
         let listed = self.servers.values().filter(|s| s.listed);
         if self.any_warm {
             let warmth: f64 = listed.map(|s| self.warmth(s)).sum();
-            return self.sends.get(self.now, RATE_SPAN) / warmth.max(1.0);
+            let mean = self.sends.get(self.now, RATE_SPAN) / warmth.max(1.0);
+            return mean.max(self.carried.value) * COLD_ROOM;
         }
         let sum = |(w, d), s: &Server| (w + self.warmth(s), d + s.done.get(self.now, DONE_SPAN));
         let (warmth, done) = listed.fold((0.0, 0.0), sum);
@@ -126,6 +132,13 @@
         s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
     }
 
+    /// After how long without an answer what is known of a server is old.
+    pub(super) fn hush(&self) -> Micros {
+        let listed = self.servers.values().filter(|s| s.listed).count() as f64;
+        let turn = listed / self.sends.get(self.now, RATE_SPAN).max(1e-3) * 1e6;
+        UNHEARD.max((UNHEARD_TURNS * turn) as Micros)
+    }
+
     /// The server where an attempt should do best, or none that may take it.
     pub(super) fn choose(&mut self, id: &RequestId, not: Option<ServerId>) -> Option<ServerId> {
         let r = self.requests.get(id)?;
@@ -141,8 +154,7 @@
             .for_each(|s| (held, listed) = (held + s.out.len(), listed + usize::from(s.listed)));
         let blind = 1.0 / (1.0 + (held as f64 / listed.max(1) as f64 / SEEN).powi(2));
         let now = self.now;
-        let turn = listed as f64 / self.sends.get(now, RATE_SPAN).max(1e-3) * 1e6;
-        let hush = UNHEARD.max((UNHEARD_TURNS * turn) as Micros);
+        let hush = self.hush();
         let common = |kind| (kind, self.tally.get(&kind).map_or(0.0, |t| t.mean(now, 0.0, TALLY_SPAN)));
         let kinds = [r.class, PLANS + r.plan].map(common);
         let failing = kinds.iter().any(|k| k.1 > 0.01);
--- a/crates/decisions/tests/large_fleet.rs
+++ b/crates/decisions/tests/large_fleet.rs
@@ -20,10 +20,10 @@
     for seed in 1..=2 {
         let mut fleet = Fleet::new(seed, LARGE);
         let from = fleet.now + 3 * SECOND;
-        fleet.play(from + 12 * SECOND);
+        fleet.play(from + 15 * SECOND);
         let (uneven, used) = (fleet.uneven(from), fleet.used(from));
         assert!(uneven < 1.4, "seed {seed}: one box was sent {uneven:.2} times the mean");
-        assert!(used > 0.75, "seed {seed}: {used:.2} of what clients offered was served");
+        assert!(used > 0.95, "seed {seed}: {used:.2} of what clients offered was served");
     }
 }
 
--- a/crates/decisions/tests/servers.rs
+++ b/crates/decisions/tests/servers.rs
@@ -294,3 +294,58 @@
     // Five seconds, with three or four out at a time: one of the others always has next to none.
     assert!(serve(&mut n, 250)[0] >= 2, "cold, and passed over for good");
 }
+
+/// Sends one request after the other, 50 a second, for a while; `answer` gives how it ends and after how long. Gives what
+/// each server got.
+fn steadily(n: &mut Node, span: Micros, mut answer: impl FnMut(ServerId) -> (Micros, Outcome)) -> [usize; 4] {
+    let (mut used, mut out) = ([0; 4], Vec::new());
+    let until = n.now + span;
+    while n.now < until || !out.is_empty() {
+        if n.now < until {
+            if let Some((id, server)) = sent(&n.ask(2, 1.0).1).pop() {
+                used[server.0 as usize] += 1;
+                let (spent, outcome) = answer(server);
+                out.push((n.now + spent, spent, id, server, outcome));
+            }
+        }
+        n.wait(20 * MS);
+        n.tick();
+        let now = n.now;
+        let (over, still): (Vec<_>, Vec<_>) = out.drain(..).partition(|o| o.0 <= now);
+        out = still;
+        over.into_iter().for_each(|(_, spent, id, server, outcome)| {
+            n.end_after(spent, &id, 0, server, outcome);
+        });
+    }
+    used
+}
+
+#[test]
+fn where_warm_servers_fail_cold_ones_take_what_warm_ones_have_carried() {
+    let mut n = Node::new(open(), 4);
+    steadily(&mut n, 20 * SECOND, |_| (60 * MS, Outcome::Ok));
+    // Two start again, cold; 8 s later each surely has 0.63 of its capacity, and the warm two begin to fail.
+    let entries = (2..4).map(|i| member(i, MemberState::In, n.now)).collect();
+    n.event(Event::Members { kind: ListKind::Changes, entries });
+    let spent = |s: ServerId| if s.0 < 2 { 60 * MS } else { 90 * MS };
+    steadily(&mut n, 8 * SECOND, |s| (spent(s), Outcome::Ok));
+    let fail = |s: ServerId| (spent(s), if s.0 < 2 { Outcome::Error } else { Outcome::Ok });
+    let used = steadily(&mut n, 4 * SECOND, fail);
+    let failed = used[0] + used[1];
+    // 200 requests; the cold two surely bear 0.73 of the 50 that each of four carried.
+    assert!(
+        failed <= 108,
+        "{failed} of {} were sent to servers that fail: {used:?}",
+        used.iter().sum::<usize>()
+    );
+}
+
+#[test]
+fn a_server_that_was_slow_is_used_again_soon_after_it_is_well() {
+    let mut n = Node::new(open(), 4);
+    steadily(&mut n, 5 * SECOND, |_| (60 * MS, Outcome::Ok));
+    let slow = |s: ServerId| (if s.0 == 0 { 400 * MS } else { 60 * MS }, Outcome::Ok);
+    steadily(&mut n, 10 * SECOND, slow);
+    let used = steadily(&mut n, 6 * SECOND, |_| (60 * MS, Outcome::Ok));
+    assert!(used[0] >= 30, "{} of {} requests in 6 s", used[0], used.iter().sum::<usize>());
+}
