--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -79,9 +79,9 @@
         }
     }
 
-    /// What this node sends a second to a warm server, in the mean, or what a sound warm one has carried, with
-    /// the room that cold ones have beyond their sure part. Danger: where warm ones fail, all that cold ones
-    /// are not given goes to these.
+    /// What this node sends a second to a warm server, in the mean, or what a sound one has carried, with the
+    /// room that cold ones have beyond their sure part.
+    /// Danger: where warm ones fail, all that cold ones are not given goes to these.
     /// Danger: a fleet that is cold as a whole (after a power cut) has no warm one to tell, and a part of
     /// next to nothing is nothing: it would idle until it is warm by the clock. There it is what a warm one
     /// carried last, or, at all nodes together, one request after the other, or a little more than is
