Share one limit of descriptors among the processes of an upgrade

Need: while two processes run they count as one node, and each kept to the whole limit for itself (196 of 384 seen at most, nothing kept it under 768).

Change: net/seats.rs. Each process claims a part in a file that it holds locked; a function without I/O decides under one lock, so claims together never pass the limit, and a crash frees its own at once. The budget can be resized: what is idle beyond it is closed, what is in work ends first. Alone all, of two half each, one that stops keeps what it needs and the other has the rest; ready waits for a quarter of the limit. Unwritable TMPDIR: one line in the log, as before otherwise.

Tests: claims over 2,000 random orders of starts, looks, stops and deaths; two real processes under a crowd of 65 with a limit of 150, each at 75 at most, and all free after SIGKILL. Seen to fail without the change (the old one stays over its half).

--- a/crates/node/src/net/budget.rs
+++ b/crates/node/src/net/budget.rs
@@ -16,8 +16,13 @@
 
 /// How many connections may be open, and are.
 pub struct Budget {
-    most: usize,
-    for_clients: usize,
+    /// Descriptors that are kept back, and the part of the rest that clients may hold.
+    kept_back: usize,
+    client_share: f64,
+    /// Of how many descriptors.
+    allowed: Cell<usize>,
+    most: Cell<usize>,
+    for_clients: Cell<usize>,
     used: Cell<usize>,
     clients: Cell<usize>,
     eased: Notify,
@@ -42,22 +47,53 @@
     /// request in work needs one on either side.
     /// `more` are kept back beside those that every node needs.
     pub fn new(descriptors: usize, more: usize, client_share: f64) -> Rc<Self> {
-        let most = descriptors.saturating_sub(KEPT_BACK + more).max(4);
-        Rc::new(Budget {
-            most,
-            for_clients: ((most as f64 * client_share) as usize).max(2),
+        let budget = Budget {
+            kept_back: KEPT_BACK + more,
+            client_share,
+            allowed: Cell::new(0),
+            most: Cell::new(0),
+            for_clients: Cell::new(0),
             used: Cell::new(0),
             clients: Cell::new(0),
             eased: Notify::new(),
             tickets: Cell::new(0),
             fresh: Cell::new(0),
             idle: RefCell::default(),
-        })
+        };
+        budget.resize(descriptors);
+        Rc::new(budget)
+    }
+
+    /// The process may hold so many descriptors from now on. What is open beyond that stays until it ends.
+    pub fn resize(&self, descriptors: usize) {
+        if descriptors == self.allowed.replace(descriptors) {
+            return;
+        }
+        let most = descriptors.saturating_sub(self.kept_back).max(4);
+        self.most.set(most);
+        self.for_clients.set(((most as f64 * self.client_share) as usize).max(2));
+        self.ease();
+    }
+
+    /// How many descriptors the process may hold.
+    pub fn allowed(&self) -> usize {
+        self.allowed.get()
+    }
+
+    /// How many it holds, with those that are kept back.
+    pub fn held(&self) -> usize {
+        self.kept_back + self.used.get()
+    }
+
+    /// How many connections it holds beyond what it may, of all and of clients.
+    pub fn excess(&self) -> (usize, usize) {
+        let beyond = |held: &Cell<usize>, most: &Cell<usize>| held.get().saturating_sub(most.get());
+        (beyond(&self.used, &self.most), beyond(&self.clients, &self.for_clients))
     }
 
     /// A slot for a client's connection, if one is free.
     pub fn for_client(self: &Rc<Self>) -> Option<Slot> {
-        (self.clients.get() < self.for_clients).then(|| self.take(true)).flatten()
+        (self.clients.get() < self.for_clients.get()).then(|| self.take(true)).flatten()
     }
 
     /// A slot for a connection to an app server, if one is free.
@@ -66,7 +102,7 @@
     }
 
     fn take(self: &Rc<Self>, client: bool) -> Option<Slot> {
-        if self.used.get() >= self.most {
+        if self.used.get() >= self.most.get() {
             return None;
         }
         self.used.set(self.used.get() + 1);
@@ -76,7 +112,7 @@
 
     /// Whether the whole is used up, and not just the clients' part.
     pub fn exhausted(&self) -> bool {
-        self.used.get() >= self.most
+        self.used.get() >= self.most.get()
     }
 
     /// Waits for a slot, closing one connection after the other to free it. Danger: waiting for freed slots
@@ -142,7 +178,7 @@
     /// half of all are too new to tell, these are waited for. With fewer, waiting would keep out the others.
     pub fn close_an_idle_client(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let flood = self.fresh.get() * 2 >= self.for_clients;
+        let flood = self.fresh.get() * 2 >= self.for_clients.get();
         let first = idle.first_entry().filter(|first| !first.key().0 || !flood);
         let first = first.map(|first| first.remove_entry());
         first.is_some_and(|(_, close)| {
@@ -170,6 +206,20 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_is_open_stays_when_the_budget_shrinks_and_nothing_new_is_let_in() {
+        let budget = Budget::new(KEPT_BACK + 20, 0, 0.5);
+        let mut slots: Vec<_> = (0..8).map(|_| budget.for_client().expect("a slot")).collect();
+        budget.resize(KEPT_BACK + 10);
+        assert_eq!(budget.excess(), (0, 3));
+        assert!(budget.for_client().is_none());
+        assert!(budget.for_server().is_some(), "8 of 10 are used");
+        slots.truncate(4);
+        assert_eq!(budget.excess(), (0, 0));
+        assert!(budget.for_client().is_some());
+        assert_eq!(budget.held(), KEPT_BACK + 4);
+    }
+
     #[test]
     fn a_kept_connection_makes_room_unless_half_of_all_are_too_new_to_tell() {
         let budget = Budget::new(KEPT_BACK + 20, 0, 0.6);
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -16,4 +16,5 @@
 pub mod ports;
 pub mod redis;
 pub mod reuse;
+pub mod seats;
 pub mod servers;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -31,6 +31,7 @@
 use crate::net::ops::{Ops, CALLERS};
 use crate::net::ports::{Core, QuotaStore};
 use crate::net::redis;
+use crate::net::seats::{enough, Seats};
 use crate::net::servers::Servers;
 use crate::operator::Operator;
 use crate::strict::FileError;
@@ -191,8 +192,9 @@
         tokio::task::spawn_local(ops.clone().serve(listener));
         tokio::task::spawn_local(share(maintenance, members));
     }
+    let seats = if handed_on { shared_file(at, "x").and_then(|path| sit(path, sockets)) } else { None };
     let clients =
-        Clients::new(node.clone(), servers, rules, budget.clone(), figures.clone(), &operator.front);
+        Clients::new(node.clone(), servers.clone(), rules, budget.clone(), figures.clone(), &operator.front);
     let names = Rc::new(RefCell::new(classes.names()));
     let retuned = Retuned {
         running,
@@ -207,8 +209,14 @@
     if let Some(handover) = handover {
         tokio::task::spawn_local(remember(handover, names, node.clone()));
     }
+    if let Some(seats) = seats {
+        budget.resize(seats.claimed());
+        tokio::task::spawn_local(keep_to(seats, budget.clone(), node.clone(), servers));
+    }
     let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
-    tokio::task::spawn_local(readiness(ops.clone(), discovery));
+    let room = budget.clone();
+    let ready = move || discovery.heard() && enough(room.allowed(), sockets);
+    tokio::task::spawn_local(readiness(ops.clone(), ready));
 
     either(&mut terminate, &mut interrupt).await;
     let last = Instant::now() + patience.get().min(operator.stop.patience.0) + PATIENCE_OVER;
@@ -243,16 +251,37 @@
     Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0))
 }
 
-/// Says that this process takes clients once it knows the app servers, or has waited long enough for them. Danger: the
+/// Says that this process takes clients once it knows the app servers and has descriptors to serve with, or has waited long enough for them. Danger: the
 /// process before it is stopped upon this word, and the list that a node starts with may be old.
-async fn readiness(ops: Rc<Ops>, discovery: Rc<Discovery>) {
+async fn readiness(ops: Rc<Ops>, ready: impl Fn() -> bool) {
     let begun = Instant::now();
-    while !discovery.heard() && begun.elapsed() < LIST_WAIT {
+    while !ready() && begun.elapsed() < LIST_WAIT {
         sleep(LAST_LOOKS).await;
     }
     ops.ready(true);
 }
 
+/// A seat among the processes that share this address and its limit of descriptors. Without one this process keeps to the
+/// limit as if it were alone.
+fn sit(path: PathBuf, limit: usize) -> Option<Seats> {
+    let seats = Seats::take(path, limit);
+    seats
+        .map_err(|error| eprintln!("pinerelay: descriptors are not shared with a next process: {error}"))
+        .ok()
+}
+
+/// Holds no more than the seat allows; what is idle beyond that is closed.
+async fn keep_to(seats: Seats, budget: Rc<Budget>, node: Rc<Node>, servers: Rc<Servers>) {
+    let apply = |most| {
+        budget.resize(most);
+        // A client's connection ends a moment after it is told to.
+        let (all, clients) = budget.excess();
+        let closed = (0..all).take_while(|_| servers.close_an_idle()).count();
+        let _told = (0..clients.max(all - closed)).take_while(|_| budget.close_an_idle_client()).count();
+    };
+    seats.keep(|| (budget.held(), node.stopping()), apply).await;
+}
+
 /// Looks again and again which app servers the other process of an upgrade was told to hold out or let back.
 async fn share(maintenance: Rc<Maintenance>, members: Rc<Members>) {
     loop {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -559,6 +559,11 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Waits for the node's end.
     pub fn end(mut self) -> (ExitStatus, String) {
         let mut rest = String::new();
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -278,6 +278,40 @@
     b.no_request();
 }
 
+#[test]
+fn two_processes_together_keep_to_the_descriptors_of_one() {
+    let folder = Folder::new();
+    let app = App::new();
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    let limit = 150;
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 64, "sockets": limit});
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let old = Edge::inheriting(&config, &folder.0, &platform);
+    let crowd = |from: &Edge, name: &str| -> Vec<Client> {
+        let each = |number| {
+            let mut client = from.client();
+            served(&app, &mut client, &ask("post", &format!("{name}-{number}")));
+            client
+        };
+        (0..65).map(each).collect()
+    };
+    let first = crowd(&old, "a");
+    assert!(old.descriptors() > limit / 2, "{}", old.descriptors());
+    let new = Edge::inheriting(&config, &folder.0, &platform);
+    until("ready", || new.call("GET", "/api/ready", "").0 == 200);
+    until("the old one keeps to its half", || old.descriptors() <= limit / 2);
+    let second = crowd(&new, "b");
+    let held = (old.descriptors(), new.descriptors());
+    assert!(held.0 <= limit / 2 && held.1 <= limit / 2, "{held:?}");
+    // Killed: all is the new one's.
+    old.signal("KILL");
+    drop((first, second));
+    until("all is the new one's", || {
+        let third = crowd(&new, "c");
+        third.len() == 65 && new.descriptors() > limit / 2
+    });
+}
+
 #[test]
 fn a_descriptor_that_is_no_listening_socket_ends_the_node_with_one_plain_line() {
     for fd in ["5", "two"] {
