Draw a cold server more readily where the lot rules, so that it gets its part

Cause: where the lot rules, a cold server is drawn by its warmth and passed over until its bucket holds a request.

Change: while its bucket holds one it is drawn 1.6 times as readily, by the weight of the lot; with few nodes nothing changes.

--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -11,6 +11,9 @@
 const COLD_PACE: f64 = 1.5;
 /// What a cold server may take, in its part of what is sent: the part is by the least that it can do.
 const COLD_ROOM: f64 = 1.4;
+/// Where the lot rules, a cold server whose part is saved up is drawn by so much more readily. Danger: drawn by
+/// its part and held to its part, it gets half.
+const COLD_DRAWN: f64 = 0.6;
 /// Where no server is warm, what they are sent may grow by this much over what they answer.
 const COLD_GROWTH: f64 = 1.5;
 /// Smoothing of what a warm server carries: over minutes of a rush, and little of a crash's last moments.
@@ -182,7 +185,8 @@
             let load = s.out.iter().filter(|&&sent| sent >= s.ejected).count() as f64;
             let slowness = (s.latency / self.latency).clamp(0.25, 4.0);
             let lot = -(1.0 - lot(&mut self.random)).ln();
-            let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.size * warmth.max(0.05));
+            let saved = if warmth < 1.0 { 1.0 + COLD_DRAWN * blind } else { 1.0 };
+            let cost = slowness * (load + 1.0 - blind + blind * lot) / (s.size * warmth.max(0.05) * saved);
             let far = if s.zone == self.set.zone { 1.0 } else { 1.0 + 2.0 * self.set.cross_zone_price };
             let share = |t: &Tally, prior| t.mean(now, prior, TALLY_SPAN);
             let risk = |(kind, prior)| s.tally.get(&kind).map_or(prior, |t| share(t, prior));
--- a/crates/decisions/tests/common/fleet.rs
+++ b/crates/decisions/tests/common/fleet.rs
@@ -318,4 +318,16 @@
         let since: Vec<_> = self.served.iter().filter(|s| s.0 >= from).collect();
         since.iter().filter(|s| s.1 <= most).count() as f64 / since.len().max(1) as f64
     }
+
+    /// Of what was sent from `from` to `to`, the part that went to cold boxes, beside their part of what all could do.
+    pub fn cold_part(&self, from: Micros, to: Micros) -> f64 {
+        let on: Vec<_> = self.boxes.iter().filter(|b| b.on).collect();
+        let sent = |b: &&&BoxUnderTest| b.sent.iter().filter(|&&at| at >= from && at < to).count() as f64;
+        let could = |b: &&&BoxUnderTest| (b.share(from) + b.share(to)) / 2.0 * b.capacity;
+        let cold = |of: &dyn Fn(&&&BoxUnderTest) -> f64| {
+            let part: f64 = on.iter().filter(|b| b.started.is_some()).map(|b| of(&b)).sum();
+            part / on.iter().map(|b| of(&b)).sum::<f64>()
+        };
+        cold(&sent) / cold(&could)
+    }
 }
--- a/crates/decisions/tests/large_fleet.rs
+++ b/crates/decisions/tests/large_fleet.rs
@@ -36,5 +36,8 @@
         fleet.play(at + 20 * SECOND);
         let pressed = fleet.most_pressed();
         assert!(pressed < 2.0, "seed {seed}: a cold box was sent {pressed:.2} times what it could do");
+        // From 3 to 11 s after the last of them started.
+        let part = fleet.cold_part(at + 6 * SECOND, at + 14 * SECOND);
+        assert!(part > 1.0, "seed {seed}: cold boxes got {part:.2} of their part");
     }
 }
