--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -11,8 +11,8 @@
 const COLD_PACE: f64 = 1.5;
 /// What a cold server may take, in its part of what is sent: the part is by the least that it can do.
 const COLD_ROOM: f64 = 1.4;
-/// Where the lot rules, a cold server whose part is saved up is drawn by so much more readily. Danger: drawn by
-/// its part and held to its part, it gets half.
+/// Where the lot rules, a cold server whose part is saved up is drawn by so much more readily. Danger: drawn
+/// by its part and held to its part, it gets less.
 const COLD_DRAWN: f64 = 0.6;
 /// Where no server is warm, what they are sent may grow by this much over what they answer.
 const COLD_GROWTH: f64 = 1.5;
