Give bodies and listening sockets modules of their own, so that none names its user

Need: two circles came in: net/http.rs and net/long.rs name each other (why a body was not taken in), and net/ops.rs names run.rs (how to listen).

Change: net/body.rs takes bodies in whole and says why one was not; net/listen.rs has the inherited socket and the own one.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -26,9 +26,9 @@
 
 use crate::operator::Front;
 
+use super::body::BadBody;
 use super::budget::{Budget, Slot, Ticket};
 use super::figures::{self, Figures};
-use super::http::BadBody;
 use super::long::{take, Download, Outgoing, Taken, Upload, STUCK};
 use super::node::{Node, FAIL_BEFORE};
 use super::ports::{Answer, Forward, Payload};
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -14,7 +14,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
-use super::http::{whole, Connection};
+use super::body::whole;
+use super::http::Connection;
 use super::members::Members;
 use super::ports::MemberSource;
 
--- /dev/null
+++ b/crates/node/src/net/listen.rs
@@ -0,0 +1,38 @@
+//! Listening sockets: one that was handed on, or one of this process's own.
+
+use std::net::SocketAddr;
+
+use tokio::net::{TcpListener, TcpSocket};
+
+use crate::config::StartError;
+
+/// The listening socket that this process was started with, if any: the descriptor that PROXY_FD names, or the first of
+/// systemd's LISTEN_FDS (sd_listen_fds(3)).
+pub fn inherited() -> Result<Option<std::net::TcpListener>, StartError> {
+    if let Ok(fd) = std::env::var("PROXY_FD") {
+        let number = fd.parse::<u16>().ok().filter(|&n| n > 2);
+        let number =
+            number.ok_or_else(|| StartError::Inherited(format!("{fd:?} is no descriptor from 3 on")))?;
+        // What the crate reads; no other thread runs yet.
+        std::env::remove_var("LISTEN_PID");
+        std::env::set_var("LISTEN_FDS_FIRST_FD", number.to_string());
+        std::env::set_var("LISTEN_FDS", "1");
+    }
+    let mut handed = listenfd::ListenFd::from_env();
+    match handed.take_tcp_listener(0) {
+        Ok(None) => Ok(None),
+        Ok(Some(listener)) => {
+            listener.set_nonblocking(true).map_err(StartError::System)?;
+            Ok(Some(listener))
+        }
+        Err(error) => Err(StartError::Inherited(error.to_string())),
+    }
+}
+
+/// Listens at this address, with so many connections waiting at most.
+pub fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
--- a/crates/node/src/net/long.rs
+++ b/crates/node/src/net/long.rs
@@ -14,8 +14,8 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant, Sleep};
 
+use super::body::{bad_body, BadBody};
 use super::figures::{self, Figures, Pending};
-use super::http::{bad_body, BadBody};
 
 /// No body is longer: 32 MB, and what a careless sender counts on top.
 pub const LONGEST: u64 = 34_000_000;
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets round the decisions: one file for each kind of peer, and the node that joins them.
 
+pub mod body;
 pub mod budget;
 pub mod clients;
 pub mod clock;
@@ -8,6 +9,7 @@
 pub mod figures;
 pub mod handover;
 pub mod http;
+pub mod listen;
 pub mod long;
 pub mod maintenance;
 pub mod members;
--- a/crates/node/src/net/ops.rs
+++ b/crates/node/src/net/ops.rs
@@ -19,8 +19,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::body::{whole, BadBody};
 use super::figures::Figures;
-use super::http::whole;
+use super::listen::listen;
 use super::maintenance::{Call, Maintenance};
 use super::members::Members;
 
@@ -56,7 +57,7 @@
 
     /// Listens at this address.
     pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-        crate::run::listen(address, 64)
+        listen(address, 64)
     }
 
     /// Answers callers for ever.
@@ -135,8 +136,7 @@
         let unreadable =
             |_| (StatusCode::BAD_REQUEST, "the body is to hold an app server's id\n".to_string());
         let body = whole(body, BODY_MOST).await.map_err(unreadable)?;
-        let name =
-            std::str::from_utf8(&body).map_err(|_| unreadable(super::http::BadBody::Malformed))?.trim();
+        let name = std::str::from_utf8(&body).map_err(|_| unreadable(BadBody::Malformed))?.trim();
         if !self.members.known(name) && !self.maintenance.holds(name) {
             return Err((StatusCode::NOT_FOUND, format!("no app server {name:?} is known here\n")));
         }
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -16,9 +16,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
+use super::body::BadBody;
 use super::budget::{Budget, Slot};
 use super::clock::Clock;
-use super::http::{framed, BadBody, Broken, Connection, OnWritten, Sent};
+use super::http::{framed, Broken, Connection, OnWritten, Sent};
 use super::long::{take, Download, End, Taken};
 use super::node::STOP_BEFORE;
 use super::ports::{Core, Forward, Payload, Upstream};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,7 +11,7 @@
 use pinerelay_protocol::classes::ClassTable;
 use pinerelay_protocol::request::Rules;
 use pinerelay_protocol::settings::Env;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::{sleep, Instant};
@@ -25,6 +25,7 @@
 use crate::net::figures::Figures;
 use crate::net::handover::Handover;
 use crate::net::http::OnWritten;
+use crate::net::listen::{inherited, listen};
 use crate::net::maintenance::Maintenance;
 use crate::net::members::Members;
 use crate::net::node::{Node, Peers};
@@ -83,29 +84,6 @@
     }
 }
 
-/// The listening socket that this process was started with, if any: the descriptor that PROXY_FD names, or the first of
-/// systemd's LISTEN_FDS (sd_listen_fds(3)).
-fn inherited() -> Result<Option<std::net::TcpListener>, StartError> {
-    if let Ok(fd) = std::env::var("PROXY_FD") {
-        let number = fd.parse::<u16>().ok().filter(|&n| n > 2);
-        let number =
-            number.ok_or_else(|| StartError::Inherited(format!("{fd:?} is no descriptor from 3 on")))?;
-        // What the crate reads; no other thread runs yet.
-        std::env::remove_var("LISTEN_PID");
-        std::env::set_var("LISTEN_FDS_FIRST_FD", number.to_string());
-        std::env::set_var("LISTEN_FDS", "1");
-    }
-    let mut handed = listenfd::ListenFd::from_env();
-    match handed.take_tcp_listener(0) {
-        Ok(None) => Ok(None),
-        Ok(Some(listener)) => {
-            listener.set_nonblocking(true).map_err(StartError::System)?;
-            Ok(Some(listener))
-        }
-        Err(error) => Err(StartError::Inherited(error.to_string())),
-    }
-}
-
 /// A file for the next process. It is named after the address where clients connect, which both processes share and no
 /// other node has.
 fn shared_file(listen: SocketAddr, ending: &str) -> Option<PathBuf> {
@@ -378,10 +356,3 @@
         _ = b.recv() => {}
     }
 }
-
-pub(crate) fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(backlog)
-}
