Let the kit's scenarios name the plans, and the site take them from there

Need: the third circle that came in: scenario.rs made a Site to learn the plans' names for its check of surges, and site.rs reads scenarios.

Change: the names stand in scenario.rs, the site's figures refer to them. The check's message is the same. Tests of the kit pass, all scenarios are valid.

--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -5,7 +5,8 @@
 use pinerelay::strict::{self, within, Checked, FileError, Span};
 use serde::Deserialize;
 
-use crate::site::Site;
+/// The plans that customers are on, the smallest first.
+pub const PLANS: [&str; 4] = ["basic", "standard", "business", "enterprise"];
 
 /// The most boxes, nodes, and seconds of one rehearsal.
 const BOXES_MOST: u32 = 400;
@@ -362,12 +363,10 @@
     }
 
     fn surge(&self) -> Option<(String, String)> {
-        let site = Site::new(self);
         self.load.surge.iter().enumerate().find_map(|(n, surge)| {
-            let known = site.plans().any(|p| p.0 == surge.plan);
-            let plans: Vec<_> = site.plans().map(|p| p.0.to_string()).collect();
+            let known = PLANS.contains(&surge.plan.as_str());
             let unknown = || {
-                let why = format!("one of {plans:?} is wanted, not {:?}", surge.plan);
+                let why = format!("one of {PLANS:?} is wanted, not {:?}", surge.plan);
                 (!known).then(|| (format!("load.surge[{n}].plan"), why))
             };
             within(format!("load.surge[{n}].times"), surge.times, 0.0, 100.0).or_else(unknown)
--- a/crates/rehearsal/src/site.rs
+++ b/crates/rehearsal/src/site.rs
@@ -9,7 +9,7 @@
 use pinerelay_standins::lots::Lots;
 use serde_json::{json, Value};
 
-use crate::scenario::{Scenario, Unanswered};
+use crate::scenario::{Scenario, Unanswered, PLANS};
 
 const MS: u64 = 1_000;
 /// The figures of the rules: grace after a deadline, grace after a drain, when a change counts as told, a box's
@@ -69,18 +69,19 @@
             work_ms,
             deadline: deadline * MS,
         };
-        let plan = |name: &str, share, quota_rate, burst, worth_factor, excess_cost, extra_worth| PlanMake {
-            plan: Plan { name: name.into(), quota_rate, burst, worth_factor, ..Plan::default() },
-            share,
-            excess_cost,
-            extra_worth,
-            open_limit: 0,
-        };
+        let plan =
+            |number: usize, share, quota_rate, burst, worth_factor, excess_cost, extra_worth| PlanMake {
+                plan: Plan { name: PLANS[number].into(), quota_rate, burst, worth_factor, ..Plan::default() },
+                share,
+                excess_cost,
+                extra_worth,
+                open_limit: 0,
+            };
         let mut plans = vec![
-            plan("basic", 0.30, 1.6, 8.0, 0.55, 0.6, 0.0),
-            plan("standard", 0.20, 3.1, 14.0, 0.8, 0.0, 0.2),
-            plan("business", 0.29, 9.5, 19.0, 1.3, 0.8, 0.0),
-            plan("enterprise", 0.21, 24.0, 48.0, 1.4, 1.2, 0.0),
+            plan(0, 0.30, 1.6, 8.0, 0.55, 0.6, 0.0),
+            plan(1, 0.20, 3.1, 14.0, 0.8, 0.0, 0.2),
+            plan(2, 0.29, 9.5, 19.0, 1.3, 0.8, 0.0),
+            plan(3, 0.21, 24.0, 48.0, 1.4, 1.2, 0.0),
         ];
         let top = &mut plans[3];
         top.open_limit = 6;
