Tell in one place whether a server is well

Found on reading the change once more: what a sound warm server carries was measured with a third copy of the check that the overload and the tick already had (no strikes, not silent, no slower than twice the fleet). One function now serves all three; behaviour stays as it is.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -278,8 +278,8 @@
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { id: 0, after: TICK });
         let now = self.now;
-        let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
-        let held: usize = self.servers.values().filter(|s| ok(s)).map(|s| self.working(s)).sum();
+        let held: usize =
+            self.servers.values().filter(|s| s.listed && self.well(s)).map(|s| self.working(s)).sum();
         self.held += (held as f64 - self.held) * HELD_GAIN;
         self.measure_warm();
         for id in std::mem::take(&mut self.parked) {
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -70,8 +70,7 @@
         let warm = |s: &&Server| s.listed && (s.started == 0 || now >= s.started.saturating_add(cold));
         let (mut count, mut done) = (0.0, 0.0);
         let each = |s: &Server| (count, done) = (count + 1.0, done + s.done.get(now, DONE_SPAN));
-        let sound = |s: &&Server| s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
-        self.servers.values().filter(warm).filter(sound).for_each(each);
+        self.servers.values().filter(warm).filter(|s| self.well(s)).for_each(each);
         self.any_warm = self.servers.values().any(|s| warm(&s));
         let gain = 1.0 - (-(now.saturating_sub(self.carried.at) as f64) / CARRY_SPAN).exp();
         self.carried.at = now;
@@ -127,6 +126,11 @@
         since > self.overdue() * if s.out.len() > 2 { 1.0 } else { 2.0 }
     }
 
+    /// Whether a server answers, and about as fast as the others.
+    pub(super) fn well(&self, s: &Server) -> bool {
+        s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s)
+    }
+
     /// How many attempts a server is at. Danger: what hung before the last ejection, and what got lost while
     /// later attempts were answered, stays out until its client gives up; one or two look like a full fleet.
     /// It does harm where single requests work for much longer than others: these are not seen.
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -34,8 +34,7 @@
     /// `EVIDENCE` requests out; with no answers it is forgotten.
     pub(super) fn expected(&self) -> f64 {
         let mut rate = 0.0;
-        let ok = |s: &Server| s.listed && s.strikes == 0 && s.latency < 2.0 * self.latency && !self.silent(s);
-        for s in self.servers.values().filter(|s| ok(s)) {
+        for s in self.servers.values().filter(|s| s.listed && self.well(s)) {
             rate += s.done.get(self.now, DONE_SPAN);
         }
         let mean = self.times.mean(self.now, self.shortest_aim() * SHED_CHEAPEST / 2.0, MEAN_SPAN);
