Hold the addresses where the tests want nobody, so that no other peer gets them

Cause: the tests' address of nobody was a port taken and let go. Nearly every test's node is given two of them, as discovery and counter, and calls there again and again. The next peer that listens, in another test, may be given the same port, and GET /discovery/hosts comes to its app server. Ruled out: a second attempt (the class is unsafe, and the answer came after 1 s as it should); a request written twice by the connection (it is given back only if not a byte of it went out).

Change: the port stays bound by a socket that never listens; connections are refused there, and nobody else gets it. A test binds to it and connects to it; with the old function the bind goes through.

--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -189,9 +189,15 @@
     panic!("no request in time");
 }
 
-/// An address where connections are refused.
+/// An address where connections are refused, for as long as the tests run. Danger: a port that is free again is given to
+/// the next peer that listens, and what another test's node sends to nobody comes to it.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = socket.local_addr().expect("an address");
+    // Bound, never listening, and held to the end.
+    std::mem::forget(socket);
+    address
 }
 
 #[derive(Default)]
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -25,6 +25,15 @@
     assert!(answer.status() != 200 && !answer.refused(), "{}", answer.first);
 }
 
+#[test]
+fn an_address_of_nobody_is_given_to_no_other_peer() {
+    let address = nobody();
+    let taken = std::net::TcpListener::bind(address).map_err(|e| e.kind());
+    assert_eq!(taken.err(), Some(std::io::ErrorKind::AddrInUse));
+    let met = std::net::TcpStream::connect(address).map_err(|e| e.kind());
+    assert_eq!(met.err(), Some(std::io::ErrorKind::ConnectionRefused));
+}
+
 #[test]
 fn a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() {
     let (app, _edge, mut client) = one();
