Hold a limit on open requests where a try beyond it costs nothing

Need, found on reading the change again: where a plan's try beyond quota costs nothing, the new rule on open places let in any number, since a certain breach costs no more than it earns there. Before, such a try was judged as beyond quota like any other.

Change: a place that is taken for sure is not given. What a process of before told of what a warm server carries counted servers of any size; without its span it is not taken over, and is measured anew within seconds.

--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -68,7 +68,7 @@
                 None => plan.open_limit as f64 * (1.0 - 1.0 / c.spread),
             };
             let over = (other / (1.0 + other)).powi(plan.open_limit.saturating_sub(c.open) as i32);
-            if over * (1.0 + (plan.excess_cost - plan.extra_worth).max(0.0)) > 1.0 {
+            if over * (1.0 + (plan.excess_cost - plan.extra_worth).max(0.0)) >= 1.0 {
                 return Verdict::Beyond;
             }
         }
@@ -267,7 +267,7 @@
 }
 
 /// Books a total. Returns what of the call's amount does not fit into the bucket, and what of the filling
-/// found the bucket full and is to be taken off the total, once that is a burst.
+/// found the bucket full, or of what was used before a new window, is to be taken off the total.
 fn book(c: &mut Customer, plan: &Plan, key: CustomerId, now: Micros, call: &Call, total: f64) -> (f64, f64) {
     let (amount, window, sum) = (call.amount, call.window, call.amount + call.told);
     let secs = |from: Micros| now.saturating_sub(from) as f64 / 1e6;
--- a/crates/decisions/src/memory.rs
+++ b/crates/decisions/src/memory.rs
@@ -55,7 +55,9 @@
         };
         [self.latency, self.deviation, self.usual] = memory.latency;
         self.measured = memory.measured;
-        (self.carried, self.sends) = (rate(memory.rates[0]), rate(memory.rates[1]));
+        // Danger: a version that did not tell how long it measured counted a server of any size as one.
+        let carried = if memory.measured > 0.0 { memory.rates[0] } else { 0.0 };
+        (self.carried, self.sends) = (rate(carried), rate(memory.rates[1]));
         self.tally = heed(&memory.tally);
         let servers = memory.servers.iter().map(|(id, latency, t)| (ServerId(*id), (*latency, heed(t))));
         self.recalled = servers.collect();
--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -400,6 +400,12 @@
     let alone: Vec<_> = (0..4).flat_map(|_| serve(&mut n, &mut counter)).collect();
     assert_eq!(alone.len(), 3);
     alone.iter().for_each(|(id, server)| drop(n.end(id, 0, *server, Outcome::Ok)));
+    // So it is where a try beyond costs nothing.
+    let mut free = settings();
+    free.plans[0] =
+        Plan { quota_rate: 100.0, burst: 400.0, open_limit: 3, excess_cost: 0.0, ..free.plans[0].clone() };
+    let (mut other, mut count) = (Node::new(free, 4), Counter::default());
+    assert_eq!((0..4).flat_map(|_| serve(&mut other, &mut count)).count(), 3);
     // Others draw 60 a second, which at 100 ms each keeps six places.
     for _ in 0..80 {
         n.wait(50 * MS);
--- a/crates/decisions/tests/servers.rs
+++ b/crates/decisions/tests/servers.rs
@@ -364,6 +364,10 @@
     steadily(&mut next, 5 * SECOND, |_| (120 * MS, Outcome::Ok));
     let usual = next.node.memory().latency[2];
     assert!((62e3..90e3).contains(&usual), "{usual} us usually after 5 s of twice as long");
+    // One that does not tell for how long it measured did so by servers of any size.
+    let mut next = Node::new(open(), 4);
+    next.node.recall(next.now, &Memory { measured: 0.0, ..known });
+    assert_eq!(next.node.memory().rates[0], 0.0);
 }
 
 #[test]
