Check what a process tells of how long it measured, and build the handover's test again

A damaged file may hold any number there, as in the others.

Change: it has to be a number from 0 on, like the rates beside it; else the file is not taken. The test leaves -1 and nothing is taken.

--- a/crates/node/src/net/handover.rs
+++ b/crates/node/src/net/handover.rs
@@ -57,7 +57,8 @@
             memory.servers.iter_mut().for_each(|(_, _, tally)| plans(tally));
         }
         let sound = |value: &f64| value.is_finite() && *value >= 0.0;
-        let all = memory.latency.iter().chain(&memory.rates).chain(memory.servers.iter().map(|s| &s.1));
+        let servers = memory.servers.iter().map(|s| &s.1);
+        let all = memory.latency.iter().chain(&memory.rates).chain([&memory.measured]).chain(servers);
         let counts = memory.tally.iter().chain(memory.servers.iter().flat_map(|s| &s.2));
         let usable =
             all.into_iter().all(sound) && counts.into_iter().all(|(_, n, bad)| sound(n) && sound(bad));
@@ -82,6 +83,7 @@
         let memory = Memory {
             latency: [5e4, 1e4, 5e4],
             rates: [3.0, 40.0],
+            measured: 9e6,
             tally: vec![(1, 9.0, 3.0), (1 << 32, 9.0, 0.0)],
             servers: vec![(7, 6e4, vec![(0, 2.0, 2.0)])],
         };
@@ -91,9 +93,11 @@
         assert_eq!((other.tally.len(), other.servers[0].2.len()), (1, 0), "only what tells of plans");
         fs::write(&file, "{").expect("a file");
         assert_eq!(handover.take(&classes), None);
-        let mad = Memory { latency: [0.0; 3], ..memory };
-        handover.leave(classes.clone(), mad).expect("a file");
-        assert_eq!(handover.take(&classes), None);
+        let mad = Memory { latency: [0.0; 3], ..memory.clone() };
+        for mad in [mad, Memory { measured: -1.0, ..memory }] {
+            handover.leave(classes.clone(), mad).expect("a file");
+            assert_eq!(handover.take(&classes), None);
+        }
         fs::remove_file(&file).expect("a file");
     }
 }
