--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -250,14 +250,18 @@
     (c.level + net * span).min(plan.burst - c.lease)
 }
 
+/// Whether two sums are the same, as exactly as a total tells (seven digits).
+fn equal(a: f64, b: f64, total: f64) -> bool {
+    (a - b).abs() <= total.abs().max(1.0) * 2e-6
+}
+
 /// Clears up whether a doubtful call was added. Danger: what others drew must not be granted here as well. So
 /// it counts as added only if the total grew by its very amount, as not added only if by less; else its units
 /// stay with the counter and nobody gets them, which costs a customer with little left.
 fn settle(c: &mut Customer, call: &mut Call, total: f64) {
     let last = c.seen.filter(|&(w, _)| w == call.window).map_or(0.0, |(_, last)| last);
     let (sum, grown) = (call.amount + call.told, total - last);
-    let exact = total.abs().max(1.0) * 2e-6;
-    if !call.doubtful || (grown - sum).abs() <= exact {
+    if !call.doubtful || equal(grown, sum, total) {
         return;
     }
     if sum > 0.0 && grown < sum {
@@ -294,7 +298,7 @@
     let doubled = amount == 0.0 && call.told > 0.0 && gone;
     // Danger: a new window counts from nothing, as if the bucket were full, and each node goes by its count.
     // The first to add to it, which sees its own sum as the total, burns what it knows to be used by then.
-    let first = c.seen.is_some_and(|(w, _)| w < window) && (total - sum).abs() <= total.abs().max(1.0) * 2e-6;
+    let first = c.seen.is_some_and(|(w, _)| w < window) && equal(total, sum, total);
     let used = level - (grown - unseen - sum);
     let burn = match () {
         () if carried => 0.0,
--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -321,6 +321,11 @@
     assert_eq!(turned_away, 0, "of 40 requests of a customer far within its quota");
 }
 
+/// How many calls to the counter these are.
+fn counts(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Count { .. })).count()
+}
+
 /// Several nodes in turn for 90 s, and a customer that asks for so many times its quota at each time; gives what was let
 /// in, how much of it a bucket that sees all would have found beyond the quota, and the calls to the counter.
 fn against_truth(nodes: usize, times: impl Fn(f64) -> f64) -> (f64, f64, usize) {
@@ -338,13 +343,12 @@
         for n in &mut all {
             n.now = now;
             let told = n.tick();
-            calls +=
-                settle(n, &mut counter, told).iter().filter(|a| matches!(a, Action::Count { .. })).count();
+            calls += counts(&settle(n, &mut counter, told));
         }
         let n = &mut all[turn * 7 % nodes];
         let (_, actions) = n.ask(0, 1.0);
         let done = settle(n, &mut counter, actions);
-        calls += done.iter().filter(|a| matches!(a, Action::Count { .. })).count();
+        calls += counts(&done);
         for (id, server) in sent(&done) {
             let inside = f64::from(u8::from(store >= 1.0));
             (store, units, beyond) = (store - inside, units + 1.0, beyond + 1.0 - inside);
