Let a long request take its customer's place from its last byte on

By the protocol an attempt counts when its last byte has come.

Change: the node tells the module three stages of a long body (sending, sent, answering) where it told two; an attempt is open from sent to its end.

Two new tests, each seen to fail without the change; a test that would have hung now fails.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -77,6 +77,8 @@
     place: (u32, u32),
     sent: Micros,
     out: bool,
+    /// It is one of its customer's open ones.
+    open: bool,
     /// A long body is being passed on: its time tells of the peers' pace.
     streams: bool,
 }
@@ -199,7 +201,7 @@
             Event::Members { kind, entries } => self.on_members(kind, entries, out),
             Event::Request(new) => self.on_request(new, out),
             Event::Began { id } => self.requests.get_mut(&id).into_iter().for_each(|r| r.stream = true),
-            Event::Streams { id, attempt, answered } => self.on_streams(&id, attempt, answered),
+            Event::Streams { id, attempt, stage } => self.on_streams(&id, attempt, stage),
             Event::Ended(end) => self.on_ended(end, out),
             Event::Gone { id } => self.close(&id),
             Event::Counted { name, outcome, total } => self.on_counted(name, outcome, total, out),
--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -12,6 +12,16 @@
 /// Retry budget: further attempts per first attempt.
 const RETRY_SHARE: f64 = 0.2;
 
+impl Attempt {
+    /// Counts it among its customer's open ones, or no more.
+    fn count(&mut self, customer: Option<&mut Customer>, open: bool) {
+        if let (Some(c), true) = (customer, open != self.open) {
+            c.open = if open { c.open + 1 } else { c.open.saturating_sub(1) };
+        }
+        self.open = open;
+    }
+}
+
 impl Controller {
     pub(super) fn launch(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         match self.choose(id, None) {
@@ -26,10 +36,9 @@
         let first = r.attempts.is_empty();
         self.retries = (self.retries + if first { RETRY_SHARE } else { -1.0 }).min(RETRY_STORE);
         let place = self.servers.get(&server).map_or((0, 0), |s| (s.zone, s.cell));
-        r.attempts.push(Attempt { server, place, sent: now, out: true, streams: false });
-        if let Some(c) = self.customers.get_mut(&r.customer) {
-            c.open += 1;
-        }
+        let mut attempt = Attempt { server, place, sent: now, out: true, open: false, streams: false };
+        attempt.count(self.customers.get_mut(&r.customer), true);
+        r.attempts.push(attempt);
         let per_server = self.per_server();
         self.sends.add(now, 1.0, RATE_SPAN);
         let part = self.servers.get(&server).map_or(1.0, |s| self.warmth(s) * s.size);
@@ -55,9 +64,7 @@
             r.ran = Some((sent, place));
         }
         r.answered |= end.finished;
-        if let Some(c) = self.customers.get_mut(&r.customer) {
-            c.open = c.open.saturating_sub(1);
-        }
+        a.count(self.customers.get_mut(&r.customer), false);
         let mut unknown = Server::default();
         let s = self.servers.get_mut(&server).unwrap_or(&mut unknown);
         if let Some(i) = s.out.iter().position(|&t| t == sent && !streamed) {
@@ -127,14 +134,17 @@
     }
 
     /// A long body is on its way. Danger: what is out for as long as its peers take looks like a silent
-    /// server and a full fleet, and its time like a slow one. From here on it is no part of either.
-    pub(super) fn on_streams(&mut self, id: &RequestId, attempt: u32, answered: bool) {
-        let now = self.now;
+    /// server and a full fleet, its time like a slow one, and what is still being sent fills its customer's
+    /// places. From here on it is no part of these.
+    pub(super) fn on_streams(&mut self, id: &RequestId, attempt: u32, stage: Stage) {
+        let (now, answered) = (self.now, stage == Stage::Answering);
         let Some(r) = self.requests.get_mut(id) else { return };
         r.stream = true;
         r.answered |= answered;
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
         let first = !std::mem::replace(&mut a.streams, true);
+        let open = if answered { a.open } else { stage == Stage::Sent };
+        a.count(self.customers.get_mut(&r.customer), open);
         let Some(s) = self.servers.get_mut(&a.server) else { return };
         if let Some(i) = s.out.iter().position(|&t| t == a.sent && first) {
             s.out.remove(i);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -253,6 +253,17 @@
     Ignored,
 }
 
+/// How far an attempt has come whose request or answer is too long to be taken in whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The request's body is on its way.
+    Sending,
+    /// Its last byte has been passed on: from here on the server has the request.
+    Sent,
+    /// The answer's body is on its way.
+    Answering,
+}
+
 /// The end of an attempt.
 #[derive(Debug, Clone)]
 pub struct Ended {
@@ -289,14 +300,14 @@
         /// The request.
         id: RequestId,
     },
-    /// A long body has begun to be passed on, and can't be sent again.
+    /// A long body is passed on, and can't be sent again.
     Streams {
         /// The request.
         id: RequestId,
         /// The attempt's number.
         attempt: u32,
-        /// It is the answer's, and no more the request's.
-        answered: bool,
+        /// How far it has come.
+        stage: Stage,
     },
     /// An attempt ended.
     Ended(Ended),
--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -421,3 +421,35 @@
     let crowded: Vec<_> = (0..4).flat_map(|_| serve(&mut n, &mut counter)).collect();
     assert!(crowded.is_empty(), "{} more let in where all places are taken", crowded.len());
 }
+
+#[test]
+fn a_request_still_being_sent_takes_no_place_of_its_customer() {
+    let (mut set, mut counter) = (settings(), Counter::default());
+    set.plans[0] =
+        Plan { quota_rate: 100.0, burst: 400.0, open_limit: 2, excess_cost: 1.2, ..set.plans[0].clone() };
+    let mut n = Node::new(set, 4);
+    let serve = |n: &mut Node, counter: &mut Counter| {
+        let (_, actions) = n.ask(0, 1.0);
+        sent(&settle(n, counter, actions))
+    };
+    let streams = |n: &mut Node, id: &RequestId, stage| {
+        n.event(Event::Streams { id: id.clone(), attempt: 0, stage });
+    };
+    let sending: Vec<_> = (0..2).flat_map(|_| serve(&mut n, &mut counter)).collect();
+    assert_eq!(sending.len(), 2);
+    assert!(serve(&mut n, &mut counter).is_empty(), "both places are taken");
+    sending.iter().for_each(|(id, _)| streams(&mut n, id, Stage::Sending));
+    let short: Vec<_> = (0..4).flat_map(|_| serve(&mut n, &mut counter)).collect();
+    assert_eq!(short.len(), 2, "no server has the two long requests yet");
+    short.iter().for_each(|(id, server)| drop(n.end(id, 0, *server, Outcome::Ok)));
+    // From the last byte on it takes its place, to the end of its answer.
+    streams(&mut n, &sending[0].0, Stage::Sent);
+    assert_eq!((0..3).flat_map(|_| serve(&mut n, &mut counter)).count(), 1);
+    streams(&mut n, &sending[0].0, Stage::Answering);
+    assert!(serve(&mut n, &mut counter).is_empty(), "its answer is still on its way");
+    n.end(&sending[0].0, 0, sending[0].1, Outcome::Ok);
+    assert_eq!((0..3).flat_map(|_| serve(&mut n, &mut counter)).count(), 1);
+    // One that breaks off on its way never took one, and gives none back.
+    n.end(&sending[1].0, 0, sending[1].1, Outcome::Ignored);
+    assert!(serve(&mut n, &mut counter).is_empty());
+}
--- a/crates/node/src/net/long.rs
+++ b/crates/node/src/net/long.rs
@@ -122,18 +122,13 @@
         })
     }
 
-    /// The body for an attempt; none if an earlier one has taken of it. `begins` is told once a piece is passed on.
-    pub fn body(self: &Rc<Self>, begins: impl FnOnce() + 'static) -> Option<UploadBody> {
+    /// The body for an attempt; none if an earlier one has taken of it. `goes` is told once a piece is passed on, and
+    /// again (true) once the last one is.
+    pub fn body(self: &Rc<Self>, goes: impl Fn(bool) + 'static) -> Option<UploadBody> {
         let rest = self.rest.take()?;
         let timer = Box::pin(sleep_until(self.patience()));
         let first = Some(self.first.clone()).filter(|first| !first.is_empty());
-        Some(UploadBody {
-            upload: self.clone(),
-            first,
-            rest: Some(rest),
-            begins: Some(Box::new(begins)),
-            timer,
-        })
+        Some(UploadBody { upload: self.clone(), first, rest: Some(rest), goes: Box::new(goes), timer })
     }
 
     /// When the last byte had been passed on, or the client had broken it off.
@@ -160,7 +155,7 @@
     /// Reads what is left and drops it. Danger: a client that is still writing when its connection closes loses the
     /// answer that lies there for it.
     pub fn drain(self: &Rc<Self>) {
-        if let Some(mut body) = self.body(|| ()) {
+        if let Some(mut body) = self.body(|_| ()) {
             tokio::task::spawn_local(async move { while let Some(Ok(_)) = body.frame().await {} });
         }
     }
@@ -183,11 +178,18 @@
     upload: Rc<Upload>,
     first: Option<Bytes>,
     rest: Option<Incoming>,
-    begins: Option<Box<dyn FnOnce()>>,
+    goes: Box<dyn Fn(bool)>,
     timer: Pin<Box<Sleep>>,
 }
 
 impl UploadBody {
+    fn whole(upload: &Upload, goes: &dyn Fn(bool)) {
+        if upload.ended.get().is_none() {
+            upload.over(Stage::Whole);
+            goes(true);
+        }
+    }
+
     /// Gives the body back of which nothing has been passed on.
     pub fn give_back(mut self) {
         if self.upload.stage.get() == Stage::Waiting {
@@ -205,9 +207,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = &mut *self;
-        if let Some(begins) = this.begins.take() {
+        if this.upload.stage.get() == Stage::Waiting {
             this.upload.stage.set(Stage::Begun);
-            begins();
+            (this.goes)(false);
         }
         if let Some(first) = this.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
@@ -229,7 +231,7 @@
             };
             let data = match polled {
                 None => {
-                    this.upload.over(Stage::Whole);
+                    Self::whole(&this.upload, &*this.goes);
                     return Poll::Ready(None);
                 }
                 Some(Err(error)) => {
@@ -246,7 +248,7 @@
             }
             if this.upload.length == Some(received) {
                 // Of a body whose length is known nobody asks for the end.
-                this.upload.over(Stage::Whole);
+                Self::whole(&this.upload, &*this.goes);
             }
             if data.has_remaining() {
                 return Poll::Ready(Some(Ok(Frame::data(data))));
--- a/crates/node/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -304,12 +304,13 @@
     fn answer_begins(&self, id: &RequestId, number: usize, answer: Download) -> bool {
         let waits = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
         let sent = waits.is_some_and(|sender| sender.send(Answer::Long(answer)).is_ok());
-        self.event(Event::Streams { id: id.clone(), attempt: number as u32, answered: true });
+        self.event(Event::Streams { id: id.clone(), attempt: number as u32, stage: Stage::Answering });
         sent
     }
 
-    fn upload_begins(&self, id: &RequestId, number: usize) {
-        self.event(Event::Streams { id: id.clone(), attempt: number as u32, answered: false });
+    fn upload_goes(&self, id: &RequestId, number: usize, whole: bool) {
+        let stage = if whole { Stage::Sent } else { Stage::Sending };
+        self.event(Event::Streams { id: id.clone(), attempt: number as u32, stage });
     }
 
     fn avoids(&self, server: ServerId) -> bool {
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -23,8 +23,8 @@
     fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>);
     /// An attempt's long answer has begun, and goes to the client as it comes; false if nobody waits for it.
     fn answer_begins(&self, id: &RequestId, number: usize, answer: Download) -> bool;
-    /// A long body has begun to go to an app server, and can't be sent again.
-    fn upload_begins(&self, id: &RequestId, number: usize);
+    /// A long body has begun to go to an app server, and can't be sent again; or all of it has gone.
+    fn upload_goes(&self, id: &RequestId, number: usize, whole: bool);
     /// Whether the decisions send an app server nothing new for now, though it is in service.
     fn avoids(&self, server: ServerId) -> bool;
 }
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -181,13 +181,13 @@
                 Some(message) => message,
                 None => {
                     let (core, id) = (self.core.clone(), id.clone());
-                    let begins = move || {
+                    let goes = move |whole| {
                         if let Some(core) = core.upgrade() {
-                            core.upload_begins(&id, number);
+                            core.upload_goes(&id, number, whole);
                         }
                     };
                     // An earlier attempt has taken of the body: this one can't be made.
-                    let Some(body) = body_of(forward, begins) else { return (Outcome::Ignored, None) };
+                    let Some(body) = body_of(forward, goes) else { return (Outcome::Ignored, None) };
                     build(forward, body, host, left)
                 }
             };
@@ -446,10 +446,10 @@
 }
 
 /// A request's body for one attempt; none if it can't be sent again.
-fn body_of(forward: &Forward, begins: impl FnOnce() + 'static) -> Option<Sent> {
+fn body_of(forward: &Forward, goes: impl Fn(bool) + 'static) -> Option<Sent> {
     match &forward.body {
         Payload::Whole(body) => Some(body.clone().into()),
-        Payload::Long(upload) => upload.body(begins).map(Sent::Long),
+        Payload::Long(upload) => upload.body(goes).map(Sent::Long),
     }
 }
 
--- a/crates/node/tests/long.rs
+++ b/crates/node/tests/long.rs
@@ -15,14 +15,33 @@
 
 impl Raw {
     fn new() -> (Raw, Edge) {
+        Raw::with(|_| ())
+    }
+
+    /// In front of it an edge node with this in its settings.
+    fn with(change: impl Fn(&mut serde_json::Value)) -> (Raw, Edge) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        (Raw(listener), Edge::new(&config(&[entry("s-1", address, "a", "up")])))
+        let mut config = config(&[entry("s-1", address, "a", "up")]);
+        change(&mut config["settings"]);
+        (Raw(listener), Edge::new(&config))
     }
 
     /// The next connection, past the head of its first request.
     fn next(&self) -> (BufReader<TcpStream>, String) {
-        let (stream, _) = self.0.accept().expect("a connection");
+        // A node that never connects fails the test, and does not hang it.
+        self.0.set_nonblocking(true).expect("a listener");
+        let until = std::time::Instant::now() + PATIENCE;
+        let stream = loop {
+            match self.0.accept() {
+                Ok((stream, _)) => break stream,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock && std::time::Instant::now() < until => {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                Err(e) => panic!("no connection: {e}"),
+            }
+        };
+        stream.set_nonblocking(false).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let mut reader = BufReader::new(stream);
         let head = head_of(&mut reader);
@@ -272,3 +291,30 @@
         assert!(head_of(&mut client).starts_with("http/1.1 200"));
     }
 }
+
+#[test]
+fn a_long_request_takes_its_customer_s_place_from_its_last_byte_on() {
+    let (app, edge) = Raw::with(|settings| {
+        settings["tariffs"][0]["concurrency"] = 1.into();
+        settings["tariffs"][0]["excess_cost"] = 1.0.into();
+    });
+    let mut client = connect(&edge);
+    let sent = body(LONG);
+    write(&mut client, &long_ask("p-1", &format!("Content-Length: {LONG}")));
+    write(&mut client, &sent[..100_000]);
+    let (mut at, _) = app.next();
+    take(&mut at, 100_000);
+    // No server has it yet, and the only place is free.
+    let mut other = connect(&edge);
+    write(&mut other, ask("lookup", "l-1").text().as_bytes());
+    let (mut there, _) = app.next();
+    write(&mut there, DONE);
+    assert!(head_of(&mut other).starts_with("http/1.1 200"));
+    assert_eq!(take(&mut other, 4), b"done");
+    write(&mut client, &sent[100_000..]);
+    take(&mut at, LONG - 100_000);
+    write(&mut other, ask("lookup", "l-2").text().as_bytes());
+    assert!(head_of(&mut other).starts_with("http/1.1 429"));
+    write(&mut at, DONE);
+    assert!(head_of(&mut client).starts_with("http/1.1 200"));
+}
