Split run.rs by concern: retuning, what processes leave each other, the stop

Change: run/retune.rs (SIGHUP), run/heirs.rs (files between the processes of an upgrade), run/stop.rs (the planned stop, its parts named), run/store.rs (counter or Redis, and where each moves). No behaviour is meant to change; run.rs has 206 lines.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,16 +1,19 @@
-//! The running node: its parts joined, signals, and the planned stop.
+//! The running node: its parts joined.
+
+mod heirs;
+mod retune;
+mod stop;
+mod store;
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mountbend::control::Controller;
-use mountbend::interface::{Event, Settings};
+use mountbend::interface::Settings;
 use pinerelay_protocol::classes::ClassTable;
 use pinerelay_protocol::request::Rules;
-use pinerelay_protocol::settings::Env;
 use tokio::net::TcpListener;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -30,31 +33,21 @@
 use crate::net::members::Members;
 use crate::net::node::{Node, Peers};
 use crate::net::ops::{Ops, CALLERS};
-use crate::net::ports::{Core, QuotaStore};
 use crate::net::redis;
 use crate::net::room::Room;
-use crate::net::seats::{enough, Seats};
+use crate::net::seats::enough;
 use crate::net::servers::Servers;
 use crate::operator::Operator;
-use crate::strict::FileError;
-use pinerelay_store_redis::store::RedisStore;
 
-/// Danger: SIGKILL may come as soon as the longest deadline (3 s at most) and 0.7 s after SIGTERM, and what it
-/// finds unanswered is lost. What is open this long after SIGTERM has failed; a node stays no longer than the
-/// rest, which is for answers still being written.
-const PATIENCE_OVER: Duration = Duration::from_millis(300);
-const LAST_GRACE: Duration = Duration::from_millis(200);
-/// How long clients of a socket that is handed on may use their idle connections after SIGTERM. Danger: closed at once,
-/// each close may cross a request; kept for longer, what comes last has too little time for its answer.
-const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
+use heirs::{keep_to, remember, share, shared_file, sit};
+use retune::{longest, reload, Retuned};
+use stop::{stop, Parts};
+use store::Store;
+
 /// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
 const LIST_WAIT: Duration = Duration::from_secs(1);
-/// How often what was learned is left for the next process.
-const REMEMBER: Duration = Duration::from_secs(1);
-/// How often the set of app servers that are held out is looked at: well within the grace of the rule on drains.
-const SHARE_LOOKS: Duration = Duration::from_millis(200);
-/// How often a node that stops looks whether all is answered.
-const LAST_LOOKS: Duration = Duration::from_millis(10);
+/// How often it looks whether it is.
+const READY_LOOKS: Duration = Duration::from_millis(10);
 
 /// Runs a node until it has stopped; returns early if it can't start.
 pub fn run(path: PathBuf, operator: Option<PathBuf>) -> Result<(), StartError> {
@@ -69,29 +62,6 @@
     runtime.block_on(serve(config, path, operator, file, front))
 }
 
-/// Where the shared counts live.
-#[derive(Clone)]
-enum Store {
-    Counter(Rc<Counter>),
-    Redis(Rc<RedisStore>),
-}
-
-impl Store {
-    fn port(&self) -> Rc<dyn QuotaStore> {
-        match self {
-            Store::Counter(counter) => counter.clone(),
-            Store::Redis(redis) => redis.clone(),
-        }
-    }
-}
-
-/// A file for the next process. It is named after the address where clients connect, which both processes share and no
-/// other node has.
-fn shared_file(listen: SocketAddr, ending: &str) -> Option<PathBuf> {
-    let name = format!("pinerelay-{}.{ending}", listen.to_string().replace(':', "-"));
-    std::env::var_os("TMPDIR").map(|folder| PathBuf::from(folder).join(name))
-}
-
 async fn serve(
     config: (Running, Config),
     path: PathBuf,
@@ -213,159 +183,21 @@
     tokio::task::spawn_local(readiness(ops.clone(), ready));
 
     either(&mut terminate, &mut interrupt).await;
-    let last = Instant::now() + patience.get().min(operator.stop.patience.0) + PATIENCE_OVER;
-    node.stop();
-    ops.ready(false);
-    if handed_on {
-        // Danger: what is accepted from here on would be turned back soon, and the next process serves it.
-        accepting.abort();
-        sleep(LAST_REQUESTS).await;
-        clients.close_idle();
-    } else {
-        sleep(operator.stop.idle_after.0).await;
-        clients.close_idle();
-        sleep(operator.stop.deaf_after.0).await;
-        accepting.abort();
-    }
-    node.event(Event::Stopping);
-    clients.close_idle();
-    let over = || !node.waited_for() && budget.clients() == 0 && store.port().settled();
-    while !over() && Instant::now() < last {
-        sleep(LAST_LOOKS).await;
-    }
-    node.fail_all();
-    while !over() && Instant::now() < last + LAST_GRACE {
-        sleep(LAST_LOOKS).await;
-    }
+    let parts = Parts { node, clients, accepting, ops, budget, store: store.port() };
+    stop(parts, &operator.stop, patience.get(), handed_on).await;
     Ok(())
 }
 
-/// The longest deadline of any class.
-fn longest(env: &Env) -> Duration {
-    Duration::from_micros(env.classes.iter().map(|c| c.deadline).max().unwrap_or(0))
-}
-
-/// Says that this process takes clients once it knows the app servers and has descriptors to serve with, or has waited long enough for them. Danger: the
-/// process before it is stopped upon this word, and the list that a node starts with may be old.
+/// Says that this process takes clients once it knows the app servers and has descriptors to serve with, or has waited long
+/// enough for them. Danger: the process before it is stopped upon this word, and the list that a node starts with may be old.
 async fn readiness(ops: Rc<Ops>, ready: impl Fn() -> bool) {
     let begun = Instant::now();
     while !ready() && begun.elapsed() < LIST_WAIT {
-        sleep(LAST_LOOKS).await;
+        sleep(READY_LOOKS).await;
     }
     ops.ready(true);
 }
 
-/// A seat among the processes that share this address and its limit of descriptors. Without one this process keeps to the
-/// limit as if it were alone.
-fn sit(path: PathBuf, limit: usize) -> Option<Seats> {
-    let seats = Seats::take(path, limit);
-    seats
-        .map_err(|error| eprintln!("pinerelay: descriptors are not shared with a next process: {error}"))
-        .ok()
-}
-
-/// Holds no more than the seat allows; what is idle beyond that is closed.
-async fn keep_to(seats: Seats, budget: Rc<Budget>, node: Rc<Node>, servers: Rc<Servers>) {
-    let apply = |most| {
-        budget.resize(most);
-        // A client's connection ends a moment after it is told to.
-        let (all, clients) = budget.excess();
-        let closed = (0..all).take_while(|_| servers.close_an_idle()).count();
-        let _told = (0..clients.max(all - closed)).take_while(|_| budget.close_an_idle_client()).count();
-    };
-    seats.keep(|| (budget.held(), node.stopping()), apply).await;
-}
-
-/// Looks again and again which app servers the other process of an upgrade was told to hold out or let back.
-async fn share(maintenance: Rc<Maintenance>, members: Rc<Members>) {
-    loop {
-        sleep(SHARE_LOOKS).await;
-        if maintenance.refresh() {
-            members.reconsider();
-        }
-    }
-}
-
-/// Leaves what the node has learned for the process that may take over, again and again until it stops: that one starts
-/// before this one hears of it.
-async fn remember(handover: Handover, names: Rc<RefCell<Vec<String>>>, node: Rc<Node>) {
-    let mut failed = false;
-    while !node.stopping() {
-        sleep(REMEMBER).await;
-        let left = handover.leave(names.borrow().clone(), node.memory());
-        if let (Err(error), false) = (&left, failed) {
-            eprintln!("pinerelay: the next process will have to learn anew: {error}");
-        }
-        failed = left.is_err();
-    }
-}
-
-/// What new settings change in a running node.
-struct Retuned {
-    running: Running,
-    classes: ClassTable,
-    names: Rc<RefCell<Vec<String>>>,
-    patience: Rc<Cell<Duration>>,
-    node: Rc<Node>,
-    clients: Rc<Clients>,
-    figures: Rc<Figures>,
-}
-
-impl Retuned {
-    /// Takes classes and attempts; all else in the settings waits for the next start.
-    fn take(&mut self, env: &Env) {
-        let numbers = self.classes.take(&env.classes);
-        self.names.replace(self.classes.names());
-        env.classes.iter().for_each(|class| self.figures.name(&class.name));
-        self.node.retune(self.classes.all(), env.bounds.try_limit);
-        self.clients.retune(Rules::new(env, &numbers));
-        self.patience.set(self.patience.get().max(longest(env)));
-    }
-}
-
-/// On each SIGHUP reads the configuration again, takes the classes and attempts of its settings, and moves discovery and
-/// the counter, or Redis, to where it and the operator's file say, also during a stop. Of a file that can't be used the
-/// log says so, and all stays as it was.
-async fn reload(
-    mut hangup: Signal,
-    path: PathBuf,
-    file: Option<PathBuf>,
-    discovery: Rc<Discovery>,
-    store: Store,
-    mut retuned: Retuned,
-) {
-    while hangup.recv().await.is_some() {
-        let next = retuned.running.next(&path);
-        retuned.figures.reloaded(next.is_ok());
-        match next {
-            Ok((running, config, Checked { discovery: at, counter: counts, .. })) => {
-                retuned.running = running;
-                retuned.take(&config.settings);
-                discovery.move_to(at);
-                if let Store::Counter(counter) = &store {
-                    counter.move_to(counts);
-                }
-            }
-            Err(error) => eprintln!("pinerelay: the old configuration stays: {error}"),
-        }
-        let Some(file) = &file else { continue };
-        let moved = Operator::read(file).and_then(|new| match (&store, &new.redis) {
-            (Store::Redis(redis), Some(settings)) => {
-                redis.move_to(redis::server(settings, file)?);
-                Ok(())
-            }
-            (Store::Counter(_), None) => Ok(()),
-            _ => {
-                let why = "from the counter to Redis or back the node goes by a restart only".to_string();
-                Err(FileError::Refused { path: file.clone(), key: "redis".into(), why })
-            }
-        });
-        if let Err(error) = moved {
-            eprintln!("pinerelay: the old store stays: {error}");
-        }
-    }
-}
-
 async fn either(a: &mut Signal, b: &mut Signal) {
     tokio::select! {
         _ = a.recv() => {}
