Make one piece of code of two in the rule on drains and in the kit's rounds

Need: holding boxes out by hand had come in beside draining as a copy: the breach was put together twice in the judge, and the rounds over boxes were played by two loops alike.

Change: one closure builds the breach, one arm plays both rounds. Behaviour stays as it is; the node's program is not touched.

--- a/crates/judge/src/drains.rs
+++ b/crates/judge/src/drains.rs
@@ -11,16 +11,18 @@
     for a in &view.attempts {
         let grace = terms.drain_grace + SOCKET_SLACK;
         let Some(since) = a.first_byte.checked_sub(grace) else { continue };
+        let mut breach = |kind: &'static str, at: Micros, why: String| {
+            let b = Breach::new(Rule::Drains, kind, a.first_byte);
+            let b = b.by(a.node).at_box(a.at_box).of_request(a.id).line(at, why);
+            let late = time(a.first_byte - at);
+            out.push(b.line(a.first_byte, format!("the first byte of attempt {}, {late} later", a.number)));
+        };
         // Whatever the list says meanwhile.
         let by_hand = view.by_hand.get(&(a.node, a.at_box)).map_or(&[][..], |calls| calls);
         let held = by_hand.iter().rev().find(|(at, _)| *at < a.first_byte);
         if let Some(&(at, _)) = held.filter(|(at, out)| *out && *at < since) {
-            let kind = "sent to a box that is held out after the grace";
-            let b = Breach::new(Rule::Drains, kind, a.first_byte);
-            let b = b.by(a.node).at_box(a.at_box).of_request(a.id);
-            let b = b.line(at, format!("node {} had said yes to holding box {} out", a.node, a.at_box));
-            let late = time(a.first_byte - at);
-            out.push(b.line(a.first_byte, format!("the first byte of attempt {}, {late} later", a.number)));
+            let why = format!("node {} had said yes to holding box {} out", a.node, a.at_box);
+            breach("sent to a box that is held out after the grace", at, why);
             continue;
         }
         let heard = heard(terms, view, a.node, a.at_box, a.first_byte);
@@ -32,11 +34,7 @@
                 Listed::Draining => "sent to a draining box after the grace",
                 _ => "sent to a box that is gone after the grace",
             };
-            let b = Breach::new(Rule::Drains, kind, a.first_byte);
-            let b = b.by(a.node).at_box(a.at_box).of_request(a.id);
-            let b = b.line(at, format!("node {} was told that box {} is {what} ({how})", a.node, a.at_box));
-            let late = time(a.first_byte - at);
-            out.push(b.line(a.first_byte, format!("the first byte of attempt {}, {late} later", a.number)));
+            breach(kind, at, format!("node {} was told that box {} is {what} ({how})", a.node, a.at_box));
         }
     }
     view.attempts.len()
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -464,26 +464,22 @@
                     sleep_until(next).await;
                 }
             }
-            Kind::Drains => {
-                let mut drains = JoinSet::new();
+            Kind::Drains | Kind::HeldOut => {
+                let by_hand = fault.kind == Kind::HeldOut;
+                let mut rounds = JoinSet::new();
                 for &b in &boxes {
                     let stage = self.clone();
-                    drains.spawn(async move { stage.drained(b).await });
-                    sleep(even(boxes.len())).await;
-                }
-                while let Some(drained) = drains.join_next().await {
-                    drained.map_err(io::Error::other)??;
-                }
-            }
-            Kind::HeldOut => {
-                let mut held = JoinSet::new();
-                for &b in &boxes {
-                    let stage = self.clone();
-                    held.spawn(async move { stage.held_out(b).await });
+                    rounds.spawn(async move {
+                        if by_hand {
+                            stage.held_out(b).await
+                        } else {
+                            stage.drained(b).await
+                        }
+                    });
                     sleep(even(boxes.len())).await;
                 }
-                while let Some(held) = held.join_next().await {
-                    held.map_err(io::Error::other)??;
+                while let Some(round) = rounds.join_next().await {
+                    round.map_err(io::Error::other)??;
                 }
             }
             Kind::CounterSlow => {
