Close no connection over what lies unread: the loss in upgrades under stalls

Counted on loopback with a process that stands still (SIGSTOP) through the moment in which it closes its idle connections: of 32 requests written whole, 32 were lost, all of them unread in the kernel of connections that counted as idle; of 8 heads in two pieces round that moment 8 were lost, all of them part of a head; where a second process claims its half of the descriptors, 7 of 60 were lost. None was in work, no answer was half written, and nothing was lost at the process's end itself.

Cause: a connection told to close was judged by what the process had read of it, and hyper counts one with half a head as idle. When a process goes on after a stall, its timer runs before the sockets are looked at.

Change: crates/succession, a state machine for the life of a connection, without I/O or clock. Whoever wants one closed tells it so; the machine asks for a look at what lies unread (recv with MSG_PEEK, by socket2, which tokio brings anyway) and lets go only if nothing does. A head in part is waited for at a stop until it is overdue, and cut for room only if its rest is not there; what lay unread while the process stood still gets its time once more.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,10 +20,12 @@
 use hyper_util::rt::TokioIo;
 use mountbend::interface::{Micros, NewRequest, RequestId};
 use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
+use pinerelay_succession::connection::{Action, Connection, Event, Stage, Why};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::operator::Front;
 
@@ -43,8 +46,6 @@
 const FORMER: Duration = Duration::from_millis(1_200);
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
-/// How long a connection that is told to close may still take to answer what crosses.
-const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// What a client that sends 64 kB a second takes for the part that is taken in ahead.
 const AHEAD: Duration = Duration::from_millis(1_030);
 /// How long before the client gives up a long request has failed.
@@ -175,7 +176,7 @@
             ticket: Cell::new(None),
             fresh: Cell::new(true),
             used: Cell::new(false),
-            busy: Cell::new(false),
+            life: Cell::default(),
             head_since: Cell::new(Some(Instant::now())),
             stuck_since: Cell::default(),
             wire: Wire::default(),
@@ -192,47 +193,54 @@
                 async move {
                     idle.matured();
                     idle.used.set(true);
-                    idle.busy.set(true);
+                    idle.on(Event::Taken);
                     idle.head_since.set(None);
                     idle.end();
                     idle.wire.begins(&request);
-                    let response = clients.answer(request, &idle.wire).await;
-                    idle.busy.set(false);
+                    let mut response = clients.answer(request, &idle.wire).await;
+                    if idle.life.get().told() {
+                        last(&mut response);
+                    }
+                    let ahead = idle.wire.ahead();
+                    idle.on(Event::Answered { ahead });
+                    idle.head_since.set(ahead.then(Instant::now));
                     idle.begin();
                     Ok::<_, Infallible>(response)
                 }
             });
+            let stream = Rc::new(RefCell::new(stream));
+            let watched = Watched { stream: stream.clone(), idle: idle.clone() };
             let connection = http1::Builder::new()
                 .max_buf_size(HEAD_MOST)
                 .header_read_timeout(None)
-                .serve_connection(TokioIo::new(Watched { stream, idle: idle.clone() }), service);
+                .serve_connection(TokioIo::new(watched), service);
             let mut connection = std::pin::pin!(connection);
             // Danger: the first request of a new connection may lie unread; only one that stays silent is idle.
             let mut silent = std::pin::pin!(tokio::time::sleep(FIRST_REQUEST));
             let mut new = true;
             loop {
-                tokio::select! {
+                let event = tokio::select! {
+                    biased;
                     _ = connection.as_mut() => return,
-                    _ = close.notified() => break,
-                    // Danger: half a head, or none, would hold the descriptor for ever. No request has been taken.
-                    _ = idle.cut.notified() => return,
-                    _ = closing.changed() => break,
+                    _ = close.notified() => Event::Told(Why::Room),
+                    _ = closing.changed() => Event::Told(Why::Stop),
+                    _ = idle.cut.notified() => if idle.stuck() { Event::Stuck } else { Event::Overdue },
                     _ = silent.as_mut(), if new => {
                         new = false;
                         idle.matured();
                         if !idle.used.get() {
                             idle.begin();
                         }
+                        continue;
                     }
-                }
-            }
-            connection.as_mut().graceful_shutdown();
-            if !idle.used.get() && !idle.busy.get() {
-                return;
-            }
-            while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err() {
-                if idle.ticket.get().is_some() {
-                    return;
+                };
+                match idle.told(event, &stream.borrow()) {
+                    None | Some(Action::Look | Action::LastAnswer) => {}
+                    Some(Action::Again) => idle.head_since.set(Some(Instant::now())),
+                    Some(Action::Cut) => return,
+                    // One that has never been used would wait for its first request.
+                    Some(Action::Shut) if !idle.used.get() => return,
+                    Some(Action::Shut) => connection.as_mut().graceful_shutdown(),
                 }
             }
         });
@@ -242,7 +250,7 @@
         // Danger: where a body in chunks ends, the next request may have been read along with it. Its head is not
         // looked at for what this one's was.
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let (mut response, last) = match self.serve(request, wire).await {
+        let (mut response, end) = match self.serve(request, wire).await {
             Ok(Answer::Served(body)) => (Response::new(body.into()), false),
             Ok(Answer::Long(body)) => (Response::new(Reply::Long(body)), false),
             Ok(Answer::Refused(wait)) => (refused(wait), false),
@@ -256,8 +264,8 @@
             }
         };
         // Danger: behind a request that can't be trusted may lie another that its sender hid there.
-        if last || chunked || self.node.stopping() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        if end || chunked || self.node.stopping() {
+            last(&mut response);
         }
         response
     }
@@ -373,6 +381,11 @@
     class.as_ref().and_then(|c| c.to_str().ok()).unwrap_or_default()
 }
 
+/// Says with an answer that its connection ends with it.
+fn last(response: &mut Response<Reply>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
 struct Gone<'a> {
     node: &'a Rc<Node>,
@@ -385,18 +398,19 @@
     }
 }
 
-/// Whether a connection stands idle.
+/// One connection: its place in the budget, and what is under way on it.
 struct Idle {
     budget: Rc<Budget>,
     close: Rc<Notify>,
-    /// Told to end at once.
+    /// Told that a head or the taking of an answer has had its time.
     cut: Notify,
     ticket: Cell<Option<Ticket>>,
     /// So new that its first request may still lie unread.
     fresh: Cell<bool>,
-    /// A request has come on it, and is open.
+    /// A request has come on it.
     used: Cell<bool>,
-    busy: Cell<bool>,
+    /// Decides when it may be closed.
+    life: Cell<Connection>,
     /// Since when a head is under way.
     head_since: Cell<Option<Instant>>,
     /// Since when the client has taken nothing of what lies there for it.
@@ -448,6 +462,11 @@
         bytes.drain(..end + body.min(come) as usize);
     }
 
+    /// Whether something of a next request has been read.
+    fn ahead(&self) -> bool {
+        self.skip.get() == 0 && !self.head.borrow().is_empty()
+    }
+
     /// Whether the head of the request named a length.
     fn names_length(&self) -> bool {
         self.length.get()
@@ -456,21 +475,21 @@
 
 /// A client's socket that notes when something comes while no request is open.
 struct Watched {
-    stream: TcpStream,
+    /// Shared with who looks what lies unread; never borrowed across a wait.
+    stream: Rc<RefCell<TcpStream>>,
     idle: Rc<Idle>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
         self.idle.wire.read(&buf.filled()[before..]);
-        if buf.filled().len() > before && !self.idle.busy.get() && self.idle.head_since.get().is_none() {
-            self.idle.head_since.set(Some(Instant::now()));
+        if buf.filled().len() > before && self.idle.life.get().stage() != Stage::InWork {
+            self.idle.on(Event::Came);
+            if self.idle.head_since.get().is_none() {
+                self.idle.head_since.set(Some(Instant::now()));
+            }
         }
         polled
     }
@@ -484,32 +503,32 @@
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
         self.wrote(polled.is_pending());
         polled
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
         self.wrote(polled.is_pending());
         polled
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -534,16 +553,47 @@
     }
 }
 
+fn past(since: &Cell<Option<Instant>>, most: Duration) -> bool {
+    since.get().is_some_and(|at| at.elapsed() > most)
+}
+
+/// Whether something lies in the machine for this connection. Danger: what the runtime knows of that is as old as its
+/// last look, and a process may have stood still since.
+fn unread(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|some| some > 0)
+}
+
 impl Idle {
     fn begin(&self) {
         self.end();
         self.ticket.set(Some(self.budget.idle(self.close.clone(), self.used.get())));
     }
 
-    /// Whether a head has been under way for too long.
+    /// Whether a head has been under way for too long, or the client takes nothing.
     fn overdue(&self, head_wait: Duration) -> bool {
-        let past = |since: &Cell<Option<Instant>>, most| since.get().is_some_and(|at| at.elapsed() > most);
-        !self.busy.get() && past(&self.head_since, head_wait) || past(&self.stuck_since, STUCK)
+        self.life.get().stage() != Stage::InWork && past(&self.head_since, head_wait) || self.stuck()
+    }
+
+    fn stuck(&self) -> bool {
+        past(&self.stuck_since, STUCK)
+    }
+
+    /// Takes an event that asks for nothing here: whoever hands out the answer sees to it.
+    fn on(&self, event: Event) {
+        let mut life = self.life.get();
+        life.on(event);
+        self.life.set(life);
+    }
+
+    /// Takes an event, and looks what lies unread if that is wanted.
+    fn told(&self, event: Event, stream: &TcpStream) -> Option<Action> {
+        let mut life = self.life.get();
+        let mut action = life.on(event);
+        if action == Some(Action::Look) {
+            action = life.on(Event::Looked { unread: unread(stream) });
+        }
+        self.life.set(life);
+        action
     }
 
     fn matured(&self) {
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -456,6 +456,32 @@
     std::env::temp_dir().join(format!("pinerelay-{}-{number}{ending}", std::process::id()))
 }
 
+/// A folder that is gone after the test.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        let path = scratch(".d");
+        std::fs::create_dir(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Asks again and again until it holds; what a node does a moment later has no other sign.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn launch(config: &str, operator: Option<&Path>) -> (Child, PathBuf) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pinerelay"));
     if let Some(file) = operator {
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -3,37 +3,10 @@
 mod fakes;
 
 use std::net::TcpListener;
-use std::path::PathBuf;
 
 use fakes::*;
 use serde_json::{json, Value};
 
-/// A folder that is gone after the test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new() -> Folder {
-        let path = scratch(".d");
-        std::fs::create_dir(&path).expect("a folder");
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// Asks again and again until it holds; what a node does a moment later has no other sign.
-fn until(what: &str, holds: impl Fn() -> bool) {
-    let begun = std::time::Instant::now();
-    while !holds() {
-        assert!(begun.elapsed() < PATIENCE, "never: {what}");
-        std::thread::sleep(std::time::Duration::from_millis(5));
-    }
-}
-
 fn served(app: &App, client: &mut Client, ask: &Ask) {
     client.ask(ask);
     app.next().answer("200 OK", "", "ok");
--- /dev/null
+++ b/crates/node/tests/succession.rs
@@ -0,0 +1,122 @@
+//! What a process owes the connections that it ends: nothing that lies unread, or has come in part, is lost with them.
+
+mod fakes;
+
+use std::net::TcpListener;
+use std::thread::{scope, sleep};
+use std::time::Duration;
+
+use fakes::*;
+use serde_json::json;
+
+/// Answers every request at this app server while `work` goes on.
+fn served_by(app: &App, work: impl FnOnce() + Send) {
+    scope(|scope| {
+        let work = scope.spawn(work);
+        while !work.is_finished() {
+            if let Some(seen) = app.poll_once() {
+                seen.answer("200 OK", "", "ok");
+            }
+        }
+        if let Err(panic) = work.join() {
+            std::panic::resume_unwind(panic);
+        }
+    });
+}
+
+fn kept(edge: &Edge, count: usize) -> Vec<Client> {
+    let mut clients: Vec<_> = (0..count).map(|_| edge.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.ask(&ask("post", &format!("first-{number}")));
+        assert_eq!(client.answer().status(), 200);
+    }
+    clients
+}
+
+/// How many of these get no whole answer.
+fn lost(clients: &mut [Client]) -> usize {
+    clients.iter_mut().map(|client| usize::from(client.try_answer().is_none())).sum()
+}
+
+/// A node that stands still for this long: as long as it does, what comes lies unread.
+fn still(edge: &Edge, time: Duration, meanwhile: impl FnOnce()) {
+    edge.signal("STOP");
+    meanwhile();
+    // The stall itself; what it proves is told by the answers.
+    sleep(time);
+    edge.signal("CONT");
+}
+
+#[test]
+fn what_comes_while_a_process_stands_still_in_its_stop_is_answered() {
+    let folder = Folder::new();
+    let app = App::new();
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let edge = Edge::inheriting(&config(&[entry("s-1", app.address, "a", "up")]), &folder.0, &platform);
+    served_by(&app, || {
+        let mut clients = kept(&edge, 24);
+        let silent: Vec<_> = (0..8).map(|_| edge.client()).collect();
+        clients.extend(silent);
+        // The last of them have been accepted by then.
+        until("ready", || edge.call("GET", "/api/ready", "").0 == 200);
+        edge.terminate();
+        until("not ready", || edge.call("GET", "/api/ready", "").0 == 503);
+        still(&edge, Duration::from_millis(1_200), || {
+            for (number, client) in clients.iter_mut().enumerate() {
+                client.ask(&ask("post", &format!("still-{number}")));
+            }
+        });
+        assert_eq!(lost(&mut clients), 0, "of {} that had been written whole", clients.len());
+    });
+    assert!(edge.end().0.success());
+}
+
+#[test]
+fn a_head_in_two_pieces_round_the_close_is_answered() {
+    let folder = Folder::new();
+    let app = App::new();
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let edge = Edge::inheriting(&config(&[entry("s-1", app.address, "a", "up")]), &folder.0, &platform);
+    served_by(&app, || {
+        let mut clients = kept(&edge, 4);
+        clients.extend((0..4).map(|_| edge.client()));
+        let texts: Vec<_> = (0..8).map(|number| ask("post", &format!("half-{number}")).text()).collect();
+        edge.terminate();
+        until("not ready", || edge.call("GET", "/api/ready", "").0 == 503);
+        // Idle connections are closed a second after SIGTERM; the heads begin before and end after that.
+        sleep(Duration::from_millis(800));
+        for (client, text) in clients.iter_mut().zip(&texts) {
+            client.raw(&text[..40]);
+        }
+        sleep(Duration::from_millis(600));
+        for (client, text) in clients.iter_mut().zip(&texts) {
+            client.raw(&text[40..]);
+        }
+        assert_eq!(lost(&mut clients), 0);
+    });
+    assert!(edge.end().0.success());
+}
+
+#[test]
+fn a_connection_is_not_closed_for_a_next_process_over_a_request_that_lies_unread() {
+    let folder = Folder::new();
+    let app = App::new();
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    // Places for 67 clients or so, and for 22 once a second process claims its half.
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 64, "sockets": 150});
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let old = Edge::inheriting(&config, &folder.0, &platform);
+    served_by(&app, || {
+        let mut clients = kept(&old, 60);
+        old.signal("STOP");
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.ask(&ask("post", &format!("unread-{number}")));
+        }
+        // It has claimed its half once it listens; the old one finds that out when it goes on.
+        let new = Edge::inheriting(&config, &folder.0, &platform);
+        sleep(Duration::from_millis(300));
+        old.signal("CONT");
+        assert_eq!(lost(&mut clients), 0);
+        drop(new);
+    });
+}
