One succession machine and one shared record in place of four mechanisms

Need: what two processes of an upgrade leave each other had grown into four mechanisms with a file format and a lock each (seats, maintenance, handover, heirs). Of a damaged file the whole set of held-out servers was taken, so one was let back against the rule on drains; a call that could not be written was forgotten; a file that is no UTF-8 was logged five times a second.

Change: crates/succession decides, without I/O or clock: the life of a process (Starting to Gone, with what each phase owes), that of a connection, claims on descriptors, held-out servers as marks that merge in any order, a record for each process (lines with a CRC-32 each, a second copy of who is held out), and one picture of whatever was found. net/succession/shared.rs reads and writes, run/life.rs carries out; seats, maintenance, handover, heirs and stop are gone. net/ has a folder for each side. An eighth of the descriptors is kept for a process that starts, which holds some before it can claim any.

It found in this change: a successor heard of late that dies leaves nobody to accept; a call back that could not be written comes out later and undoes a later call out; the descriptors of a process that has not claimed yet pass the limit. All three are mended.

Measured: tests of damaged, empty, missing, unreadable, foreign and unwritable records hold, and those of the node.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -1,17 +1,17 @@
-//! The clients' side: the listener, what a request must hold, the answers, and `/up`.
+//! The clients' side: what is accepted, what a request must hold, the answers, and `/up`.
+
+mod connection;
+pub mod listen;
+mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::io;
-use std::mem::MaybeUninit;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::server::conn::http1;
@@ -20,23 +20,24 @@
 use hyper_util::rt::TokioIo;
 use mountbend::interface::{Micros, NewRequest, RequestId};
 use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
-use pinerelay_succession::connection::{Action, Connection, Event, Stage, Why};
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use pinerelay_succession::connection::{Action, Event, Why};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use crate::net::body::BadBody;
+use crate::net::budget::{Budget, Slot};
+use crate::net::long::{take, Download, Outgoing, Taken, Upload};
+use crate::net::node::{Node, FAIL_BEFORE};
+use crate::net::operators::figures::{self, Figures};
+use crate::net::ports::{Answer, Forward, Payload};
+use crate::net::room::Room;
+use crate::net::servers::Servers;
 use crate::operator::Front;
 
-use super::body::BadBody;
-use super::budget::{Budget, Slot, Ticket};
-use super::figures::{self, Figures};
-use super::long::{take, Download, Outgoing, Taken, Upload, STUCK};
-use super::node::{Node, FAIL_BEFORE};
-use super::ports::{Answer, Forward, Payload};
-use super::room::Room;
-use super::servers::Servers;
+use connection::{Idle, Watched};
+use listen::Gate;
+use wire::Wire;
 
 /// A head is at most this long. It bounds what a connection may hold in buffers, too.
 const HEAD_MOST: usize = 16 * 1024;
@@ -142,12 +143,44 @@
         self.closing.send_modify(|n| *n += 1);
     }
 
-    /// Accepts for ever. Guard: with no descriptor left it waits for one, idle connections being closed
-    /// first; what the machine has accepted meanwhile waits in the backlog.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts while the gate is open. Guard: with no descriptor left it waits for one, idle connections being closed
+    /// first; what the machine has accepted meanwhile waits in the backlog. A socket of this process's own (`handed_on`
+    /// false) is emptied once the gate is shut, and closed: nobody else would meet what lies there.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, gate: Rc<Gate>, handed_on: bool) {
+        loop {
+            gate.is(true).await;
+            self.accept_while_open(&listener, &gate).await;
+            if !handed_on {
+                break;
+            }
+            gate.heed();
+        }
+        // Danger: what the runtime knows of the backlog is as old as its last look.
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((stream, _)) = listener.accept() {
+                let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                if let (Ok(stream), Some(slot)) = (stream, self.budget.for_client()) {
+                    self.open(stream, slot);
+                }
+            }
+        }
+        gate.heed();
+    }
+
+    async fn accept_while_open(self: &Rc<Self>, listener: &TcpListener, gate: &Gate) {
+        let mut shut = std::pin::pin!(gate.is(false));
         loop {
-            let slot = self.slot().await;
-            match listener.accept().await {
+            let slot = tokio::select! {
+                biased;
+                () = shut.as_mut() => return,
+                slot = self.slot() => slot,
+            };
+            let accepted = tokio::select! {
+                biased;
+                () = shut.as_mut() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => self.open(stream, slot),
                 Err(error) => {
                     drop(slot);
@@ -166,21 +199,7 @@
     }
 
     fn open(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
-        // Counted as new from here on, and not from when its task first runs.
-        self.budget.fresh();
-        let close = Rc::new(Notify::new());
-        let idle = Rc::new(Idle {
-            budget: self.budget.clone(),
-            close: close.clone(),
-            cut: Notify::new(),
-            ticket: Cell::new(None),
-            fresh: Cell::new(true),
-            used: Cell::new(false),
-            life: Cell::default(),
-            head_since: Cell::new(Some(Instant::now())),
-            stuck_since: Cell::default(),
-            wire: Wire::default(),
-        });
+        let idle = Idle::new(self.budget.clone());
         let clients = self.clone();
         let mut closing = self.closing.subscribe();
         tokio::task::spawn_local(async move {
@@ -191,20 +210,11 @@
             let service = service_fn(|request| {
                 let (clients, idle) = (clients.clone(), idle.clone());
                 async move {
-                    idle.matured();
-                    idle.used.set(true);
-                    idle.on(Event::Taken);
-                    idle.head_since.set(None);
-                    idle.end();
-                    idle.wire.begins(&request);
+                    idle.taken(&request);
                     let mut response = clients.answer(request, &idle.wire).await;
-                    if idle.life.get().told() {
+                    if idle.answered() {
                         last(&mut response);
                     }
-                    let ahead = idle.wire.ahead();
-                    idle.on(Event::Answered { ahead });
-                    idle.head_since.set(ahead.then(Instant::now));
-                    idle.begin();
                     Ok::<_, Infallible>(response)
                 }
             });
@@ -222,24 +232,21 @@
                 let event = tokio::select! {
                     biased;
                     _ = connection.as_mut() => return,
-                    _ = close.notified() => Event::Told(Why::Room),
+                    _ = idle.close.notified() => Event::Told(Why::Room),
                     _ = closing.changed() => Event::Told(Why::Stop),
-                    _ = idle.cut.notified() => if idle.stuck() { Event::Stuck } else { Event::Overdue },
+                    _ = idle.cut.notified() => idle.late(),
                     _ = silent.as_mut(), if new => {
                         new = false;
-                        idle.matured();
-                        if !idle.used.get() {
-                            idle.begin();
-                        }
+                        idle.settled();
                         continue;
                     }
                 };
                 match idle.told(event, &stream.borrow()) {
                     None | Some(Action::Look | Action::LastAnswer) => {}
-                    Some(Action::Again) => idle.head_since.set(Some(Instant::now())),
+                    Some(Action::Again) => idle.again(),
                     Some(Action::Cut) => return,
                     // One that has never been used would wait for its first request.
-                    Some(Action::Shut) if !idle.used.get() => return,
+                    Some(Action::Shut) if !idle.used() => return,
                     Some(Action::Shut) => connection.as_mut().graceful_shutdown(),
                 }
             }
@@ -398,140 +405,6 @@
     }
 }
 
-/// One connection: its place in the budget, and what is under way on it.
-struct Idle {
-    budget: Rc<Budget>,
-    close: Rc<Notify>,
-    /// Told that a head or the taking of an answer has had its time.
-    cut: Notify,
-    ticket: Cell<Option<Ticket>>,
-    /// So new that its first request may still lie unread.
-    fresh: Cell<bool>,
-    /// A request has come on it.
-    used: Cell<bool>,
-    /// Decides when it may be closed.
-    life: Cell<Connection>,
-    /// Since when a head is under way.
-    head_since: Cell<Option<Instant>>,
-    /// Since when the client has taken nothing of what lies there for it.
-    stuck_since: Cell<Option<Instant>>,
-    wire: Wire,
-}
-
-/// The heads of a connection's requests as they came. The parser drops a length that stands beside chunks; whether there
-/// was one is seen only here.
-#[derive(Default)]
-struct Wire {
-    /// What has come since the last request ended, while it may belong to a head.
-    head: RefCell<Vec<u8>>,
-    /// Bytes of the present body that are yet to come.
-    skip: Cell<u64>,
-    /// The head of the present request.
-    length: Cell<bool>,
-}
-
-impl Wire {
-    /// Bytes have come.
-    fn read(&self, mut bytes: &[u8]) {
-        let skipped = self.skip.get().min(bytes.len() as u64);
-        self.skip.set(self.skip.get() - skipped);
-        bytes = &bytes[skipped as usize..];
-        let mut head = self.head.borrow_mut();
-        // The parser reads no further ahead than a head may be long, and one buffer more.
-        let room = (2 * HEAD_MOST).saturating_sub(head.len());
-        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
-    }
-
-    /// A request's head has come: what is left over is of its body, or of the next one.
-    fn begins(&self, request: &Request<Incoming>) {
-        let mut bytes = self.head.borrow_mut();
-        let blank = |at: usize| bytes[at..].starts_with(b"\r\n\r\n") || bytes[at..].starts_with(b"\n\n");
-        let start = bytes.iter().position(|b| !matches!(b, b'\r' | b'\n')).unwrap_or(bytes.len());
-        let end = (start..bytes.len()).find(|&at| bytes[at] <= b'\r' && blank(at)).unwrap_or(bytes.len());
-        let named = |line: &[u8]| {
-            let name = line.split(|&b| b == b':').next().unwrap_or_default();
-            name.trim_ascii().eq_ignore_ascii_case(b"content-length")
-        };
-        if request.headers().contains_key(TRANSFER_ENCODING) {
-            self.length.set(bytes[..end].split(|&b| b == b'\n').any(named));
-        }
-        let body = request.body().size_hint().exact().unwrap_or(u64::MAX);
-        let end = (end + if bytes[end..].starts_with(b"\r") { 4 } else { 2 }).min(bytes.len());
-        let come = (bytes.len() - end) as u64;
-        self.skip.set(body.saturating_sub(come));
-        bytes.drain(..end + body.min(come) as usize);
-    }
-
-    /// Whether something of a next request has been read.
-    fn ahead(&self) -> bool {
-        self.skip.get() == 0 && !self.head.borrow().is_empty()
-    }
-
-    /// Whether the head of the request named a length.
-    fn names_length(&self) -> bool {
-        self.length.get()
-    }
-}
-
-/// A client's socket that notes when something comes while no request is open.
-struct Watched {
-    /// Shared with who looks what lies unread; never borrowed across a wait.
-    stream: Rc<RefCell<TcpStream>>,
-    idle: Rc<Idle>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
-        self.idle.wire.read(&buf.filled()[before..]);
-        if buf.filled().len() > before && self.idle.life.get().stage() != Stage::InWork {
-            self.idle.on(Event::Came);
-            if self.idle.head_since.get().is_none() {
-                self.idle.head_since.set(Some(Instant::now()));
-            }
-        }
-        polled
-    }
-}
-
-impl Watched {
-    fn wrote(&self, stuck: bool) {
-        let since = self.idle.stuck_since.get().filter(|_| stuck);
-        self.idle.stuck_since.set(since.or_else(|| stuck.then(Instant::now)));
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
-        self.wrote(polled.is_pending());
-        polled
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.wrote(polled.is_pending());
-        polled
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.borrow().is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// A connection's place on the list of open ones.
 struct Listed {
     clients: Rc<Clients>,
@@ -553,69 +426,6 @@
     }
 }
 
-fn past(since: &Cell<Option<Instant>>, most: Duration) -> bool {
-    since.get().is_some_and(|at| at.elapsed() > most)
-}
-
-/// Whether something lies in the machine for this connection. Danger: what the runtime knows of that is as old as its
-/// last look, and a process may have stood still since.
-fn unread(stream: &TcpStream) -> bool {
-    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|some| some > 0)
-}
-
-impl Idle {
-    fn begin(&self) {
-        self.end();
-        self.ticket.set(Some(self.budget.idle(self.close.clone(), self.used.get())));
-    }
-
-    /// Whether a head has been under way for too long, or the client takes nothing.
-    fn overdue(&self, head_wait: Duration) -> bool {
-        self.life.get().stage() != Stage::InWork && past(&self.head_since, head_wait) || self.stuck()
-    }
-
-    fn stuck(&self) -> bool {
-        past(&self.stuck_since, STUCK)
-    }
-
-    /// Takes an event that asks for nothing here: whoever hands out the answer sees to it.
-    fn on(&self, event: Event) {
-        let mut life = self.life.get();
-        life.on(event);
-        self.life.set(life);
-    }
-
-    /// Takes an event, and looks what lies unread if that is wanted.
-    fn told(&self, event: Event, stream: &TcpStream) -> Option<Action> {
-        let mut life = self.life.get();
-        let mut action = life.on(event);
-        if action == Some(Action::Look) {
-            action = life.on(Event::Looked { unread: unread(stream) });
-        }
-        self.life.set(life);
-        action
-    }
-
-    fn matured(&self) {
-        if self.fresh.replace(false) {
-            self.budget.matured();
-        }
-    }
-
-    fn end(&self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.budget.busy(ticket);
-        }
-    }
-}
-
-impl Drop for Idle {
-    fn drop(&mut self) {
-        self.matured();
-        self.end();
-    }
-}
-
 /// An answer to what is no proper request, or had no answer in time.
 struct Rejected(StatusCode, &'static str);
 
--- /dev/null
+++ b/crates/node/src/net/clients/wire.rs
@@ -0,0 +1,64 @@
+//! The heads of a connection's requests as they came: what the parser drops of them is seen here alone.
+
+use std::cell::{Cell, RefCell};
+
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
+use hyper::Request;
+
+use super::HEAD_MOST;
+
+/// The heads of a connection's requests as they came. The parser drops a length that stands beside chunks; whether there
+/// was one is seen only here.
+#[derive(Default)]
+pub(super) struct Wire {
+    /// What has come since the last request ended, while it may belong to a head.
+    head: RefCell<Vec<u8>>,
+    /// Bytes of the present body that are yet to come.
+    skip: Cell<u64>,
+    /// The head of the present request.
+    length: Cell<bool>,
+}
+
+impl Wire {
+    /// Bytes have come.
+    pub(super) fn read(&self, mut bytes: &[u8]) {
+        let skipped = self.skip.get().min(bytes.len() as u64);
+        self.skip.set(self.skip.get() - skipped);
+        bytes = &bytes[skipped as usize..];
+        let mut head = self.head.borrow_mut();
+        // The parser reads no further ahead than a head may be long, and one buffer more.
+        let room = (2 * HEAD_MOST).saturating_sub(head.len());
+        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+    }
+
+    /// A request's head has come: what is left over is of its body, or of the next one.
+    pub(super) fn begins(&self, request: &Request<Incoming>) {
+        let mut bytes = self.head.borrow_mut();
+        let blank = |at: usize| bytes[at..].starts_with(b"\r\n\r\n") || bytes[at..].starts_with(b"\n\n");
+        let start = bytes.iter().position(|b| !matches!(b, b'\r' | b'\n')).unwrap_or(bytes.len());
+        let end = (start..bytes.len()).find(|&at| bytes[at] <= b'\r' && blank(at)).unwrap_or(bytes.len());
+        let named = |line: &[u8]| {
+            let name = line.split(|&b| b == b':').next().unwrap_or_default();
+            name.trim_ascii().eq_ignore_ascii_case(b"content-length")
+        };
+        if request.headers().contains_key(TRANSFER_ENCODING) {
+            self.length.set(bytes[..end].split(|&b| b == b'\n').any(named));
+        }
+        let body = request.body().size_hint().exact().unwrap_or(u64::MAX);
+        let end = (end + if bytes[end..].starts_with(b"\r") { 4 } else { 2 }).min(bytes.len());
+        let come = (bytes.len() - end) as u64;
+        self.skip.set(body.saturating_sub(come));
+        bytes.drain(..end + body.min(come) as usize);
+    }
+
+    /// Whether something of a next request has been read.
+    pub(super) fn ahead(&self) -> bool {
+        self.skip.get() == 0 && !self.head.borrow().is_empty()
+    }
+
+    /// Whether the head of the request named a length.
+    pub(super) fn names_length(&self) -> bool {
+        self.length.get()
+    }
+}
--- a/crates/node/src/net/counter.rs
+++ b/crates/node/src/net/counts/counter.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
-use super::ports::{Core, QuotaStore};
+use crate::net::ports::{Core, QuotaStore};
 
 /// Calls that may wait on one connection.
 const QUEUE_MOST: usize = 4096;
--- a/crates/node/src/net/redis.rs
+++ b/crates/node/src/net/counts/redis.rs
@@ -9,7 +9,7 @@
 use pinerelay_store_redis::server::{Server, Settings};
 use pinerelay_store_redis::store::RedisStore;
 
-use super::ports::{Core, QuotaStore};
+use crate::net::ports::{Core, QuotaStore};
 use crate::strict::FileError;
 
 /// The server that an operator's file names.
--- a/crates/node/src/net/long.rs
+++ b/crates/node/src/net/long.rs
@@ -14,9 +14,9 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant, Sleep};
 
-use super::body::{bad_body, BadBody};
-use super::figures::{self, Figures, Pending};
-use super::room::{Hold, Room};
+use crate::net::body::{bad_body, BadBody};
+use crate::net::operators::figures::{self, Figures, Pending};
+use crate::net::room::{Hold, Room};
 
 /// No body is longer: 32 MB, and what a careless sender counts on top.
 pub const LONGEST: u64 = 34_000_000;
--- a/crates/node/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -14,9 +14,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use super::clock::Clock;
-use super::long::Download;
-use super::ports::{Answer, Core, Forward, MemberSource, Payload, QuotaStore, Upstream};
+use crate::net::clock::Clock;
+use crate::net::long::Download;
+use crate::net::ports::{Answer, Core, Forward, MemberSource, Payload, QuotaStore, Upstream};
 
 /// Attempts are given up this long before the client gives up, so that the answer still reaches it.
 pub const STOP_BEFORE: Micros = 25_000;
--- a/crates/node/src/net/ops.rs
+++ b/crates/node/src/net/operators.rs
@@ -1,4 +1,6 @@
-//! The operators' address: whether the node is ready, its figures, and app servers taken out and brought back.
+//! The operators' side: whether the node is ready, its figures, and app servers taken out and brought back.
+
+pub mod figures;
 
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -15,15 +17,16 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use pinerelay_succession::held::Call;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use super::body::{whole, BadBody};
-use super::figures::Figures;
-use super::listen::listen;
-use super::maintenance::{Call, Maintenance};
-use super::members::Members;
+use crate::net::body::{whole, BadBody};
+use crate::net::clients::listen::listen;
+use crate::net::operators::figures::Figures;
+use crate::net::servers::members::Members;
+use crate::net::succession::shared::Shared;
 
 /// So many callers at a time; one descriptor each. With all places taken the oldest caller goes.
 pub const CALLERS: usize = 12;
@@ -40,14 +43,14 @@
 pub struct Ops {
     figures: Rc<Figures>,
     members: Rc<Members>,
-    maintenance: Rc<Maintenance>,
+    shared: Rc<Shared>,
     ready: Cell<bool>,
 }
 
 impl Ops {
     /// Not ready yet.
-    pub fn new(figures: Rc<Figures>, members: Rc<Members>, maintenance: Rc<Maintenance>) -> Rc<Self> {
-        Rc::new(Ops { figures, members, maintenance, ready: Cell::new(false) })
+    pub fn new(figures: Rc<Figures>, members: Rc<Members>, shared: Rc<Shared>) -> Rc<Self> {
+        Rc::new(Ops { figures, members, shared, ready: Cell::new(false) })
     }
 
     /// Whether this process takes clients.
@@ -137,13 +140,16 @@
             |_| (StatusCode::BAD_REQUEST, "the body is to hold an app server's id\n".to_string());
         let body = whole(body, BODY_MOST).await.map_err(unreadable)?;
         let name = std::str::from_utf8(&body).map_err(|_| unreadable(BadBody::Malformed))?.trim();
-        if !self.members.known(name) && !self.maintenance.holds(name) {
+        if !self.members.known(name) && !self.shared.holds(name) {
             return Err((StatusCode::NOT_FOUND, format!("no app server {name:?} is known here\n")));
         }
-        let kept = self.maintenance.call(name, call);
+        let kept = self.shared.call(name, call);
         self.members.reconsider();
         kept.map(|()| "done\n".to_string()).map_err(|error| {
-            let why = format!("done here, but the next process will not know of it: {error}\n");
+            let why = match call {
+                Call::Exclude => format!("out here, but the next process does not know of it yet: {error}\n"),
+                Call::Include => format!("not done, it stays out: {error}\n"),
+            };
             eprintln!("pinerelay: operators: {name}: {}", why.trim_end());
             (StatusCode::INTERNAL_SERVER_ERROR, why)
         })
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use tokio::task::AbortHandle;
 
-use super::long::{Download, Upload};
+use crate::net::long::{Download, Upload};
 
 /// What peers tell the node. It takes each thing in at once; what follows from it may call the peer again
 /// before this returns, so nothing may be borrowed meanwhile.
@@ -40,7 +40,7 @@
     fn settled(&self) -> bool;
 }
 
-/// Who tells of app servers. What it hears goes to [`super::members::Members`].
+/// Who tells of app servers. What it hears goes to [`crate::net::servers::members::Members`].
 pub trait MemberSource {
     /// Asks for the whole list once more; told as a whole list, or as lost.
     fn fetch(&self);
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -1,5 +1,10 @@
 //! The app servers: where they are, the connections kept to each, attempts and their outcomes, probes.
 
+pub mod discovery;
+pub mod http;
+pub mod members;
+pub mod reuse;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,15 +21,15 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-use super::body::BadBody;
-use super::budget::{Budget, Slot};
-use super::clock::Clock;
-use super::http::{framed, Broken, Connection, OnWritten, Sent};
-use super::long::{take, Download, End, Taken};
-use super::node::STOP_BEFORE;
-use super::ports::{Core, Forward, Payload, Upstream};
-use super::reuse::Reuse;
-use super::room::Room;
+use crate::net::body::BadBody;
+use crate::net::budget::{Budget, Slot};
+use crate::net::clock::Clock;
+use crate::net::long::{take, Download, End, Taken};
+use crate::net::node::STOP_BEFORE;
+use crate::net::ports::{Core, Forward, Payload, Upstream};
+use crate::net::room::Room;
+use crate::net::servers::http::{framed, Broken, Connection, OnWritten, Sent};
+use crate::net::servers::reuse::Reuse;
 
 /// How long an answer that has begun may stand still. Danger: one that says it is longer than it is never ends. It does
 /// harm where app servers pause for longer within a short answer.
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/servers/discovery.rs
@@ -14,10 +14,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
-use super::body::whole;
-use super::http::Connection;
-use super::members::Members;
-use super::ports::MemberSource;
+use crate::net::body::whole;
+use crate::net::ports::MemberSource;
+use crate::net::servers::http::Connection;
+use crate::net::servers::members::Members;
 
 /// How long a watch may wait, and how much later its answer counts as lost. Danger: a change counts as told
 /// 6 s after it at the latest, arrived or not, so a watch on a dead connection is given up sooner.
--- a/crates/node/src/net/members.rs
+++ b/crates/node/src/net/servers/members.rs
@@ -7,9 +7,9 @@
 use mountbend::interface::{Event, ListKind, Member, MemberState, ServerId};
 use pinerelay_protocol::list::{number, Endpoint};
 
-use super::figures::MemberFigures;
-use super::maintenance::Maintenance;
-use super::ports::{Core, Upstream};
+use crate::net::operators::figures::MemberFigures;
+use crate::net::ports::{Core, Upstream};
+use crate::net::succession::shared::Shared;
 
 /// An app server as its source tells it.
 struct Told {
@@ -25,7 +25,7 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     told: RefCell<BTreeMap<ServerId, Told>>,
-    maintenance: Rc<Maintenance>,
+    shared: Rc<Shared>,
     upstream: Rc<dyn Upstream>,
     core: Weak<dyn Core>,
 }
@@ -35,11 +35,11 @@
     pub fn new(
         zones: Vec<String>,
         kinds: Vec<String>,
-        maintenance: Rc<Maintenance>,
+        shared: Rc<Shared>,
         upstream: Rc<dyn Upstream>,
         core: Weak<dyn Core>,
     ) -> Rc<Self> {
-        Rc::new(Members { zones, kinds, told: RefCell::default(), maintenance, upstream, core })
+        Rc::new(Members { zones, kinds, told: RefCell::default(), shared, upstream, core })
     }
 
     /// Takes in entries of a list, or that a source has lost its way.
@@ -48,7 +48,7 @@
         if kind != ListKind::Changes && kind != ListKind::Lost {
             self.told.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
             self.upstream.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
-            self.maintenance.forget(|name| self.known(name));
+            self.shared.forget(|name| self.known(name));
         }
         self.pass_on(kind, entries);
     }
@@ -92,10 +92,10 @@
     /// State and start as they hold here. What operators hold out is as one that drains, whatever its source says.
     fn effective(&self, told: &Told) -> (MemberState, u64) {
         let state = match told.member.state {
-            MemberState::In if self.maintenance.holds(&told.name) => MemberState::Draining,
+            MemberState::In if self.shared.holds(&told.name) => MemberState::Draining,
             state => state,
         };
-        (state, self.maintenance.started(&told.name, told.since_ms))
+        (state, self.shared.started(&told.name, told.since_ms))
     }
 
     fn entry(&self, value: serde_json::Value) -> Option<Member> {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,54 +1,47 @@
 //! The running node: its parts joined.
 
-mod heirs;
+mod life;
 mod retune;
-mod stop;
 mod store;
 
 use std::cell::{Cell, RefCell};
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::SystemTime;
 
 use mountbend::control::Controller;
 use mountbend::interface::Settings;
 use pinerelay_protocol::classes::ClassTable;
 use pinerelay_protocol::request::Rules;
+use pinerelay_succession::claims;
 use tokio::net::TcpListener;
 use tokio::runtime::LocalOptions;
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::time::{sleep, Instant};
+use tokio::signal::unix::{signal, SignalKind};
 
 use crate::config::{Checked, Config, Running, StartError};
 use crate::net::budget::Budget;
+use crate::net::clients::listen::{inherited, listen, Gate};
 use crate::net::clients::Clients;
 use crate::net::clock::Clock;
-use crate::net::counter::Counter;
-use crate::net::discovery::Discovery;
-use crate::net::figures::Figures;
-use crate::net::handover::Handover;
-use crate::net::http::OnWritten;
-use crate::net::listen::{inherited, listen};
-use crate::net::maintenance::Maintenance;
-use crate::net::members::Members;
+use crate::net::counts::counter::Counter;
+use crate::net::counts::redis;
 use crate::net::node::{Node, Peers};
-use crate::net::ops::{Ops, CALLERS};
-use crate::net::redis;
+use crate::net::operators::figures::Figures;
+use crate::net::operators::{Ops, CALLERS};
 use crate::net::room::Room;
-use crate::net::seats::enough;
+use crate::net::servers::discovery::Discovery;
+use crate::net::servers::http::OnWritten;
+use crate::net::servers::members::Members;
 use crate::net::servers::Servers;
+use crate::net::succession::learned;
+use crate::net::succession::shared::Shared;
 use crate::operator::Operator;
 
-use heirs::{keep_to, remember, share, shared_file, sit};
+use life::{live, Parts, Times};
 use retune::{longest, reload, Retuned};
-use stop::{stop, Parts};
 use store::Store;
 
-/// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
-const LIST_WAIT: Duration = Duration::from_secs(1);
-/// How often it looks whether it is.
-const READY_LOOKS: Duration = Duration::from_millis(10);
-
 /// Runs a node until it has stopped; returns early if it can't start.
 pub fn run(path: PathBuf, operator: Option<PathBuf>) -> Result<(), StartError> {
     let front = inherited()?;
@@ -72,8 +65,8 @@
     let (running, config) = config;
     let Checked { listen: at, ops: ops_at, discovery, counter, seed } = config.checked()?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
+    let terminate = signal(SignalKind::terminate()).map_err(StartError::System)?;
+    let interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
     let ops_at = match std::env::var("PROXY_OPS") {
         Ok(text) => Some(text.parse().map_err(|_| StartError::Address("PROXY_OPS", text))?),
         Err(_) => ops_at,
@@ -98,16 +91,20 @@
     let counter_at = counter.filter(|_| settings.counter.allowed);
     let (wait, try_limit) = (settings.counter.wait, settings.limits.try_limit);
     let mut controller = Controller::new(seed, settings);
-    // Only a process whose socket is handed on is followed by another while it runs.
-    let handover = front.as_ref().and_then(|_| shared_file(at, "memory")).map(Handover::new);
-    if let Some(memory) = handover.as_ref().and_then(|handover| handover.take(&classes.names())) {
+    let handed_on = front.is_some();
+    // One whose socket is its own has no other beside it.
+    let claimable = if handed_on { claims::shared(sockets) } else { sockets };
+    let shared = Rc::new(shared(at, claimable, handed_on || ops_at.is_some()));
+    // Only a process whose socket is handed on takes over from another while both run.
+    let left = shared.learned().filter(|_| handed_on);
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis();
+    if let Some(memory) = left.and_then(|left| learned::take(left, &classes.names(), now as u64)) {
         controller.recall(clock.now(), &memory);
     }
     let redis_at = match (&operator.redis, &file) {
         (Some(settings), Some(file)) => Some(redis::server(settings, file)?),
         _ => None,
     };
-    let maintenance = Rc::new(Maintenance::new(ops_at.and_then(|_| shared_file(at, "out"))));
     let mut joined = None;
     let node = Node::new(controller, try_limit, clock.clone(), |core| {
         let sent = figures.clone();
@@ -127,7 +124,7 @@
                 Store::Counter(Counter::new(counter_at, wait, operator.counter.connections, core.clone()))
             }
         };
-        let members = Members::new(zones, kinds, maintenance.clone(), servers.clone(), core);
+        let members = Members::new(zones, kinds, shared.clone(), servers.clone(), core);
         let discovery = Discovery::new(discovery, members.clone());
         joined = Some((servers.clone(), store.clone(), members, discovery.clone()));
         Peers { upstream: servers, store: store.port(), members: discovery }
@@ -135,21 +132,18 @@
     // The closure above has run by now.
     let Some((servers, store, members, discovery)) = joined else { return Ok(()) };
     // Danger: the socket of another is met by the next process; one of its own is closed with this one.
-    let handed_on = front.is_some();
     let listener = match front {
         Some(listener) => TcpListener::from_std(listener).map_err(StartError::System)?,
         None => listen(at, operator.front.backlog).map_err(|e| StartError::Listen(at, e))?,
     };
     eprintln!("pinerelay: listening on {}", listener.local_addr().map_err(StartError::System)?);
     discovery.start(config.known);
-    let ops = Ops::new(figures.clone(), members.clone(), maintenance.clone());
+    let ops = Ops::new(figures.clone(), members.clone(), shared.clone());
     if let Some(at) = ops_at {
         let listener = Ops::listen(at).map_err(|e| StartError::Listen(at, e))?;
         eprintln!("pinerelay: operators call at {}", listener.local_addr().map_err(StartError::System)?);
         tokio::task::spawn_local(ops.clone().serve(listener));
-        tokio::task::spawn_local(share(maintenance, members));
     }
-    let seats = if handed_on { shared_file(at, "x").and_then(|path| sit(path, sockets)) } else { None };
     let clients = Clients::new(
         node.clone(),
         servers.clone(),
@@ -170,37 +164,23 @@
         figures,
     };
     tokio::task::spawn_local(reload(hangup, path, file, discovery.clone(), store.clone(), retuned));
-    if let Some(handover) = handover {
-        tokio::task::spawn_local(remember(handover, names, node.clone()));
-    }
-    if let Some(seats) = seats {
-        budget.resize(seats.claimed());
-        tokio::task::spawn_local(keep_to(seats, budget.clone(), node.clone(), servers));
-    }
-    let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
-    let room = budget.clone();
-    let ready = move || discovery.heard() && enough(room.allowed(), sockets);
-    tokio::task::spawn_local(readiness(ops.clone(), ready));
-
-    either(&mut terminate, &mut interrupt).await;
-    let parts = Parts { node, clients, accepting, ops, budget, store: store.port() };
-    stop(parts, &operator.stop, patience.get(), handed_on).await;
+    let gate = Rc::new(Gate::default());
+    tokio::task::spawn_local(clients.clone().accept(listener, gate.clone(), handed_on));
+    let store = store.port();
+    let parts = Parts { node, clients, gate, ops, budget, servers, members, discovery, store, shared, names };
+    let longest = || patience.get();
+    let times = Times { planned: &operator.stop, longest: &longest, limit: claimable, handed_on };
+    live(parts, times, terminate, interrupt).await;
     Ok(())
 }
 
-/// Says that this process takes clients once it knows the app servers and has descriptors to serve with, or has waited long
-/// enough for them. Danger: the process before it is stopped upon this word, and the list that a node starts with may be old.
-async fn readiness(ops: Rc<Ops>, ready: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !ready() && begun.elapsed() < LIST_WAIT {
-        sleep(READY_LOOKS).await;
-    }
-    ops.ready(true);
-}
-
-async fn either(a: &mut Signal, b: &mut Signal) {
-    tokio::select! {
-        _ = a.recv() => {}
-        _ = b.recv() => {}
-    }
+/// What this process shares with the others of its address, where it may have some: operators' calls, or a socket that is
+/// handed on. Where it can't, it keeps to its limits as if it were alone.
+fn shared(listen: SocketAddr, limit: usize, wanted: bool) -> Shared {
+    let folder = std::env::var_os("TMPDIR").filter(|_| wanted);
+    let Some(folder) = folder else { return Shared::alone(limit) };
+    Shared::join(Path::new(&folder), listen, limit).unwrap_or_else(|error| {
+        eprintln!("pinerelay: succession: nothing is shared with a next process: {error}");
+        Shared::alone(limit)
+    })
 }
--- /dev/null
+++ b/crates/node/src/run/life.rs
@@ -0,0 +1,238 @@
+//! The life of a process carried out: what happens is told to its state machine, and what that says is done.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mountbend::interface::Event as Told;
+use pinerelay_succession::claims::enough;
+use pinerelay_succession::process::{Action, Event, Others, Phase, Process, Timer};
+use pinerelay_succession::record::Standing;
+use tokio::signal::unix::Signal;
+use tokio::time::{sleep_until, Instant};
+
+use crate::net::budget::Budget;
+use crate::net::clients::listen::Gate;
+use crate::net::clients::Clients;
+use crate::net::node::Node;
+use crate::net::operators::Ops;
+use crate::net::ports::{Core, QuotaStore};
+use crate::net::servers::discovery::Discovery;
+use crate::net::servers::members::Members;
+use crate::net::servers::Servers;
+use crate::net::succession::learned;
+use crate::net::succession::shared::{Mine, Shared, LOOKS};
+use crate::operator::Stop;
+
+/// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+/// How long it waits for the descriptors that the process before still holds.
+const ROOM_WAIT: Duration = Duration::from_secs(4);
+/// Danger: SIGKILL may come as soon as the longest deadline (3 s at most) and 0.7 s after SIGTERM, and what it
+/// finds unanswered is lost. What is open this long after SIGTERM has failed; a node stays no longer than the
+/// rest, which is for answers still being written.
+const PATIENCE_OVER: Duration = Duration::from_millis(300);
+const LAST_GRACE: Duration = Duration::from_millis(200);
+/// How long clients of a socket that is handed on may use their idle connections after SIGTERM. Danger: closed at once,
+/// each close may cross a request; kept for longer, what comes last has too little time for its answer.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
+/// How often a node that starts or ends looks how far it is.
+const SHORT_LOOKS: Duration = Duration::from_millis(10);
+/// How often a node looks what the other processes tell that has next to no descriptors yet.
+const SOON: Duration = Duration::from_millis(20);
+/// How often what was learned is left for the next process.
+const REMEMBER: Duration = Duration::from_secs(1);
+
+/// What takes part in a process's life.
+pub struct Parts {
+    /// The node.
+    pub node: Rc<Node>,
+    /// Its clients' side.
+    pub clients: Rc<Clients>,
+    /// Whether they are accepted.
+    pub gate: Rc<Gate>,
+    /// The operators' side.
+    pub ops: Rc<Ops>,
+    /// What is open.
+    pub budget: Rc<Budget>,
+    /// The app servers' side.
+    pub servers: Rc<Servers>,
+    /// The app servers as told.
+    pub members: Rc<Members>,
+    /// Who tells of them.
+    pub discovery: Rc<Discovery>,
+    /// Where leases go back to.
+    pub store: Rc<dyn QuotaStore>,
+    /// What the processes of this address tell each other.
+    pub shared: Rc<Shared>,
+    /// The classes' names, for the next process.
+    pub names: Rc<RefCell<Vec<String>>>,
+}
+
+/// How long its timers run.
+pub struct Times<'a> {
+    /// The operator's stop.
+    pub planned: &'a Stop,
+    /// The longest deadline, as it is when the stop begins.
+    pub longest: &'a dyn Fn() -> Duration,
+    /// Descriptors that all processes of this address may hold.
+    pub limit: usize,
+    /// The listening socket is handed on.
+    pub handed_on: bool,
+}
+
+impl Times<'_> {
+    fn of(&self, timer: Timer) -> Duration {
+        match timer {
+            Timer::List => LIST_WAIT,
+            Timer::Room => ROOM_WAIT,
+            Timer::Idle => self.planned.idle_after.0,
+            Timer::Deaf => self.planned.deaf_after.0,
+            Timer::LastUse => LAST_REQUESTS,
+            Timer::Patience => (self.longest)().min(self.planned.patience.0) + PATIENCE_OVER,
+            Timer::Grace => LAST_GRACE,
+        }
+    }
+}
+
+/// Lives from the first look to the end. `terminate` and `interrupt` tell it to stop.
+pub async fn live(parts: Parts, times: Times<'_>, mut terminate: Signal, mut interrupt: Signal) {
+    let mut run = Run { parts, times, timers: Vec::new(), ended: false, kept: Instant::now() };
+    let (room, others) = run.look(Phase::Starting);
+    let mut actions = Vec::new();
+    let mut process = Process::start(run.times.handed_on, room, others, &mut actions);
+    run.perform(&mut actions);
+    let mut next_look = Instant::now() + run.pause();
+    while !run.ended {
+        let first = run.timers.iter().map(|&(at, _)| at).min();
+        let (quick, soon) = (run.quick(&process), Instant::now() + SHORT_LOOKS);
+        let wake =
+            first.into_iter().chain([next_look]).chain(quick.then_some(soon)).min().unwrap_or(next_look);
+        let told = tokio::select! {
+            _ = terminate.recv() => true,
+            _ = interrupt.recv() => true,
+            () = sleep_until(wake) => false,
+        };
+        let now = Instant::now();
+        if run.parts.discovery.heard() {
+            process.on(Event::Heard, &mut actions);
+        }
+        while let Some(timer) = run.over(now) {
+            process.on(Event::Over(timer), &mut actions);
+        }
+        if now >= next_look || told {
+            run.tell(&mut process, &mut actions);
+            next_look = now + run.pause();
+        }
+        if told {
+            // After a look, so that it knows whether another has come; and the others hear of it at once.
+            process.on(Event::Terminate, &mut actions);
+            run.perform(&mut actions);
+            run.tell(&mut process, &mut actions);
+        }
+        run.perform(&mut actions);
+        if process.looks() {
+            process.on(run.open(), &mut actions);
+            run.perform(&mut actions);
+        }
+    }
+}
+
+struct Run<'a> {
+    parts: Parts,
+    times: Times<'a>,
+    timers: Vec<(Instant, Timer)>,
+    ended: bool,
+    /// When what was learned was kept last.
+    kept: Instant,
+}
+
+impl Run<'_> {
+    /// Whether it is to look again in a moment.
+    fn quick(&self, process: &Process) -> bool {
+        process.looks() || process.phase() == Phase::Starting
+    }
+
+    fn pause(&self) -> Duration {
+        if enough(self.parts.budget.allowed(), self.times.limit) {
+            LOOKS
+        } else {
+            SOON
+        }
+    }
+
+    /// The first timer that has run out.
+    fn over(&mut self, now: Instant) -> Option<Timer> {
+        let (place, _) =
+            self.timers.iter().enumerate().filter(|(_, t)| t.0 <= now).min_by_key(|(_, t)| t.0)?;
+        Some(self.timers.remove(place).1)
+    }
+
+    /// What is open. A connection that is being accepted is one.
+    fn open(&self) -> Event {
+        let p = &self.parts;
+        Event::Open {
+            waited_for: p.node.waited_for(),
+            clients: p.budget.clients() + usize::from(!p.gate.heeded()),
+            settled: p.store.settled(),
+        }
+    }
+
+    /// Looks, and tells the machine what has been found.
+    fn tell(&mut self, process: &mut Process, actions: &mut Vec<Action>) {
+        let (room, others) = self.look(process.phase());
+        process.on(Event::Room(room), actions);
+        process.on(Event::Others(others), actions);
+    }
+
+    /// Tells the other processes of this one, and hears of them: whether there are descriptors to serve with, and where they
+    /// are in their lives. Holds no more than the claim allows; what is idle beyond that is closed.
+    fn look(&mut self, phase: Phase) -> (bool, Others) {
+        let p = &self.parts;
+        if self.kept.elapsed() >= REMEMBER && phase == Phase::Serving {
+            self.kept = Instant::now();
+            p.shared.keep(learned::leave(p.names.borrow().clone(), p.node.memory()));
+        }
+        let standing = match phase {
+            Phase::Starting => Standing::Coming,
+            Phase::Serving => Standing::Serves,
+            Phase::Leaving | Phase::Draining | Phase::Failing | Phase::Gone => Standing::Leaves,
+        };
+        let looked = p.shared.look(Mine { standing, used: p.budget.held() });
+        if looked.held {
+            p.members.reconsider();
+        }
+        p.budget.resize(looked.claim);
+        if standing == Standing::Leaves {
+            // Danger: the claim of one that leaves is just what it holds. Clients' part of that is less than they hold, and
+            // connections that may be used once more would be closed for it.
+            return (true, looked.others);
+        }
+        // A client's connection ends a moment after it is told to.
+        let (all, clients) = p.budget.excess();
+        let closed = (0..all).take_while(|_| p.servers.close_an_idle()).count();
+        let _told = (0..clients.max(all - closed)).take_while(|_| p.budget.close_an_idle_client()).count();
+        (enough(looked.claim, self.times.limit) && !looked.waits, looked.others)
+    }
+
+    fn perform(&mut self, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            let p = &self.parts;
+            match action {
+                Action::Accept => p.gate.open(),
+                Action::Deafen => p.gate.shut(),
+                Action::Ready(ready) => {
+                    if !ready {
+                        p.node.stop();
+                    }
+                    p.ops.ready(ready);
+                }
+                Action::CloseIdle => p.clients.close_idle(),
+                Action::HandBack => p.node.event(Told::Stopping),
+                Action::FailAll => p.node.fail_all(),
+                Action::Start(timer) => self.timers.push((Instant::now() + self.times.of(timer), timer)),
+                Action::End => self.ended = true,
+            }
+        }
+    }
+}
--- a/crates/node/src/run/retune.rs
+++ b/crates/node/src/run/retune.rs
@@ -13,9 +13,9 @@
 use super::store::Store;
 use crate::config::{Checked, Running};
 use crate::net::clients::Clients;
-use crate::net::discovery::Discovery;
-use crate::net::figures::Figures;
 use crate::net::node::Node;
+use crate::net::operators::figures::Figures;
+use crate::net::servers::discovery::Discovery;
 
 /// The longest deadline of any class.
 pub fn longest(env: &Env) -> Duration {
--- a/crates/node/src/run/store.rs
+++ b/crates/node/src/run/store.rs
@@ -6,9 +6,9 @@
 
 use pinerelay_store_redis::store::RedisStore;
 
-use crate::net::counter::Counter;
+use crate::net::counts::counter::Counter;
+use crate::net::counts::redis;
 use crate::net::ports::QuotaStore;
-use crate::net::redis;
 use crate::operator::Operator;
 use crate::strict::FileError;
 
