Let no request wait for the disk: the records' files are a thread's of their own

Looked at from outside (/proc/PID/wchan) the one thread of a node waited in submit_bio_wait: a file renamed over another, or truncated, waits for the disk where that is busy (ext4 with discard here). So did the seats since, truncated and written five times a second by each process; that is why new processes were ready late and requests were turned back on machines whose disk was busy.

Change: net/succession/records.rs does the files in a thread of its own, which sleeps until it is asked; shared.rs is what the node sees and never waits. A call out holds at once and is answered within 0.7 s whatever the disk does; a call back holds once it is written. A process says yes once the others can know of it, or after 0.3 s. One heard of late is a successor all the same.

Measured: a test whose files are pipes that nobody reads: the commit before hangs on it, this one answers all requests and the call, and ends with 0.

--- a/crates/node/src/net/operators.rs
+++ b/crates/node/src/net/operators.rs
@@ -143,12 +143,15 @@
         if !self.members.known(name) && !self.shared.holds(name) {
             return Err((StatusCode::NOT_FOUND, format!("no app server {name:?} is known here\n")));
         }
-        let kept = self.shared.call(name, call);
+        let told = self.shared.call(name, call);
+        // A call out holds from here on, whatever the others know of it.
+        self.members.reconsider();
+        let kept = told.await;
         self.members.reconsider();
         kept.map(|()| "done\n".to_string()).map_err(|error| {
             let why = match call {
                 Call::Exclude => format!("out here, but the next process does not know of it yet: {error}\n"),
-                Call::Include => format!("not done, it stays out: {error}\n"),
+                Call::Include => format!("call again, it may stay out: {error}\n"),
             };
             eprintln!("pinerelay: operators: {name}: {}", why.trim_end());
             (StatusCode::INTERNAL_SERVER_ERROR, why)
--- a/crates/node/src/net/servers/members.rs
+++ b/crates/node/src/net/servers/members.rs
@@ -48,7 +48,7 @@
         if kind != ListKind::Changes && kind != ListKind::Lost {
             self.told.borrow_mut().retain(|id, _| entries.iter().any(|m| m.server == *id));
             self.upstream.keep_only(&entries.iter().map(|m| m.server).collect::<Vec<_>>());
-            self.shared.forget(|name| self.known(name));
+            self.shared.listed(self.told.borrow().values().map(|told| told.name.clone()).collect());
         }
         self.pass_on(kind, entries);
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -35,6 +35,7 @@
 use crate::net::servers::members::Members;
 use crate::net::servers::Servers;
 use crate::net::succession::learned;
+use crate::net::succession::records::Looked;
 use crate::net::succession::shared::Shared;
 use crate::operator::Operator;
 
@@ -94,9 +95,10 @@
     let handed_on = front.is_some();
     // One whose socket is its own has no other beside it.
     let claimable = if handed_on { claims::shared(sockets) } else { sockets };
-    let shared = Rc::new(shared(at, claimable, handed_on || ops_at.is_some()));
+    let (shared, found) = shared(at, claimable, handed_on || ops_at.is_some());
+    let shared = Rc::new(shared);
     // Only a process whose socket is handed on takes over from another while both run.
-    let left = shared.learned().filter(|_| handed_on);
+    let left = shared.learned().cloned().filter(|_| handed_on);
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis();
     if let Some(memory) = left.and_then(|left| learned::take(left, &classes.names(), now as u64)) {
         controller.recall(clock.now(), &memory);
@@ -170,17 +172,18 @@
     let parts = Parts { node, clients, gate, ops, budget, servers, members, discovery, store, shared, names };
     let longest = || patience.get();
     let times = Times { planned: &operator.stop, longest: &longest, limit: claimable, handed_on };
-    live(parts, times, terminate, interrupt).await;
+    live(parts, times, found, terminate, interrupt).await;
     Ok(())
 }
 
 /// What this process shares with the others of its address, where it may have some: operators' calls, or a socket that is
 /// handed on. Where it can't, it keeps to its limits as if it were alone.
-fn shared(listen: SocketAddr, limit: usize, wanted: bool) -> Shared {
+fn shared(listen: SocketAddr, limit: usize, wanted: bool) -> (Shared, Looked) {
+    let alone = || (Shared::alone(), Shared::nobody(limit));
     let folder = std::env::var_os("TMPDIR").filter(|_| wanted);
-    let Some(folder) = folder else { return Shared::alone(limit) };
+    let Some(folder) = folder else { return alone() };
     Shared::join(Path::new(&folder), listen, limit).unwrap_or_else(|error| {
         eprintln!("pinerelay: succession: nothing is shared with a next process: {error}");
-        Shared::alone(limit)
+        alone()
     })
 }
--- a/crates/node/src/run/life.rs
+++ b/crates/node/src/run/life.rs
@@ -21,7 +21,8 @@
 use crate::net::servers::members::Members;
 use crate::net::servers::Servers;
 use crate::net::succession::learned;
-use crate::net::succession::shared::{Mine, Shared, LOOKS};
+use crate::net::succession::records::{Looked, Mine, LOOKS};
+use crate::net::succession::shared::Shared;
 use crate::operator::Stop;
 
 /// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
@@ -40,6 +41,10 @@
 const SHORT_LOOKS: Duration = Duration::from_millis(10);
 /// How often a node looks what the other processes tell that has next to no descriptors yet.
 const SOON: Duration = Duration::from_millis(20);
+/// When a node that is alone looks again.
+const NEVER: Duration = Duration::from_secs(3_600);
+/// How long a yes waits at most until the other processes can know of it.
+const YES_WAIT: Duration = Duration::from_millis(300);
 /// How often what was learned is left for the next process.
 const REMEMBER: Duration = Duration::from_secs(1);
 
@@ -95,24 +100,37 @@
     }
 }
 
-/// Lives from the first look to the end. `terminate` and `interrupt` tell it to stop.
-pub async fn live(parts: Parts, times: Times<'_>, mut terminate: Signal, mut interrupt: Signal) {
-    let mut run = Run { parts, times, timers: Vec::new(), ended: false, kept: Instant::now() };
-    let (room, others) = run.look(Phase::Starting);
+/// Lives from the first look, `found` at its start, to the end. `terminate` and `interrupt` tell it to stop.
+pub async fn live(
+    parts: Parts,
+    times: Times<'_>,
+    found: Looked,
+    mut terminate: Signal,
+    mut interrupt: Signal,
+) {
+    let now = Instant::now();
+    let mut run =
+        Run { parts, times, timers: Vec::new(), ended: false, kept: now, next_look: now, yes: None };
+    let (room, others) = run.found(found, Standing::Coming);
     let mut actions = Vec::new();
     let mut process = Process::start(run.times.handed_on, room, others, &mut actions);
     run.perform(&mut actions);
-    let mut next_look = Instant::now() + run.pause();
     while !run.ended {
         let first = run.timers.iter().map(|&(at, _)| at).min();
-        let (quick, soon) = (run.quick(&process), Instant::now() + SHORT_LOOKS);
+        let yes = run.yes.as_ref().map(|yes| yes.latest);
+        let soon = run.quick(&process).then(|| Instant::now() + SHORT_LOOKS);
         let wake =
-            first.into_iter().chain([next_look]).chain(quick.then_some(soon)).min().unwrap_or(next_look);
-        let told = tokio::select! {
-            _ = terminate.recv() => true,
-            _ = interrupt.recv() => true,
-            () = sleep_until(wake) => false,
-        };
+            [first, yes, soon].into_iter().flatten().chain([run.next_look]).min().unwrap_or(run.next_look);
+        tokio::select! {
+            _ = terminate.recv() => process.on(Event::Terminate, &mut actions),
+            _ = interrupt.recv() => process.on(Event::Terminate, &mut actions),
+            looked = run.parts.shared.looked() => {
+                let (room, others) = run.found(looked, standing(process.phase()));
+                process.on(Event::Room(room), &mut actions);
+                process.on(Event::Others(others), &mut actions);
+            }
+            () = sleep_until(wake) => {}
+        }
         let now = Instant::now();
         if run.parts.discovery.heard() {
             process.on(Event::Heard, &mut actions);
@@ -120,24 +138,31 @@
         while let Some(timer) = run.over(now) {
             process.on(Event::Over(timer), &mut actions);
         }
-        if now >= next_look || told {
-            run.tell(&mut process, &mut actions);
-            next_look = now + run.pause();
-        }
-        if told {
-            // After a look, so that it knows whether another has come; and the others hear of it at once.
-            process.on(Event::Terminate, &mut actions);
-            run.perform(&mut actions);
-            run.tell(&mut process, &mut actions);
-        }
         run.perform(&mut actions);
         if process.looks() {
             process.on(run.open(), &mut actions);
             run.perform(&mut actions);
         }
+        run.look(standing(process.phase()));
     }
 }
 
+fn standing(phase: Phase) -> Standing {
+    match phase {
+        Phase::Starting => Standing::Coming,
+        Phase::Serving => Standing::Serves,
+        Phase::Leaving | Phase::Draining | Phase::Failing | Phase::Gone => Standing::Leaves,
+    }
+}
+
+/// A yes that is said once the other processes can know of it.
+struct Yes {
+    /// A look that tells them has been asked for.
+    asked: bool,
+    /// It is said by then in any case: the disk may stand still.
+    latest: Instant,
+}
+
 struct Run<'a> {
     parts: Parts,
     times: Times<'a>,
@@ -145,6 +170,8 @@
     ended: bool,
     /// When what was learned was kept last.
     kept: Instant,
+    next_look: Instant,
+    yes: Option<Yes>,
 }
 
 impl Run<'_> {
@@ -154,7 +181,9 @@
     }
 
     fn pause(&self) -> Duration {
-        if enough(self.parts.budget.allowed(), self.times.limit) {
+        if self.parts.shared.is_alone() {
+            NEVER
+        } else if enough(self.parts.budget.allowed(), self.times.limit) {
             LOOKS
         } else {
             SOON
@@ -178,27 +207,36 @@
         }
     }
 
-    /// Looks, and tells the machine what has been found.
-    fn tell(&mut self, process: &mut Process, actions: &mut Vec<Action>) {
-        let (room, others) = self.look(process.phase());
-        process.on(Event::Room(room), actions);
-        process.on(Event::Others(others), actions);
+    /// Has the other processes told of this one and looked at, if it is time and none is under way.
+    fn look(&mut self, standing: Standing) {
+        let now = Instant::now();
+        if self.yes.as_ref().is_some_and(|yes| now >= yes.latest) {
+            self.yes = None;
+            self.parts.ops.ready(true);
+        }
+        if now < self.next_look {
+            return;
+        }
+        let p = &self.parts;
+        let due = self.kept.elapsed() >= REMEMBER && standing == Standing::Serves;
+        let learned = due.then(|| learned::leave(p.names.borrow().clone(), p.node.memory()));
+        if p.shared.look(Mine { standing, used: p.budget.held() }, learned) {
+            if due {
+                self.kept = now;
+            }
+            self.yes.iter_mut().for_each(|yes| yes.asked = true);
+        }
+        self.next_look = now + self.pause();
     }
 
-    /// Tells the other processes of this one, and hears of them: whether there are descriptors to serve with, and where they
-    /// are in their lives. Holds no more than the claim allows; what is idle beyond that is closed.
-    fn look(&mut self, phase: Phase) -> (bool, Others) {
-        let p = &self.parts;
-        if self.kept.elapsed() >= REMEMBER && phase == Phase::Serving {
-            self.kept = Instant::now();
-            p.shared.keep(learned::leave(p.names.borrow().clone(), p.node.memory()));
+    /// Takes in what a look has found: whether there are descriptors to serve with, and where the other processes are in
+    /// their lives. Holds no more than the claim allows; what is idle beyond that is closed.
+    fn found(&mut self, looked: Looked, standing: Standing) -> (bool, Others) {
+        if self.yes.as_ref().is_some_and(|yes| yes.asked) {
+            self.yes = None;
+            self.parts.ops.ready(true);
         }
-        let standing = match phase {
-            Phase::Starting => Standing::Coming,
-            Phase::Serving => Standing::Serves,
-            Phase::Leaving | Phase::Draining | Phase::Failing | Phase::Gone => Standing::Leaves,
-        };
-        let looked = p.shared.look(Mine { standing, used: p.budget.held() });
+        let p = &self.parts;
         if looked.held {
             p.members.reconsider();
         }
@@ -221,11 +259,17 @@
             match action {
                 Action::Accept => p.gate.open(),
                 Action::Deafen => p.gate.shut(),
-                Action::Ready(ready) => {
-                    if !ready {
-                        p.node.stop();
-                    }
-                    p.ops.ready(ready);
+                Action::Ready(true) => {
+                    // Danger: upon the yes the process before is stopped, and looks who follows it.
+                    self.yes = Some(Yes { asked: false, latest: Instant::now() + YES_WAIT });
+                    self.next_look = Instant::now();
+                }
+                Action::Ready(false) => {
+                    p.node.stop();
+                    p.ops.ready(false);
+                    self.yes = None;
+                    // The others are to hear of it at once, and it is to hear who follows it.
+                    self.next_look = Instant::now();
                 }
                 Action::CloseIdle => p.clients.close_idle(),
                 Action::HandBack => p.node.event(Told::Stopping),
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -120,3 +120,26 @@
         drop(new);
     });
 }
+
+#[test]
+fn requests_are_answered_while_the_disk_stands_still() {
+    let folder = Folder::new();
+    let (app, other) = (App::new(), App::new());
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let config = config(&[entry("s-1", app.address, "a", "up"), entry("s-2", other.address, "a", "up")]);
+    let edge = Edge::inheriting(&config, &folder.0, &platform);
+    // Who writes to a pipe that nobody reads stands still.
+    for what in ["record", "held"] {
+        let path = folder.0.join(format!("pinerelay-127.0.0.1-0.0.{what}.next"));
+        let made = std::process::Command::new("mkfifo").arg(path).status().expect("mkfifo");
+        assert!(made.success());
+    }
+    // What was learned is written within a second or so, and the call is to be written at once.
+    let (status, why) = edge.call("POST", "/api/exclude", "s-2");
+    assert!(status == 500 && why.contains("the disk stands still"), "{status} {why}");
+    assert_eq!(edge.figure("members_unavailable"), 1.0, "it is held out here all the same");
+    served_by(&app, || drop(kept(&edge, 20)));
+    other.no_request();
+    edge.terminate();
+    assert!(edge.end().0.success());
+}
