--- a/crates/judge/src/view.rs
+++ b/crates/judge/src/view.rs
@@ -209,8 +209,12 @@
                     }
                 }
                 &Seen::NodeEnded { node, code, meant } => {
-                    if let Some(life) = view.nodes.get_mut(&node).and_then(|l| l.last_mut()) {
-                        life.ended = Some((at, code, meant));
+                    // Of two processes of a node the one that was killed has ended, or else the older one.
+                    let lives = view.nodes.entry(node).or_default();
+                    let open = |l: &Life| l.ended.is_none();
+                    let place = lives.iter().position(|l| open(l) && l.killed.is_some());
+                    if let Some(place) = place.or_else(|| lives.iter().position(open)) {
+                        lives[place].ended = Some((at, code, meant));
                     }
                 }
                 &Seen::NodeUsed { node, cpu, rss_kib } => {
@@ -247,9 +251,10 @@
         }
     }
 
-    /// The life of a node at a time: the last that began by then.
+    /// The life of a node at a time: the last that began by then and had not ended, or the last that began.
     pub fn life(&self, node: u32, at: Micros) -> Option<&Life> {
-        self.nodes.get(&node)?.iter().rev().find(|l| l.started <= at)
+        let lives = || self.nodes.get(&node).into_iter().flatten().rev().filter(|l| l.started <= at);
+        lives().find(|l| l.ended.is_none_or(|(ended, ..)| ended >= at)).or_else(|| lives().next())
     }
 
     /// The hall of a box.
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -1,7 +1,8 @@
 //! Edge nodes as processes: started, told, killed, watched, and always reaped.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
@@ -55,17 +56,34 @@
 }
 
 impl Process {
-    /// Starts a node with this configuration, written to `config`, and waits until it says where it listens.
+    /// Starts a node with this configuration, written to `config`, and waits until it says where it listens. A listening
+    /// socket `front` is handed on to it as its descriptor 5.
     pub async fn start(
         program: &Program,
         node: u32,
         config: &Path,
         content: &Value,
         recorder: &Recorder,
+        front: Option<&TcpListener>,
     ) -> io::Result<Process> {
         write_config(config, content).await?;
         recorder.see(Seen::NodeStarted { node });
-        let mut command = Command::new(&program.path);
+        let mut command = match front {
+            None => Command::new(&program.path),
+            Some(_) => {
+                // Its standard input may be a tie, so the socket comes by way of its standard output.
+                let mut command = Command::new("sh");
+                command.args(["-c", "exec \"$0\" \"$@\" 5<&1 1>/dev/null"]).arg(&program.path);
+                command
+            }
+        };
+        let out = match front {
+            None => Stdio::null(),
+            Some(front) => {
+                command.env("PROXY_FD", "5");
+                Stdio::from(OwnedFd::from(front.try_clone()?))
+            }
+        };
         if content["ops"].is_string() {
             // What operators do is kept there, and is this node's alone.
             let own = config.with_extension("own");
@@ -77,7 +95,7 @@
             .env("PROXY_CONFIG", config)
             .env_remove("PINERELAY_OPERATOR")
             .stdin(Stdio::piped())
-            .stdout(Stdio::null())
+            .stdout(out)
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()?;
@@ -153,13 +171,47 @@
 
     /// Makes a call at its operators' address: whether it said yes, or why there was no answer.
     pub async fn call(&self, path: &str, body: &str) -> io::Result<bool> {
+        self.asks("POST", path, body).await
+    }
+
+    /// Whether it says within this time that it takes clients.
+    pub async fn ready(&self, limit: Duration) -> bool {
+        let until = tokio::time::Instant::now() + limit;
+        while tokio::time::Instant::now() < until && !self.ended() {
+            if matches!(self.asks("GET", "/api/ready", "").await, Ok(true)) {
+                return true;
+            }
+            moment().await;
+        }
+        false
+    }
+
+    /// Stands still for this long, as a process does that gets a small part of a core.
+    pub async fn still(id: u32, time: Duration) {
+        let text = format!("kill -STOP {id} && sleep {}; kill -CONT {id}", time.as_secs_f64());
+        let sent = Command::new("sh").args(["-c", &text]).stderr(Stdio::null()).status();
+        let _ = timeout(time + REAP, sent).await;
+    }
+
+    /// Its number in the system, and what tells of its end.
+    pub fn alive(&self) -> (u32, watch::Receiver<bool>) {
+        (self.id, self.ended.clone())
+    }
+
+    /// Stops it for good, without its knowing.
+    pub async fn freeze(&self) {
+        self.signal("STOP").await;
+    }
+
+    async fn asks(&self, method: &str, path: &str, body: &str) -> io::Result<bool> {
         let mut ops = self.ops.clone();
         let answer = async {
             let address = *ops.wait_for(Option::is_some).await.map_err(io::Error::other)?;
             let address = address.ok_or(io::ErrorKind::NotFound)?;
             let mut line = Line::new(TcpStream::connect(address).await?);
             let length = body.len();
-            let text = format!("POST {path} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{body}");
+            let text =
+                format!("{method} {path} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{body}");
             line.stream.write_all(text.as_bytes()).await?;
             line.answer(&self.recorder).await.map_err(|why| io::Error::other(format!("{why:?}")))
         };
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -4,7 +4,7 @@
 //! it started is left.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex as Lock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -41,6 +41,11 @@
 /// A box that has stopped is listed as gone after this; one that is back is listed again after this.
 const ROSTER_GONE: Duration = Duration::from_millis(1_000);
 const ROSTER_BACK: Duration = Duration::from_millis(300);
+/// How long the next process of a node has to say yes, by the operators' page.
+const NEXT_READY: Duration = Duration::from_secs(6);
+/// Between the steps of an upgrade; and how soon after its yes a next process dies that fails.
+const PAUSE: Duration = Duration::from_millis(500);
+const SHORTLY: Duration = Duration::from_millis(100);
 /// How long a silent connection is held open from its client's side.
 const SILENCE: Duration = Duration::from_secs(6);
 
@@ -127,6 +132,10 @@
     counters: Lock<Vec<Arc<Counter>>>,
     crowd: Arc<Crowd>,
     nodes: Vec<Mutex<Option<Process>>>,
+    /// The nodes' listening sockets, where they are handed on from process to process.
+    fronts: Vec<Option<TcpListener>>,
+    /// All processes of all nodes so far: their numbers, and what tells of their ends.
+    alive: Lock<Vec<(u32, watch::Receiver<bool>)>>,
     /// Faults that could not be played, and why.
     unplayed: Lock<Vec<String>>,
 }
@@ -217,12 +226,21 @@
             discovery,
             counters: Lock::new(vec![counter]),
             nodes: (0..nodes).map(|_| Mutex::new(None)).collect(),
+            fronts: Vec::new(),
+            alive: Lock::default(),
             unplayed: Lock::default(),
         };
         let mut addresses = Vec::new();
+        let handed_on = stage.scenario.fault.iter().any(|f| f.kind.hands_on());
         for node in 0..nodes {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 1, node as u8 + 1));
-            let process = stage.start_node(node, SocketAddr::new(ip, 0)).await?;
+            let mut at = SocketAddr::new(ip, 0);
+            let front = if handed_on { Some(TcpListener::bind(at)?) } else { None };
+            if let Some(front) = &front {
+                at = front.local_addr()?;
+            }
+            stage.fronts.push(front);
+            let process = stage.start_node(node, at).await?;
             addresses.push(process.address);
             stage.nodes[node as usize] = Mutex::new(Some(process));
         }
@@ -238,7 +256,7 @@
     fn config(&self, node: u32, listen: SocketAddr) -> Value {
         let counter = lock(&self.counters).last().map(|c| c.address(node).to_string());
         // Callers take descriptors: the address is there where it is used.
-        let by_hand = self.scenario.fault.iter().any(|f| f.kind == Kind::HeldOut);
+        let by_hand = self.scenario.fault.iter().any(|f| f.kind == Kind::HeldOut || f.kind.hands_on());
         json!({
             "name": format!("n{node}"), "listen": listen.to_string(),
             "ops": by_hand.then_some("127.0.0.1:0"),
@@ -253,7 +271,92 @@
     async fn start_node(&self, node: u32, listen: SocketAddr) -> io::Result<Process> {
         let content = self.config(node, listen);
         let path = self.config_path(node);
-        Process::start(&self.options.program, node, &path, &content, &self.recorder).await
+        let front = self.fronts[node as usize].as_ref();
+        let process =
+            Process::start(&self.options.program, node, &path, &content, &self.recorder, front).await?;
+        lock(&self.alive).push(process.alive());
+        Ok(process)
+    }
+
+    /// The next process of a node, once it says yes.
+    async fn next_process(&self, node: u32) -> io::Result<Process> {
+        let next = self.start_node(node, self.crowd.address(node)).await?;
+        if next.ready(NEXT_READY).await {
+            return Ok(next);
+        }
+        let why = format!("the next process of node {node} was not ready after {} s", NEXT_READY.as_secs());
+        Err(io::Error::other(why))
+    }
+
+    /// Puts a node's next process in the place of the one that serves, and tells that one to stop.
+    async fn followed_by(&self, node: u32, next: Process) {
+        let old = self.nodes[node as usize].lock().await.replace(next);
+        if let Some(mut old) = old {
+            old.stop(self.site.stop_limit()).await;
+        }
+    }
+
+    /// A next process that dies before its yes, one that says yes and dies, and one that never says yes.
+    async fn upgrade_fails(&self, node: u32) -> io::Result<()> {
+        self.start_node(node, self.crowd.address(node)).await?.kill().await;
+        sleep(PAUSE).await;
+        let mut next = self.next_process(node).await?;
+        let old = self.nodes[node as usize].lock().await.take();
+        let stop = async {
+            if let Some(mut old) = old {
+                old.stop(self.site.stop_limit()).await;
+            }
+        };
+        let again = async {
+            sleep(SHORTLY).await;
+            next.kill().await;
+            self.next_process(node).await
+        };
+        let (_, again) = tokio::join!(stop, again);
+        *self.nodes[node as usize].lock().await = Some(again?);
+        sleep(PAUSE).await;
+        let mut never = self.start_node(node, self.crowd.address(node)).await?;
+        never.freeze().await;
+        sleep(PAUSE * 2).await;
+        never.kill().await;
+        Ok(())
+    }
+
+    /// A third process starts while the second is on its way; both before it are told to stop upon its yes.
+    async fn upgrade_in_upgrade(&self, node: u32) -> io::Result<()> {
+        let second = self.start_node(node, self.crowd.address(node)).await?;
+        let third = self.next_process(node).await?;
+        let first = self.nodes[node as usize].lock().await.replace(third);
+        let limit = self.site.stop_limit();
+        let stop = |process: Option<Process>| async move {
+            if let Some(mut process) = process {
+                process.stop(limit).await;
+            }
+        };
+        tokio::join!(stop(first), stop(Some(second)));
+        Ok(())
+    }
+
+    /// All processes of all nodes stand still for this long, `times` a second, each at moments of its own.
+    async fn still(&self, lasts: Duration, times: f64, by: Duration) {
+        let until = Instant::now() + lasts;
+        let mut lots = Lots::new(self.options.seed, 0x57);
+        let mut stalls = JoinSet::new();
+        while Instant::now() < until {
+            let all = lock(&self.alive).clone();
+            for (id, ended) in all {
+                let after = Duration::from_secs_f64(lots.span(0.5 / times.max(0.01)));
+                stalls.spawn(async move {
+                    sleep(after).await;
+                    if !*ended.borrow() {
+                        Process::still(id, by).await;
+                    }
+                });
+            }
+            sleep(Duration::from_secs_f64(1.0 / times.max(0.01))).await;
+            while stalls.try_join_next().is_some() {}
+        }
+        while stalls.join_next().await.is_some() {}
     }
 
     /// Plays the load and the faults to their end.
@@ -563,6 +666,17 @@
                     sleep(Duration::from_secs(1)).await;
                 }
             }
+            Kind::Upgrade | Kind::UpgradeFails | Kind::UpgradeInUpgrade => {
+                for node in 0..self.nodes.len() as u32 {
+                    match fault.kind {
+                        Kind::UpgradeFails => self.upgrade_fails(node).await?,
+                        Kind::UpgradeInUpgrade => self.upgrade_in_upgrade(node).await?,
+                        _ => self.followed_by(node, self.next_process(node).await?).await,
+                    }
+                    sleep(PAUSE).await;
+                }
+            }
+            Kind::Still => self.still(lasts, times, fault.by.map_or(Duration::ZERO, |by| by.0)).await,
             Kind::Rude | Kind::Silent => self.pester(number, fault, lasts, times).await,
         }
         Ok(())
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -235,6 +235,15 @@
     NodeKill,
     /// Nodes are restarted one after the other, each by SIGTERM.
     NodeRestarts,
+    /// Nodes are replaced one after the other: the next process starts beside the old one on the same listening socket, and
+    /// once it says yes the old one is told to stop.
+    Upgrade,
+    /// The same, with next processes that fail: one dies before its yes, one says yes and dies, one never says yes.
+    UpgradeFails,
+    /// A third process starts while the second is on its way.
+    UpgradeInUpgrade,
+    /// Each process of a node stands still for `by`, `times` a second, as one does that gets a small part of a core.
+    Still,
     /// Rude clients, `times` a second.
     Rude,
     /// Idle connections, `times` a second, that say nothing until the node closes them.
@@ -242,6 +251,11 @@
 }
 
 impl Kind {
+    /// Whether processes of one node follow each other on one listening socket.
+    pub fn hands_on(self) -> bool {
+        matches!(self, Kind::Upgrade | Kind::UpgradeFails | Kind::UpgradeInUpgrade)
+    }
+
     /// Its name, as scenarios have it.
     pub fn name(self) -> String {
         let text = format!("{self:?}");
@@ -269,7 +283,8 @@
             DiscoveryLate => (&["by"], &[]),
             Gather | Shift => (&["share"], &[]),
             NodeKill => (&[], &["node"]),
-            NodeRestarts => (&[], &[]),
+            NodeRestarts | Upgrade | UpgradeFails | UpgradeInUpgrade => (&[], &[]),
+            Still => (&["times", "by"], &[]),
             Rude | Silent => (&["times"], &[]),
         }
     }
@@ -442,6 +457,9 @@
     "shifted",
     "nodes-killed",
     "nodes-restarted",
+    "upgrade",
+    "upgrade-fails",
+    "upgrade-in-upgrade",
     "rude-clients",
     "ceiling-pressed",
     "bad-hour",
--- a/crates/rehearsal/tests/kit.rs
+++ b/crates/rehearsal/tests/kit.rs
@@ -144,6 +144,22 @@
     assert!(rude[1].as_u64() > Some(0) && rude[0] == 0, "{rude}");
 }
 
+#[test]
+fn processes_that_follow_each_other_break_no_rule_though_they_stand_still() {
+    let faults = [
+        fault("upgrade", ""),
+        fault("still", "for = \"3s\"\ntimes = 2\nby = \"120ms\""),
+        fault("held_out", "for = \"1s\"\nboxes = 1"),
+    ];
+    kept("upgrade", &faults.concat().replace("at = \"1s\"", "at = \"500ms\""));
+    kept("upgrade-in-upgrade", &fault("upgrade_in_upgrade", ""));
+}
+
+#[test]
+fn next_processes_that_fail_break_no_rule() {
+    kept("upgrade-fails", &fault("upgrade_fails", ""));
+}
+
 #[test]
 fn a_node_that_breaks_off_is_found_and_the_exit_code_tells() {
     // A stand-in for a node that is up, takes what comes and answers nothing: not ours, and no verdict of `kept`.
