Judge: a request that had lain unread for 0.1 s was taken, whoever sends it again

Need: the judge excused every close on a kept connection whose client sent the request once more, also where it had lain unread while a process stood still; the protocol excuses a close that crosses it. Change: it crosses if the end is seen within 100 ms of the writing.

--- a/crates/judge/src/answers.rs
+++ b/crates/judge/src/answers.rs
@@ -7,6 +7,9 @@
 use crate::view::{End, Try, View};
 use crate::{time, Breach, Rule, SOCKET_SLACK};
 
+/// A close that crosses a request is seen this soon after it was written: twice what clients and the kit may be late.
+const CROSSES_WITHIN: Micros = 100_000;
+
 pub(crate) fn judge(terms: &Terms, view: &View, out: &mut Vec<Breach>) -> usize {
     for t in &view.tries {
         of_try(terms, view, t, out);
@@ -74,7 +77,7 @@
             continue;
         }
         match end {
-            End::CutOff(Cut::Nothing) if again && !sent_on => {}
+            End::CutOff(Cut::Nothing) if again && !sent_on && crossed(t, at) => {}
             // Its client never had a chance on this connection, and nothing was done: it has failed.
             End::CutOff(Cut::Nothing) if n == 0 && last.first_on_connection && !sent_on => {}
             End::CutOff(Cut::Nothing) => {
@@ -106,6 +109,13 @@
     }
 }
 
+/// Whether a close crossed the request that it ended. What had lain there for longer was taken: it was written whole to a
+/// connection that the node's machine held, and no close was on its way.
+fn crossed(t: &Try, at: Micros) -> bool {
+    let written = t.writings.iter().rev().find(|w| w.at <= at);
+    written.is_none_or(|w| at - w.at <= CROSSES_WITHIN)
+}
+
 fn broken(view: &View, attempt: usize) -> bool {
     let a = &view.attempts[attempt];
     a.broke.is_some() || a.spoilt
--- a/crates/judge/tests/borders.rs
+++ b/crates/judge/tests/borders.rs
@@ -185,6 +185,16 @@
     story.sent(SECOND, 1, SAFE).arrived(SECOND + MS, 8, 1, 0).cut(SECOND + 2 * MS, 1);
     again(&mut story, SECOND + 3 * MS);
     story.breaks(Rule::Answers, "closed with no answer");
+    // It had lain there for longer than a close takes to be seen.
+    for (after, crosses) in [(100, true), (101, false)] {
+        let mut story = Story::new();
+        story.sent(SECOND, 1, SAFE).cut(SECOND + after * MS, 1);
+        again(&mut story, SECOND + 105 * MS);
+        match crosses {
+            true => story.clean(),
+            false => story.breaks(Rule::Answers, "closed with no answer"),
+        }
+    }
     // Closed on a second time.
     let mut story = Story::new();
     story.sent(SECOND, 1, SAFE).cut(SECOND + MS, 1);
@@ -203,6 +213,23 @@
     };
     story(Seen::NodeKilled { node: 0 }).clean();
     story(Seen::NodeTold { node: 0 }).breaks(Rule::Answers, "closed with no answer");
+    // Of two processes of one node the next one is killed; the one before it serves on, and is held to what it took.
+    let beside = |lost: bool| {
+        let mut story = Story::new();
+        story.see(SECOND, Seen::NodeStarted { node: 0 }).see(SECOND + MS, Seen::NodeKilled { node: 0 });
+        story.see(SECOND + 2 * MS, Seen::NodeEnded { node: 0, code: None, meant: true });
+        story.sent(2 * SECOND, 1, UNSAFE).arrived(2 * SECOND + MS, 1, 1, 0);
+        story.see(3 * SECOND, Seen::NodeTold { node: 0 });
+        story.see(3 * SECOND + MS, Seen::NodeEnded { node: 0, code: Some(0), meant: true });
+        if lost {
+            story.cut(2 * SECOND + 11 * MS, 1);
+        } else {
+            story.replied(2 * SECOND + 2 * MS, 1, 200, false).answered(2 * SECOND + 3 * MS, 1, 200);
+        }
+        story
+    };
+    beside(false).clean();
+    beside(true).breaks(Rule::Answers, "closed with no answer");
     let mut crash = Story::new();
     crash.see(SECOND, Seen::NodeEnded { node: 0, code: Some(101), meant: false });
     crash.breaks(Rule::Answers, "a node ended by itself");
