Move places with the clients while one process follows another

It was built on loopback and counted before anything was changed: 120 clients that all use their connections, 384 descriptors, one upgrade. Owed are 120 new connections, one for each client. Seen: 577 (581 in a second run), some 500 to 800 a second at the new process from 0.2 s after SIGTERM to the very moment in which the old one ended, at 1.0 s; and the yes came after 4.0 s, not after the 1 s for the list.

What it was, by the descriptors of both processes 10 times a second: after SIGTERM each answer closes its connection, so all clients had moved within 0.2 s. The old one, with no client left, held some 100 idle connections to app servers to its end, claimed for them, and the new one had 131 places, 78 of them for clients. Each client let in closed another's connection, who came again; on a node with a part of a core the processor time goes into that, and what lies in the backlog is not taken. Lines to blame: `found` in run/life.rs, which gave nothing back while it left; `claim(..., leaves)`, which keeps what is used; `Budget::resize`, clients' share of the claim alone; `accept_while_open`, which made a place before anybody had come for it; looks every 0.2 s. The 4 s: a process that holds more than its half never gave back what was idle, so the new one waited for its first places until its time for that was over. Ruled out: the gate, lost wake-ups (Notified is made before each look), stalls (none here).

Idle connections to app servers go first; clients go only where the next one can't begin without, or where two have served beside each other for a second. Looks come every 20 ms for 4 s after somebody has come, served or left. The accepting loop takes one first and makes its place then; beside another process it leaves him 100 ms to that one.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -53,6 +53,9 @@
 const FAIL: Duration = Duration::from_micros(FAIL_BEFORE);
 /// When a client is to come back whose long body found no room, in seconds.
 const FULL_WAIT: &str = "1";
+/// How long a process without a free place leaves who comes to another that accepts too. Then it closes an idle connection
+/// for him all the same: the other may have no place either.
+const ANOTHERS_TURN: Duration = Duration::from_millis(100);
 /// Pause of the listener when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -77,6 +80,8 @@
     /// The open connections.
     open: RefCell<BTreeMap<u64, Rc<Idle>>>,
     opened: Cell<u64>,
+    /// Another process accepts from the same socket.
+    beside: Cell<bool>,
 }
 
 impl Clients {
@@ -103,6 +108,7 @@
             closing: watch::channel(0).0,
             open: RefCell::default(),
             opened: Cell::default(),
+            beside: Cell::default(),
         });
         let weak = Rc::downgrade(&clients);
         tokio::task::spawn_local(async move {
@@ -143,8 +149,8 @@
         self.closing.send_modify(|n| *n += 1);
     }
 
-    /// Accepts while the gate is open. Guard: with no descriptor left it waits for one, idle connections being closed
-    /// first; what the machine has accepted meanwhile waits in the backlog. A socket of this process's own (`handed_on`
+    /// Accepts while the gate is open. Guard: with no descriptor left the last that was accepted waits for one, idle
+    /// connections being closed first; what the machine has accepted meanwhile waits in the backlog. A socket of this process's own (`handed_on`
     /// false) is emptied once the gate is shut, and closed: nobody else would meet what lies there.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, gate: Rc<Gate>, handed_on: bool) {
         loop {
@@ -167,23 +173,26 @@
         gate.heed();
     }
 
+    /// Danger: a place made ahead of need is made by closing a connection whose client comes again, and needs it. So one is
+    /// accepted first, with a descriptor that is kept back for this, and then finds or is made its place.
     async fn accept_while_open(self: &Rc<Self>, listener: &TcpListener, gate: &Gate) {
         let mut shut = std::pin::pin!(gate.is(false));
         loop {
-            let slot = tokio::select! {
+            tokio::select! {
                 biased;
                 () = shut.as_mut() => return,
-                slot = self.slot() => slot,
-            };
+                () = self.budget.client_finds_slot() => {}
+                () = tokio::time::sleep(ANOTHERS_TURN), if self.beside.get() => {}
+                () = std::future::ready(()), if !self.beside.get() => {}
+            }
             let accepted = tokio::select! {
                 biased;
                 () = shut.as_mut() => return,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.open(stream, slot),
+                Ok((stream, _)) => self.open(stream, self.slot().await),
                 Err(error) => {
-                    drop(slot);
                     eprintln!("pinerelay: accepting a connection failed: {error}");
                     self.budget.close_an_idle_client();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -192,6 +201,11 @@
         }
     }
 
+    /// Whether another process accepts from the same socket.
+    pub fn beside(&self, another: bool) {
+        self.beside.set(another);
+    }
+
     async fn slot(&self) -> Slot {
         let close_one =
             || self.budget.exhausted() && self.servers.close_an_idle() || self.budget.close_an_idle_client();
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -148,6 +148,11 @@
         idle < self.keep && self.reuse.allows(idle) && kept.connection.usable()
     }
 
+    /// How many connections stand idle.
+    pub fn idle(&self) -> usize {
+        self.hosts.borrow().values().map(|h| h.idle.len()).sum()
+    }
+
     /// Closes the connection that has been idle for longest, to free its descriptor.
     pub fn close_an_idle(&self) -> bool {
         let mut hosts = self.hosts.borrow_mut();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -76,7 +76,10 @@
     let allowed = rlimit::increase_nofile_limit(config.limits.sockets as u64).map_err(StartError::System)?;
     let for_ops = if ops_at.is_some() { CALLERS + 1 } else { 0 };
     let sockets = config.limits.sockets.min(allowed as usize);
-    let budget = Budget::new(sockets, for_ops, operator.front.client_share);
+    let handed_on = front.is_some();
+    // One whose socket is its own has no other beside it.
+    let claimable = if handed_on { claims::shared(sockets) } else { sockets };
+    let budget = Budget::new(claimable, for_ops, operator.front.client_share);
     let room = Room::of(config.limits.memory_mb);
     let mut env = config.settings;
     let (zones, kinds) = (std::mem::take(&mut env.zones), std::mem::take(&mut env.kinds));
@@ -92,9 +95,6 @@
     let counter_at = counter.filter(|_| settings.counter.allowed);
     let (wait, try_limit) = (settings.counter.wait, settings.limits.try_limit);
     let mut controller = Controller::new(seed, settings);
-    let handed_on = front.is_some();
-    // One whose socket is its own has no other beside it.
-    let claimable = if handed_on { claims::shared(sockets) } else { sockets };
     let (shared, found) = shared(at, claimable, handed_on || ops_at.is_some());
     let shared = Rc::new(shared);
     // Only a process whose socket is handed on takes over from another while both run.
--- a/crates/node/src/run/life.rs
+++ b/crates/node/src/run/life.rs
@@ -6,6 +6,7 @@
 
 use mountbend::interface::Event as Told;
 use pinerelay_succession::claims::enough;
+use pinerelay_succession::places::{gives_back, Side};
 use pinerelay_succession::process::{Action, Event, Others, Phase, Process, Timer};
 use pinerelay_succession::record::Standing;
 use tokio::signal::unix::Signal;
@@ -39,8 +40,14 @@
 const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
 /// How often a node that starts or ends looks how far it is.
 const SHORT_LOOKS: Duration = Duration::from_millis(10);
-/// How often a node looks what the other processes tell that has next to no descriptors yet.
+/// How often a node looks what the other processes tell that has next to no descriptors yet, and each while one follows
+/// another: clients move within one answer, and their places have to move with them.
 const SOON: Duration = Duration::from_millis(20);
+/// That is for so long after one of them has come, served or left. A process that leaves is killed sooner; one that can't
+/// end must not keep others busy.
+const MOVES: Duration = Duration::from_secs(4);
+/// Who has served beside another for so long was not started to be followed at once.
+const SETTLED: Duration = Duration::from_secs(1);
 /// When a node that is alone looks again.
 const NEVER: Duration = Duration::from_secs(3_600);
 /// How long a yes waits at most until the other processes can know of it.
@@ -109,8 +116,17 @@
     mut interrupt: Signal,
 ) {
     let now = Instant::now();
-    let mut run =
-        Run { parts, times, timers: Vec::new(), ended: false, kept: now, next_look: now, yes: None };
+    let mut run = Run {
+        parts,
+        times,
+        timers: Vec::new(),
+        ended: false,
+        kept: now,
+        next_look: now,
+        seen: (Standing::Coming, Others::default()),
+        changed: now,
+        yes: None,
+    };
     let (room, others) = run.found(found, Standing::Coming);
     let mut actions = Vec::new();
     let mut process = Process::start(run.times.handed_on, room, others, &mut actions);
@@ -171,6 +187,9 @@
     /// When what was learned was kept last.
     kept: Instant,
     next_look: Instant,
+    /// Where this process and the others were last, and since when.
+    seen: (Standing, Others),
+    changed: Instant,
     yes: Option<Yes>,
 }
 
@@ -181,9 +200,10 @@
     }
 
     fn pause(&self) -> Duration {
+        let moves = self.seen.1 != Others::default() && self.changed.elapsed() < MOVES;
         if self.parts.shared.is_alone() {
             NEVER
-        } else if enough(self.parts.budget.allowed(), self.times.limit) {
+        } else if enough(self.parts.budget.allowed(), self.times.limit) && !moves {
             LOOKS
         } else {
             SOON
@@ -220,7 +240,7 @@
         let p = &self.parts;
         let due = self.kept.elapsed() >= REMEMBER && standing == Standing::Serves;
         let learned = due.then(|| learned::leave(p.names.borrow().clone(), p.node.memory()));
-        if p.shared.look(Mine { standing, used: p.budget.held() }, learned) {
+        if p.shared.look(Mine { standing, used: p.budget.holds(0).all }, learned) {
             if due {
                 self.kept = now;
             }
@@ -230,7 +250,7 @@
     }
 
     /// Takes in what a look has found: whether there are descriptors to serve with, and where the other processes are in
-    /// their lives. Holds no more than the claim allows; what is idle beyond that is closed.
+    /// their lives. Holds no more than the claim allows, and gives back what another needs.
     fn found(&mut self, looked: Looked, standing: Standing) -> (bool, Others) {
         if self.yes.as_ref().is_some_and(|yes| yes.asked) {
             self.yes = None;
@@ -240,17 +260,22 @@
         if looked.held {
             p.members.reconsider();
         }
-        p.budget.resize(looked.claim);
-        if standing == Standing::Leaves {
-            // Danger: the claim of one that leaves is just what it holds. Clients' part of that is less than they hold, and
-            // connections that may be used once more would be closed for it.
-            return (true, looked.others);
+        if self.seen != (standing, looked.others) {
+            self.seen = (standing, looked.others);
+            self.changed = Instant::now();
+            self.next_look = self.changed;
         }
+        let leaves = standing == Standing::Leaves;
+        p.budget.resize(looked.claim);
+        p.clients.beside(looked.others.serving > 0);
+        let settled = self.changed.elapsed() >= SETTLED;
+        let side = Side { standing, others: looked.others, settled };
+        let holds = p.budget.holds(p.servers.idle());
+        let back = gives_back(self.times.limit, looked.claim, holds, side);
+        let _closed = (0..back.servers).take_while(|_| p.servers.close_an_idle()).count();
         // A client's connection ends a moment after it is told to.
-        let (all, clients) = p.budget.excess();
-        let closed = (0..all).take_while(|_| p.servers.close_an_idle()).count();
-        let _told = (0..clients.max(all - closed)).take_while(|_| p.budget.close_an_idle_client()).count();
-        (enough(looked.claim, self.times.limit) && !looked.waits, looked.others)
+        let _told = (0..back.clients).take_while(|_| p.budget.close_an_idle_client()).count();
+        (leaves || enough(looked.claim, self.times.limit) && !looked.waits, looked.others)
     }
 
     fn perform(&mut self, actions: &mut Vec<Action>) {
