After a standstill, hear what one was told before any attempt goes out

What is ours: when a process goes on, it takes its sockets in the order in which they became readable, so a request is read and sent on before the call that came behind it. Lines to blame: `outcome_of` in net/servers.rs, which looks at `up` as it was heard before the standstill. Rebuilt on loopback: 32 requests unread, then the call out, or a drain in the list, 1.3 s of SIGSTOP: one request goes to the forbidden app server each time.

Change: net/vigil.rs. The look that connections get each 0.25 s anyhow is the tick; an attempt that finds it over 0.4 s old waits for four looks at all sockets and for the other processes' records, and is not written if its app server is forbidden by then (never sent: the decisions choose another). No timer more, no call more. Two loopback tests fail without it, six times in six.

--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -33,6 +33,8 @@
 use crate::net::ports::{Answer, Forward, Payload};
 use crate::net::room::Room;
 use crate::net::servers::Servers;
+use crate::net::vigil::TICK;
+use crate::net::Common;
 use crate::operator::Front;
 
 use connection::{Idle, Watched};
@@ -45,8 +47,6 @@
 const FIRST_REQUEST: Duration = Duration::from_millis(50);
 /// Clients use new classes 1.2 s after the node has heard of them at the earliest (the operators' page on retuning).
 const FORMER: Duration = Duration::from_millis(1_200);
-/// How often connections are looked at for that.
-const LOOK: Duration = Duration::from_millis(250);
 /// What a client that sends 64 kB a second takes for the part that is taken in ahead.
 const AHEAD: Duration = Duration::from_millis(1_030);
 /// How long before the client gives up a long request has failed.
@@ -90,9 +90,8 @@
         node: Rc<Node>,
         servers: Rc<Servers>,
         rules: Rules,
-        budget: Rc<Budget>,
         figures: Rc<Figures>,
-        room: Room,
+        Common { budget, room, vigil }: Common,
         front: &Front,
     ) -> Rc<Self> {
         let clients = Rc::new(Clients {
@@ -113,7 +112,8 @@
         let weak = Rc::downgrade(&clients);
         tokio::task::spawn_local(async move {
             loop {
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(TICK).await;
+                vigil.tick().await;
                 let Some(clients) = weak.upgrade() else { return };
                 let open = clients.open.borrow();
                 open.values()
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -30,6 +30,8 @@
 use crate::net::room::Room;
 use crate::net::servers::http::{framed, Broken, Connection, OnWritten, Sent};
 use crate::net::servers::reuse::Reuse;
+use crate::net::vigil::Vigil;
+use crate::net::Common;
 
 /// How long an answer that has begun may stand still. Danger: one that says it is longer than it is never ends. It does
 /// harm where app servers pause for longer within a short answer.
@@ -73,6 +75,7 @@
     clock: Rc<Clock>,
     core: Weak<dyn Core>,
     room: Room,
+    vigil: Rc<Vigil>,
     me: Weak<Servers>,
 }
 
@@ -103,13 +106,12 @@
     /// No app servers yet. Idle connections are dropped at half the time after which the peer may do so: a
     /// request that crosses the peer's close could not be told from one that ran.
     pub fn new(
-        budget: Rc<Budget>,
+        Common { budget, room, vigil }: Common,
         connect_timeout: Micros,
         conn_idle: Micros,
         on_written: OnWritten,
         clock: Rc<Clock>,
         core: Weak<dyn Core>,
-        room: Room,
     ) -> Rc<Self> {
         let or = |value: Micros, default| if value > 0 { value } else { default };
         let servers = Rc::new_cyclic(|me: &Weak<Servers>| Servers {
@@ -123,6 +125,7 @@
             clock,
             core,
             room,
+            vigil,
             me: me.clone(),
         });
         let weak = Rc::downgrade(&servers);
@@ -184,6 +187,13 @@
                 Err(_) | Ok(Err(NoLine::Failed)) => return (Outcome::ConnectFailed, None),
                 Ok(Err(NoLine::Shed)) => return (Outcome::Ignored, None),
             };
+            if self.vigil.behind() {
+                // Danger: what forbids this app server may lie unread.
+                self.vigil.caught_up().await;
+                if !self.stands(server, line.generation) {
+                    return (Outcome::ConnectFailed, None);
+                }
+            }
             let left = match upload {
                 None => stop.saturating_sub(self.clock.now()) / 1000,
                 Some(upload) => upload.wait.as_millis() as u64,
@@ -304,6 +314,11 @@
         Ok(Exchanged::Whole(outcome, body.filter(|_| outcome == Outcome::Ok), end == BodyEnd::Whole))
     }
 
+    /// Whether an app server wants something new, and still is the one of this generation.
+    fn stands(&self, server: ServerId, generation: u64) -> bool {
+        self.hosts.borrow().get(&server).is_some_and(|h| h.up && h.generation == generation)
+    }
+
     /// A kept connection or a new one.
     async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
         // Danger: a machine that has vanished must not take the time in which another could still be asked.
@@ -326,9 +341,9 @@
         match timeout(patience, connect).await {
             Ok(Ok(connection)) => {
                 // Danger: the list may have changed while the connection came up.
-                let hosts = self.hosts.borrow();
-                let same = hosts.get(&server).is_some_and(|h| h.up && h.generation == generation);
-                same.then_some(Line { connection, generation, idle: None }).ok_or(NoLine::Failed)
+                self.stands(server, generation)
+                    .then_some(Line { connection, generation, idle: None })
+                    .ok_or(NoLine::Failed)
             }
             Ok(Err(true)) => Err(NoLine::Shed),
             Err(_) if self.budget.exhausted() => Err(NoLine::Shed),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -37,6 +37,8 @@
 use crate::net::succession::learned;
 use crate::net::succession::records::Looked;
 use crate::net::succession::shared::Shared;
+use crate::net::vigil::Vigil;
+use crate::net::Common;
 use crate::operator::Operator;
 
 use life::{live, Parts, Times};
@@ -107,19 +109,13 @@
         (Some(settings), Some(file)) => Some(redis::server(settings, file)?),
         _ => None,
     };
+    let common = Common { budget: budget.clone(), room, vigil: Vigil::new() };
     let mut joined = None;
     let node = Node::new(controller, try_limit, clock.clone(), |core| {
         let sent = figures.clone();
         let on_written: OnWritten = Some(Rc::new(move || sent.sent()));
-        let servers = Servers::new(
-            budget.clone(),
-            connect_timeout,
-            conn_idle,
-            on_written,
-            clock,
-            core.clone(),
-            room.clone(),
-        );
+        let servers =
+            Servers::new(common.clone(), connect_timeout, conn_idle, on_written, clock, core.clone());
         let store = match redis_at {
             Some(server) => Store::Redis(redis::store(server, wait, core.clone())),
             None => {
@@ -146,15 +142,8 @@
         eprintln!("pinerelay: operators call at {}", listener.local_addr().map_err(StartError::System)?);
         tokio::task::spawn_local(ops.clone().serve(listener));
     }
-    let clients = Clients::new(
-        node.clone(),
-        servers.clone(),
-        rules,
-        budget.clone(),
-        figures.clone(),
-        room,
-        &operator.front,
-    );
+    let clients =
+        Clients::new(node.clone(), servers.clone(), rules, figures.clone(), common.clone(), &operator.front);
     let names = Rc::new(RefCell::new(classes.names()));
     let retuned = Retuned {
         running,
@@ -169,7 +158,20 @@
     let gate = Rc::new(Gate::default());
     tokio::task::spawn_local(clients.clone().accept(listener, gate.clone(), handed_on));
     let store = store.port();
-    let parts = Parts { node, clients, gate, ops, budget, servers, members, discovery, store, shared, names };
+    let parts = Parts {
+        node,
+        clients,
+        gate,
+        ops,
+        budget,
+        servers,
+        members,
+        discovery,
+        store,
+        shared,
+        names,
+        vigil: common.vigil,
+    };
     let longest = || patience.get();
     let times = Times { planned: &operator.stop, longest: &longest, limit: claimable, handed_on };
     live(parts, times, found, terminate, interrupt).await;
--- a/crates/node/src/run/life.rs
+++ b/crates/node/src/run/life.rs
@@ -24,6 +24,7 @@
 use crate::net::succession::learned;
 use crate::net::succession::records::{Looked, Mine, LOOKS};
 use crate::net::succession::shared::Shared;
+use crate::net::vigil::Vigil;
 use crate::operator::Stop;
 
 /// How long a node waits for its first list before it says that it is ready. It is due within 6 s.
@@ -77,6 +78,8 @@
     pub store: Rc<dyn QuotaStore>,
     /// What the processes of this address tell each other.
     pub shared: Rc<Shared>,
+    /// Who notices that it has stood still.
+    pub vigil: Rc<Vigil>,
     /// The classes' names, for the next process.
     pub names: Rc<RefCell<Vec<String>>>,
 }
@@ -266,6 +269,7 @@
             self.next_look = self.changed;
         }
         let leaves = standing == Standing::Leaves;
+        p.vigil.looked(looked.others != Others::default());
         p.budget.resize(looked.claim);
         p.clients.beside(looked.others.serving > 0);
         let settled = self.changed.elapsed() >= SETTLED;
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -253,14 +253,22 @@
         assert!(!late.timed_out(), "the node does not watch from {index}");
     }
 
-    /// Tells of a change and waits until the node has taken it in: until it watches from there on.
-    pub fn push(&self, entry: Value) {
+    /// Tells of a change; its version.
+    pub fn tell(&self, entry: Value) -> u64 {
         let (lock, wake) = &*self.state;
         let mut state = lock.lock().expect("no panic");
         state.index += 1;
         let index = state.index;
         state.changes.push((index, entry));
         wake.notify_all();
+        index
+    }
+
+    /// Tells of a change and waits until the node has taken it in: until it watches from there on.
+    pub fn push(&self, entry: Value) {
+        let index = self.tell(entry);
+        let (lock, wake) = &*self.state;
+        let state = lock.lock().expect("no panic");
         let rest = |s: &mut ListState| !s.watched.contains(&index);
         let (_held, late) = wake.wait_timeout_while(state, PATIENCE, rest).expect("no panic");
         assert!(!late.timed_out(), "the node does not watch on");
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -2,7 +2,9 @@
 
 mod fakes;
 
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{scope, sleep};
 use std::time::Duration;
 
@@ -143,3 +145,66 @@
     edge.terminate();
     assert!(edge.end().0.success());
 }
+
+/// Requests lie unread when a process goes on, and behind them what forbids their app server.
+fn forbidden_while_still(tells: impl FnOnce(&Edge, &Lists) -> Option<TcpStream>) {
+    let folder = Folder::new();
+    let (first, second) = (App::new(), App::new());
+    let entries = [entry("s-1", first.address, "a", "up"), entry("s-2", second.address, "a", "up")];
+    let lists = Lists::new();
+    let mut config = config(&entries);
+    config["discovery"] = json!(lists.address.to_string());
+    let edge = Edge::operated(&config, &folder.0);
+    lists.watched_from(1);
+    let (over, at_first) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let (over, at_first) = (&over, &at_first);
+    scope(|scope| {
+        scope.spawn(move || {
+            while !over.load(Ordering::SeqCst) {
+                if let Some(seen) = first.poll_once() {
+                    at_first.fetch_add(1, Ordering::SeqCst);
+                    seen.answer("200 OK", "", "ok");
+                }
+                if let Some(seen) = second.poll_once() {
+                    seen.answer("200 OK", "", "ok");
+                }
+            }
+        });
+        let mut clients = kept(&edge, 32);
+        let before = at_first.load(Ordering::SeqCst);
+        let mut call = None;
+        still(&edge, Duration::from_millis(1_300), || {
+            for (number, client) in clients.iter_mut().enumerate() {
+                client.ask(&ask("post", &format!("still-{number}")));
+            }
+            call = tells(&edge, &lists);
+        });
+        let lost = lost(&mut clients);
+        if let Some(mut call) = call {
+            let mut answer = String::new();
+            call.read_to_string(&mut answer).expect("an answer");
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+        over.store(true, Ordering::SeqCst);
+        assert_eq!((before > 0, lost), (true, 0));
+        assert_eq!(at_first.load(Ordering::SeqCst), before, "sent to who had been forbidden 1.3 s before");
+    });
+}
+
+#[test]
+fn a_call_out_that_came_while_a_process_stood_still_holds_before_anything_goes_out() {
+    forbidden_while_still(|edge, _| {
+        let mut call = TcpStream::connect(edge.ops.expect("an operators' address")).expect("a connection");
+        let text = "POST /api/exclude HTTP/1.1\r\nHost: ops\r\nContent-Length: 3\r\n\r\ns-1";
+        call.write_all(text.as_bytes()).expect("written");
+        Some(call)
+    });
+}
+
+#[test]
+fn a_drain_that_was_told_while_a_process_stood_still_holds_before_anything_goes_out() {
+    forbidden_while_still(|_, lists| {
+        lists.tell(entry("s-1", nobody(), "a", "draining"));
+        None
+    });
+}
