--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -22,6 +22,8 @@
 const SPIKE: (f64, f64) = (1.5, 7.7);
 const SPIKE_S: (f64, f64) = (0.5, 4.4);
 const SPIKE_EVERY_S: f64 = 10.0;
+/// One node in so many sees more than the others, where the load is uneven.
+const CROWDED: usize = 10;
 
 /// Why captured load can't be replayed.
 #[derive(Debug)]
@@ -105,7 +107,11 @@
         }
         let nodes = scenario.fleet.nodes;
         let spread = 2 + (lots.below(3) as u32);
-        let first = lots.below(nodes as usize) as u32;
+        let mut first = lots.below(nodes as usize) as u32;
+        let few = (nodes as usize).div_ceil(CROWDED);
+        if scenario.load.uneven > 0.0 && lots.share() < scenario.load.uneven {
+            first = lots.below(few) as u32;
+        }
         Biller { number, usage, spikes, spread: spread.min(nodes), first, lots }
     }
 
@@ -257,6 +263,21 @@
         assert!(load.windows(2).all(|w| w[0].at <= w[1].at));
     }
 
+    #[test]
+    fn an_uneven_load_gathers_at_the_first_nodes_and_is_as_large() {
+        let mut scenario = scenario("whole-fleet");
+        let site = Site::new(&scenario);
+        let mut part = |uneven: f64| {
+            scenario.load.uneven = uneven;
+            let load = plan(&scenario, &site, 3).expect("a plan");
+            let few = load.iter().filter(|p| p.first < scenario.fleet.nodes / 10).count();
+            (load.len() as f64, few as f64 / load.len() as f64)
+        };
+        let (even, uneven) = (part(0.0), part(0.5));
+        assert!((uneven.0 / even.0 - 1.0).abs() < 0.2, "{even:?} {uneven:?}");
+        assert!(even.1 < 0.25 && uneven.1 > 0.4, "{even:?} {uneven:?}");
+    }
+
     #[test]
     fn captured_load_is_replayed_and_what_is_wrong_with_it_is_named_by_line() {
         let scenario = scenario("calm");
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -10,7 +10,7 @@
 
 /// The most boxes, nodes, and seconds of one rehearsal.
 const BOXES_MOST: u32 = 400;
-const NODES_MOST: u32 = 16;
+const NODES_MOST: u32 = 64;
 const SECONDS_MOST: u32 = 3_600;
 
 /// A rehearsal, as its file has it.
@@ -47,7 +47,7 @@
 pub struct Fleet {
     /// Boxes: 1 to 400.
     pub boxes: u32,
-    /// Edge nodes: 1 to 16.
+    /// Edge nodes: 1 to 64.
     pub nodes: u32,
     /// The halls' names; boxes and nodes stand in them in turn.
     pub halls: Vec<String>,
@@ -93,6 +93,8 @@
     pub over: f64,
     /// The share of billers that ask for up to 7.7 times their quota for some seconds now and then.
     pub spiky: f64,
+    /// The share of the billers that come through the first tenth of the nodes, which see so much more than the others.
+    pub uneven: f64,
     /// Times in which the billers of a plan ask for more.
     pub surge: Vec<Surge>,
     /// Captured load in place of all that: a file of JSON Lines beside the scenario, each with `t_ms`, `biller`
@@ -103,7 +105,7 @@
 impl Default for Load {
     fn default() -> Self {
         let shape = vec![(0.0, 0.6), (8.0, 1.0)];
-        Load { rate: 170.0, shape, over: 0.09, spiky: 0.15, surge: Vec::new(), replay: None }
+        Load { rate: 170.0, shape, over: 0.09, spiky: 0.15, uneven: 0.0, surge: Vec::new(), replay: None }
     }
 }
 
@@ -359,6 +361,7 @@
             .or_else(|| self.surge())
             .or_else(|| share("load.over", load.over))
             .or_else(|| share("load.spiky", load.spiky))
+            .or_else(|| share("load.uneven", load.uneven))
             .or_else(|| within("clients.retries", self.clients.retries, 0, 5))
             .or_else(|| share("clients.honour", self.clients.honour))
             .or_else(|| within("counter.parts", self.counter.parts, 1, 16))
@@ -466,6 +469,7 @@
     "rude-clients",
     "ceiling-pressed",
     "bad-hour",
+    "whole-fleet",
     "capacity",
 ];
 
@@ -497,6 +501,8 @@
             ("title = \"t\"\nseconds = 0\n".into(), "s.toml: seconds: 1 to 3600 is wanted, not 0"),
             (format!("{head}[fleet]\nboxs = 3\n"), "s.toml:4: fleet.boxs: unknown field `boxs`"),
             (format!("{head}[load]\nshape = []\n"), "load.shape: at least one pair"),
+            (format!("{head}[load]\nuneven = 1.5\n"), "load.uneven: 0 to 1 is wanted, not 1.5"),
+            (format!("{head}[fleet]\nnodes = 65\n"), "fleet.nodes: 1 to 64 is wanted, not 65"),
             (format!("{head}[load]\nshape = [[3, 1], [1, 2]]\n"), "load.shape: times that grow"),
             (
                 format!("{head}[[load.surge]]\nat = \"1s\"\nfor = \"1s\"\nplan = \"gold\"\ntimes = 2\n"),
--- a/crates/rehearsal/tests/kit.rs
+++ b/crates/rehearsal/tests/kit.rs
@@ -155,6 +155,20 @@
     kept("upgrade-in-upgrade", &fault("upgrade_in_upgrade", ""));
 }
 
+#[test]
+fn a_fleet_of_many_nodes_that_loses_a_hall_and_the_counter_breaks_no_rule() {
+    let faults = [
+        "[[load.surge]]\nat = \"1s\"\nfor = \"2s\"\nplan = \"enterprise\"\ntimes = 6\n".to_string(),
+        fault("stop", "for = \"1s\"\nhall = \"hall-b\"").replace("at = \"1s\"", "at = \"500ms\""),
+        fault("counter_silent", "for = \"2s\""),
+    ];
+    let text = small(&faults.concat())
+        .replace("nodes = 2", "nodes = 16")
+        .replace("rate = 60", "rate = 90\nuneven = 0.4");
+    let (code, report) = play("many", &text);
+    assert_eq!((code, &report["verdict"]), (Some(0), &"kept".into()), "{}", report["judgement"]["breaches"]);
+}
+
 #[test]
 fn next_processes_that_fail_break_no_rule() {
     kept("upgrade-fails", &fault("upgrade_fails", ""));
