Rehearse retuning: a class that comes by SIGHUP is used and goes, a broken file between

Change: the fault `retune`. All nodes are told of a class that may not run twice, and of one attempt fewer; 1.2 s later every other safe request is one of that class; halfway the file is cut in two and told; then clients leave the class, and it is dropped once nobody's time for it runs any more. Before and after each node has to say that it has taken 1 and 2 files and turned 0 and 1 down, or there is no verdict.

--- a/crates/rehearsal/src/bench.rs
+++ b/crates/rehearsal/src/bench.rs
@@ -23,7 +23,7 @@
 
 use crate::nodes::used;
 use crate::scenario::Scenario;
-use crate::site::Site;
+use crate::site::{Site, Tune};
 
 /// How long a relay warms up, and is measured.
 const WARM: Duration = Duration::from_millis(1_000);
@@ -254,7 +254,7 @@
         // The bundled scenarios are checked by a test.
         _ => return json!(null),
     };
-    let mut settings = Site::new(&scenario).settings(&scenario, 0);
+    let mut settings = Site::new(&scenario).settings(&scenario, 0, Tune::default());
     settings["n_instances"] = json!(1);
     settings["tariffs"][0]["quota_rate"] = json!(1e6);
     settings["tariffs"][0]["most_at_once"] = json!(1e6);
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use pinerelay_evidence::{lock, Micros, Recorder, Seen};
-use pinerelay_standins::http::Line;
+use pinerelay_standins::http::{Line, Message};
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -66,7 +66,7 @@
         recorder: &Recorder,
         front: Option<&TcpListener>,
     ) -> io::Result<Process> {
-        write_config(config, content).await?;
+        write_config(config, &content.to_string()).await?;
         recorder.see(Seen::NodeStarted { node });
         let mut command = match front {
             None => Command::new(&program.path),
@@ -163,7 +163,12 @@
 
     /// Replaces its configuration and tells it so.
     pub async fn move_to(&self, config: &Path, content: &Value) -> io::Result<()> {
-        write_config(config, content).await?;
+        self.given(config, &content.to_string()).await
+    }
+
+    /// Replaces its configuration by this text, and tells it so.
+    pub async fn given(&self, config: &Path, text: &str) -> io::Result<()> {
+        write_config(config, text).await?;
         self.recorder.see(Seen::NodeMoved { node: self.node });
         self.signal("HUP").await;
         Ok(())
@@ -171,14 +176,24 @@
 
     /// Makes a call at its operators' address: whether it said yes, or why there was no answer.
     pub async fn call(&self, path: &str, body: &str) -> io::Result<bool> {
-        self.asks("POST", path, body).await
+        Ok((200..300).contains(&self.asks("POST", path, body).await?.status()))
+    }
+
+    /// One of its figures, by name.
+    pub async fn figure(&self, name: &str) -> io::Result<f64> {
+        let answer = self.asks("GET", "/api/telemetry", "").await?;
+        let text = String::from_utf8_lossy(&answer.body);
+        let named =
+            text.lines().find_map(|l| l.strip_prefix("edge_proxy_")?.strip_prefix(name)?.strip_prefix(' '));
+        let number = named.and_then(|number| number.trim().parse().ok());
+        number.ok_or_else(|| io::Error::other(format!("node {} has no figure {name}", self.node)))
     }
 
     /// Whether it says within this time that it takes clients.
     pub async fn ready(&self, limit: Duration) -> bool {
         let until = tokio::time::Instant::now() + limit;
         while tokio::time::Instant::now() < until && !self.ended() {
-            if matches!(self.asks("GET", "/api/ready", "").await, Ok(true)) {
+            if self.asks("GET", "/api/ready", "").await.is_ok_and(|a| a.status() == 200) {
                 return true;
             }
             moment().await;
@@ -203,7 +218,7 @@
         self.signal("STOP").await;
     }
 
-    async fn asks(&self, method: &str, path: &str, body: &str) -> io::Result<bool> {
+    async fn asks(&self, method: &str, path: &str, body: &str) -> io::Result<Message> {
         let mut ops = self.ops.clone();
         let answer = async {
             let address = *ops.wait_for(Option::is_some).await.map_err(io::Error::other)?;
@@ -215,8 +230,7 @@
             line.stream.write_all(text.as_bytes()).await?;
             line.answer(&self.recorder).await.map_err(|why| io::Error::other(format!("{why:?}")))
         };
-        let answer = timeout(CALL, answer).await??;
-        Ok((200..300).contains(&answer.status()))
+        timeout(CALL, answer).await?
     }
 
     /// Whether it has ended.
@@ -267,9 +281,9 @@
 }
 
 /// Replaced and not written over: a node must not read half a file.
-async fn write_config(path: &Path, content: &Value) -> io::Result<()> {
+async fn write_config(path: &Path, text: &str) -> io::Result<()> {
     let next = path.with_extension("next");
-    tokio::fs::write(&next, content.to_string()).await?;
+    tokio::fs::write(&next, text).await?;
     tokio::fs::rename(&next, path).await
 }
 
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -27,7 +27,7 @@
 
 use crate::nodes::{moment, Process, Program};
 use crate::scenario::{Fault, Kind, Scenario};
-use crate::site::Site;
+use crate::site::{Site, Tune};
 
 /// How long nodes have to come up at the start of a rehearsal, and one that is started again.
 const UP: Duration = Duration::from_secs(10);
@@ -46,6 +46,8 @@
 /// Between the steps of an upgrade; and how soon after its yes a next process dies that fails.
 const PAUSE: Duration = Duration::from_millis(500);
 const SHORTLY: Duration = Duration::from_millis(100);
+/// Clients use a new class so long after the nodes have been told of it, by the operators' page.
+const USED_AFTER: Duration = Duration::from_millis(1_200);
 /// How long a silent connection is held open from its client's side.
 const SILENCE: Duration = Duration::from_secs(6);
 
@@ -136,6 +138,8 @@
     fronts: Vec<Option<TcpListener>>,
     /// All processes of all nodes so far: their numbers, and what tells of their ends.
     alive: Lock<Vec<(u32, watch::Receiver<bool>)>>,
+    /// What a retuning has changed.
+    tune: Lock<Tune>,
     /// Faults that could not be played, and why.
     unplayed: Lock<Vec<String>>,
 }
@@ -228,6 +232,7 @@
             nodes: (0..nodes).map(|_| Mutex::new(None)).collect(),
             fronts: Vec::new(),
             alive: Lock::default(),
+            tune: Lock::default(),
             unplayed: Lock::default(),
         };
         let mut addresses = Vec::new();
@@ -256,7 +261,7 @@
     fn config(&self, node: u32, listen: SocketAddr) -> Value {
         let counter = lock(&self.counters).last().map(|c| c.address(node).to_string());
         // Callers take descriptors: the address is there where it is used.
-        let by_hand = self.scenario.fault.iter().any(|f| f.kind == Kind::HeldOut || f.kind.hands_on());
+        let by_hand = self.scenario.fault.iter().any(|f| f.kind.by_hand());
         json!({
             "name": format!("n{node}"), "listen": listen.to_string(),
             "ops": by_hand.then_some("127.0.0.1:0"),
@@ -264,7 +269,7 @@
             "seed": format!("{:016x}", mix(&[self.options.seed, u64::from(node), self.recorder.now()])),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.scenario.fleet.sockets},
             "counter": counter, "known": self.discovery.list(node),
-            "settings": self.site.settings(&self.scenario, node),
+            "settings": self.site.settings(&self.scenario, node, *lock(&self.tune)),
         })
     }
 
@@ -613,6 +618,7 @@
                 self.move_nodes(false).await?;
             }
             Kind::DiscoveryMoves => self.move_nodes(true).await?,
+            Kind::Retune => self.retune(lasts).await?,
             Kind::DiscoverySilent => {
                 self.discovery.silent(true);
                 sleep(lasts).await;
@@ -746,6 +752,49 @@
         Ok(())
     }
 
+    /// A class comes, is used, and goes again; a file that is cut in two in between changes nothing.
+    async fn retune(&self, lasts: Duration) -> io::Result<()> {
+        lock(&self.tune).added = true;
+        self.move_nodes(false).await?;
+        sleep(USED_AFTER).await;
+        self.took(1.0, 0.0).await?;
+        self.crowd.drift(|d| d.swapped = self.site.swap());
+        let rest = lasts.saturating_sub(USED_AFTER) / 2;
+        sleep(rest).await;
+        for (node, place) in self.nodes.iter().enumerate() {
+            let place = place.lock().await;
+            if let Some(process) = &*place {
+                let whole = self.config(node as u32, process.address).to_string();
+                process.given(&self.config_path(node as u32), &whole[..whole.len() / 2]).await?;
+            }
+        }
+        sleep(rest).await;
+        self.crowd.drift(|d| d.swapped = None);
+        // Who has asked for it may do so again until its time is over.
+        sleep(self.site.longest()).await;
+        lock(&self.tune).added = false;
+        self.move_nodes(false).await?;
+        sleep(USED_AFTER).await;
+        self.took(2.0, 1.0).await
+    }
+
+    /// Whether all nodes say that they have taken so many files, and turned so many down.
+    async fn took(&self, taken: f64, refused: f64) -> io::Result<()> {
+        for (node, place) in self.nodes.iter().enumerate() {
+            let place = place.lock().await;
+            let Some(process) = &*place else { continue };
+            let reloads = process.figure("config_reloads_total").await?;
+            let errors = process.figure("config_reload_errors_total").await?;
+            if (reloads, errors) != (taken, refused) {
+                let why = format!(
+                    "node {node} has taken {reloads} files and turned {errors} down, {taken} and {refused} are right"
+                );
+                return Err(io::Error::other(why));
+            }
+        }
+        Ok(())
+    }
+
     /// Rude clients, or silent ones, for as long as the fault lasts.
     async fn pester(&self, number: usize, fault: &Fault, lasts: Duration, times: f64) {
         let until = Instant::now() + lasts;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -247,6 +247,9 @@
     UpgradeFails,
     /// A third process starts while the second is on its way.
     UpgradeInUpgrade,
+    /// By SIGHUP a class is added and attempts get fewer; clients use the class 1.2 s later. Halfway the file is cut in two,
+    /// and at the end the class is dropped.
+    Retune,
     /// Each process of a node stands still for `by`, `times` a second, as one does that gets a small part of a core.
     Still,
     /// Rude clients, `times` a second.
@@ -261,6 +264,11 @@
         matches!(self, Kind::Upgrade | Kind::UpgradeFails | Kind::UpgradeInUpgrade)
     }
 
+    /// Whether operators call at the nodes.
+    pub fn by_hand(self) -> bool {
+        self.hands_on() || matches!(self, Kind::HeldOut | Kind::Retune)
+    }
+
     /// Its name, as scenarios have it.
     pub fn name(self) -> String {
         let text = format!("{self:?}");
@@ -288,7 +296,7 @@
             DiscoveryLate => (&["by"], &[]),
             Gather | Shift => (&["share"], &[]),
             NodeKill => (&[], &["node"]),
-            NodeRestarts | Upgrade | UpgradeFails | UpgradeInUpgrade => (&[], &[]),
+            NodeRestarts | Upgrade | UpgradeFails | UpgradeInUpgrade | Retune => (&[], &[]),
             Still => (&["times", "by"], &[]),
             Rude | Silent => (&["times"], &[]),
         }
@@ -466,6 +474,7 @@
     "upgrade",
     "upgrade-fails",
     "upgrade-in-upgrade",
+    "retune",
     "rude-clients",
     "ceiling-pressed",
     "bad-hour",
--- a/crates/rehearsal/src/site.rs
+++ b/crates/rehearsal/src/site.rs
@@ -9,7 +9,7 @@
 use pinerelay_standins::lots::Lots;
 use serde_json::{json, Value};
 
-use crate::scenario::{Scenario, Unanswered, PLANS};
+use crate::scenario::{Kind, Scenario, Unanswered, PLANS};
 
 const MS: u64 = 1_000;
 /// The figures of the rules: grace after a deadline, grace after a drain, when a change counts as told, a box's
@@ -25,6 +25,8 @@
 const COUNT_WAIT: u64 = 80 * MS;
 const LARGEST: f64 = 4.0;
 const MAX_RETRY_AFTER: u64 = 1_000 * MS;
+/// The class that comes with a retuning: clients ask for it in place of the safe one, and it may not run twice.
+pub const ADDED: &str = "refund-check";
 /// A request counts 1 to 4 units, so often each.
 pub const UNITS: [f64; 4] = [0.4, 0.3, 0.2, 0.1];
 
@@ -45,6 +47,13 @@
     open_limit: u32,
 }
 
+/// What a retuning has changed for the nodes.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tune {
+    /// The class that comes with it is there, and there are fewer attempts.
+    pub added: bool,
+}
+
 /// The site.
 pub struct Site {
     classes: Vec<ClassMake>,
@@ -88,21 +97,22 @@
         (top.plan.ceiling_rate, top.plan.ceiling_burst) = (41.0, 82.0);
         // A tenth, or one of the largest requests, whichever is more.
         top.plan.ceiling_slack = (top.plan.ceiling_burst * 0.1).max(LARGEST);
-        Site {
-            classes: vec![
-                make(class("bill-lookup", Effect::Safe, 1_000, 2.0, 0.1), 0.39, 100.0, 4_000),
-                make(class("slip-record", Effect::Keyed, 600, 2.0, 0.1), 0.31, 60.0, 2_500),
-                make(class("payment-post", Effect::Unsafe, 1_200, 6.0, 0.1), 0.30, 100.0, 5_000),
-            ],
-            plans,
-            work: scenario.fleet.work,
+        let mut classes = vec![
+            make(class("bill-lookup", Effect::Safe, 1_000, 2.0, 0.1), 0.39, 100.0, 4_000),
+            make(class("slip-record", Effect::Keyed, 600, 2.0, 0.1), 0.31, 60.0, 2_500),
+            make(class("payment-post", Effect::Unsafe, 1_200, 6.0, 0.1), 0.30, 100.0, 5_000),
+        ];
+        if scenario.fault.iter().any(|f| f.kind == Kind::Retune) {
+            classes.push(make(class(ADDED, Effect::Unsafe, 900, 2.0, 0.1), 0.0, 60.0, 3_000));
         }
+        Site { classes, plans, work: scenario.fleet.work }
     }
 
     /// The settings that a node of this number is given.
-    pub fn settings(&self, scenario: &Scenario, node: u32) -> Value {
+    pub fn settings(&self, scenario: &Scenario, node: u32, tune: Tune) -> Value {
         let fleet = &scenario.fleet;
         let classes: Vec<_> = (self.classes.iter())
+            .filter(|c| tune.added || c.class.name != ADDED)
             .map(|c| {
                 let effect = match c.class.effect {
                     Effect::Safe => "safe",
@@ -132,7 +142,7 @@
             "classes": classes, "tariffs": plans, "clients": {"marks_retry": scenario.clients.marks_retry},
             "bounds": {
                 "cancel": true, "probing": true, "retry_after": true, "max_retry_after": MAX_RETRY_AFTER,
-                "try_limit": TRY_LIMIT, "connect_timeout": 250 * MS,
+                "try_limit": if tune.added { TRY_LIMIT - 1 } else { TRY_LIMIT }, "connect_timeout": 250 * MS,
                 "conn_idle": fleet.idle.0.as_micros() as u64,
             },
             "charges": {"cross_zone": 0.01},
@@ -237,6 +247,12 @@
         self.classes.iter().map(|c| (c.class.name.as_str(), c.share))
     }
 
+    /// The numbers of the class that clients leave with a retuning, and of the one that they take in its place.
+    pub fn swap(&self) -> Option<(usize, usize)> {
+        let added = self.classes.iter().position(|c| c.class.name == ADDED)?;
+        Some((self.classes.iter().position(|c| c.class.effect == Effect::Safe)?, added))
+    }
+
     /// The longest that any client waits.
     pub fn longest(&self) -> Duration {
         Duration::from_micros(self.classes.iter().map(|c| c.deadline).max().unwrap_or(0))
--- a/crates/rehearsal/tests/kit.rs
+++ b/crates/rehearsal/tests/kit.rs
@@ -169,6 +169,14 @@
     assert_eq!((code, &report["verdict"]), (Some(0), &"kept".into()), "{}", report["judgement"]["breaches"]);
 }
 
+#[test]
+fn a_class_that_comes_by_sighup_is_served_and_a_broken_file_changes_nothing() {
+    let text = fault("retune", "for = \"3s\"").replace("at = \"1s\"", "at = \"100ms\"");
+    let report = kept("retune", &text);
+    let added = &report["judgement"]["service"]["classes"][3];
+    assert!(added["served"].as_u64() > Some(10), "{added}");
+}
+
 #[test]
 fn next_processes_that_fail_break_no_rule() {
     kept("upgrade-fails", &fault("upgrade_fails", ""));
--- a/crates/standins/src/billers.rs
+++ b/crates/standins/src/billers.rs
@@ -97,6 +97,8 @@
     pub shifted: f64,
     /// How many shifts there have been.
     pub turn: u64,
+    /// Every other request of the first class is one of the second.
+    pub swapped: Option<(usize, usize)>,
 }
 
 struct Place {
@@ -238,8 +240,12 @@
     }
 
     /// Makes a request, with its repeats; over once its client has its last answer or gives up.
-    pub async fn ask(self: Arc<Self>, planned: Planned) {
+    pub async fn ask(self: Arc<Self>, mut planned: Planned) {
         self.out.fetch_add(1, Ordering::Relaxed);
+        let swapped = lock(&self.drift).swapped;
+        if let Some((_, to)) = swapped.filter(|s| s.0 == planned.class && planned.at.is_multiple_of(2)) {
+            planned.class = to;
+        }
         let class = &self.habits.classes[planned.class];
         let began = Instant::now();
         let mut first = None;
