--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -551,14 +551,18 @@
 
     /// One call at the operators' address: its status and body.
     pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
-        let stream = TcpStream::connect(self.ops.expect("an operators' address")).expect("the node accepts");
+        self.try_call(method, path, body).expect("an answer")
+    }
+
+    /// None if the node ends meanwhile.
+    pub fn try_call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let mut stream = TcpStream::connect(self.ops.expect("an operators' address")).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let mut client = Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream };
         let length = body.len();
-        client
-            .raw(&format!("{method} {path} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{body}"));
-        let answer = client.answer();
-        (answer.status(), String::from_utf8(answer.body).expect("text"))
+        let text = format!("{method} {path} HTTP/1.1\r\nHost: ops\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(text.as_bytes()).ok()?;
+        let answer = read_message(&mut BufReader::new(stream))?;
+        Some((answer.status(), String::from_utf8(answer.body).expect("text")))
     }
 
     /// One of the node's figures, by its name and labels.
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -208,3 +208,28 @@
         None
     });
 }
+
+#[test]
+fn a_call_out_in_the_last_moments_of_a_process_holds_at_the_next() {
+    let folder = Folder::new();
+    let entries: Vec<_> = (0..80).map(|n| entry(&format!("s-{n}"), nobody(), "a", "up")).collect();
+    let config = config(&entries);
+    let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let old = Edge::inheriting(&config, &folder.0, &platform);
+    until("ready", || old.call("GET", "/api/ready", "").0 == 200);
+    let new = Edge::inheriting(&config, &folder.0, &platform);
+    until("ready", || new.call("GET", "/api/ready", "").0 == 200);
+    old.terminate();
+    // One after the other until it has ended, some second later.
+    let mut said = 0;
+    while let Some((200, _)) = old.try_call("POST", "/api/exclude", &format!("s-{said}")) {
+        said += 1;
+        assert!(said < 80, "the old process goes on");
+        sleep(Duration::from_millis(20));
+    }
+    assert!(old.end().0.success());
+    assert!(said > 10, "{said} calls in its last second");
+    // What it had done as it ended, without a word of it, may hold too.
+    let hold = || new.figure("members_unavailable") as usize;
+    until("all that it said yes to hold", || (said..=said + 1).contains(&hold()));
+}
