Stay away from a discovery that has no time; say why each request was not served

Lines to blame: PAUSE_MOST in net/servers/discovery.rs, 160 ms, meant for an agent that answers for itself.

Change: where the list must be asked for, an answer that is an error means a pause of 4 s and then 8 s in the mean, half of it at random; a broken or silent agent is asked again at once as before.

Also: every refusal and failure carries its reason out of the decisions, and the operators' figures have edge_proxy_unserved_requests_total by lane and reason.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -7,7 +7,7 @@
 mod choice;
 mod deferral;
 mod leases;
-pub(crate) mod measure;
+pub mod measure;
 mod overload;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -252,10 +252,10 @@
         if let Some(over) = self.overloaded(&id) {
             let told = self.set.limits.retry_after && !marked;
             let relief = over.clamp(TICK, self.set.limits.max_retry_after.max(TICK));
-            return self.refuse(&id, if told { relief } else { 0 }, out);
+            return self.refuse(&id, if told { relief } else { 0 }, Reason::Overload, out);
         }
         if self.hopeless(&id) || now + TICK + self.latency as Micros / 4 > new.due {
-            return self.refuse(&id, 0, out);
+            return self.refuse(&id, 0, Reason::Overdue, out);
         }
         match self.draw(&id, true, out) {
             Verdict::Granted => self.launch(&id, out),
@@ -264,7 +264,7 @@
                     c.waiting.push_back(id);
                 }
             }
-            Verdict::Beyond => self.beyond(&id, out),
+            Verdict::Beyond(why) => self.beyond(&id, why, out),
         }
     }
 
@@ -291,7 +291,7 @@
             // Danger: what is turned away late has cost its client the time to go elsewhere.
             let patience = self.set.classes[r.class].on_time.min(r.due.saturating_sub(r.arrived) / 2);
             if now + 2 * TICK >= r.arrived + patience {
-                self.give_up(&id, out);
+                self.give_up(&id, Reason::NoServer, out);
             } else {
                 self.launch(&id, out);
             }
--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -126,7 +126,7 @@
             let pick = || self.choose(&end.id, Some(server)).or_else(|| self.choose(&end.id, None));
             match again.then(pick).flatten() {
                 Some(next) => self.send(&end.id, next, out),
-                None => self.give_up(&end.id, out),
+                None => self.give_up(&end.id, end.outcome.into(), out),
             }
         } else if idle {
             self.requests.remove(&end.id);
@@ -174,7 +174,7 @@
     }
 
     /// The last answer to a request that cannot be served: refused where that is true, else failed.
-    pub(super) fn give_up(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+    pub(super) fn give_up(&mut self, id: &RequestId, why: Reason, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(id) else { return };
         let class = &self.set.classes[r.class];
         let ran = r.ran.is_some() || r.attempts.iter().any(|a| a.out);
@@ -184,15 +184,15 @@
             Effect::Unsafe => !ran,
         };
         if harmless {
-            self.refuse(id, 0, out);
+            self.refuse(id, 0, why, out);
         } else {
-            out.push(Action::Fail { id: id.clone() });
+            out.push(Action::Fail { id: id.clone(), why });
             self.close(id);
         }
     }
 
-    pub(super) fn refuse(&mut self, id: &RequestId, retry_after: Micros, out: &mut Vec<Action>) {
-        out.push(Action::Refuse { id: id.clone(), retry_after });
+    pub(super) fn refuse(&mut self, id: &RequestId, after: Micros, why: Reason, out: &mut Vec<Action>) {
+        out.push(Action::Refuse { id: id.clone(), retry_after: after, why });
         self.close(id);
     }
 
--- a/crates/decisions/src/control/deferral.rs
+++ b/crates/decisions/src/control/deferral.rs
@@ -8,7 +8,7 @@
 
 impl Controller {
     /// Beyond quota: DSRT. A retry-after x past the latest promise, at most D of them open.
-    pub(super) fn beyond(&mut self, id: &RequestId, out: &mut Vec<Action>) {
+    pub(super) fn beyond(&mut self, id: &RequestId, why: Reason, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(r) = self.requests.get(id) else { return };
         let Some(plan) = self.set.plans.get(r.plan) else { return };
@@ -34,6 +34,6 @@
             c.promises.push_back(at);
             advice = at - now;
         }
-        self.refuse(id, advice, out);
+        self.refuse(id, advice, why, out);
     }
 }
--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -44,7 +44,7 @@
 pub(super) enum Verdict {
     Granted,
     Held,
-    Beyond,
+    Beyond(Reason),
 }
 
 impl Controller {
@@ -55,8 +55,8 @@
     /// Draws a request's units from the lease, or says whether to wait for a refill.
     pub(super) fn draw(&mut self, id: &RequestId, may_wait: bool, out: &mut Vec<Action>) -> Verdict {
         let (now, up) = (self.now, self.counter_up());
-        let Some(r) = self.requests.get_mut(id) else { return Verdict::Beyond };
-        let Some(c) = self.customers.get_mut(&r.customer) else { return Verdict::Beyond };
+        let Some(r) = self.requests.get_mut(id) else { return Verdict::Beyond(Reason::Overdue) };
+        let Some(c) = self.customers.get_mut(&r.customer) else { return Verdict::Beyond(Reason::Overdue) };
         let Some(plan) = self.set.plans.get(r.plan) else { return Verdict::Granted };
         let (key, units, credit) = (r.customer, r.units, self.set.classes[r.class].credit);
         if plan.open_limit > 0 {
@@ -69,7 +69,7 @@
             };
             let over = (other / (1.0 + other)).powi(plan.open_limit.saturating_sub(c.open) as i32);
             if over * (1.0 + (plan.excess_cost - plan.extra_worth).max(0.0)) >= 1.0 {
-                return Verdict::Beyond;
+                return Verdict::Beyond(Reason::Places);
             }
         }
         if plan.quota_rate <= 0.0 {
@@ -91,13 +91,13 @@
         if let (true, Some(call)) = (up, &c.call) {
             let expected = c.lease + call.amount.min(left).max(0.0);
             let room = expected - queued >= units || left - call.amount.max(0.0) - queued >= units;
-            return if room { Verdict::Held } else { Verdict::Beyond };
+            return if room { Verdict::Held } else { Verdict::Beyond(Reason::Asking) };
         }
         if up && c.seen.is_some() && left + c.lease - queued < units {
-            return Verdict::Beyond;
+            return Verdict::Beyond(Reason::Spent);
         }
         let crowd = (self.expected() / (self.shortest_aim() * SHED_DEAREST).max(1.0)).min(1.0);
-        let Some(c) = self.customers.get_mut(&key) else { return Verdict::Beyond };
+        let Some(c) = self.customers.get_mut(&key) else { return Verdict::Beyond(Reason::Overdue) };
         // What is asked about is drawn by what a wrong guess would cost.
         let prior = self.looks.get(&c.plan).map_or(0.3, |t| t.mean(now, 0.3, TALLY_SPAN));
         let risk = c.looks.mean(now, prior, TALLY_SPAN);
@@ -128,7 +128,7 @@
             self.requests.entry(id.clone()).and_modify(|r| r.drew = units);
             return Verdict::Granted;
         }
-        Verdict::Beyond
+        Verdict::Beyond(Reason::Share)
     }
 
     /// Calls for a demand-sized block, no more than the bucket seems to hold.
@@ -228,7 +228,7 @@
             match self.draw(&id, false, out) {
                 Verdict::Granted => self.launch(&id, out),
                 Verdict::Held => return self.customers.entry(key).or_default().waiting.push_front(id),
-                Verdict::Beyond => self.beyond(&id, out),
+                Verdict::Beyond(why) => self.beyond(&id, why, out),
             }
         }
     }
--- a/crates/decisions/src/control/measure.rs
+++ b/crates/decisions/src/control/measure.rs
@@ -65,7 +65,7 @@
 }
 
 /// A random number of [0, 1).
-pub(crate) fn lot(state: &mut u64) -> f64 {
+pub fn lot(state: &mut u64) -> f64 {
     *state = mix(state.wrapping_add(GOLDEN));
     (*state >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -348,6 +348,90 @@
     },
 }
 
+/// Why a request was not served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The fleet is taken for full.
+    Overload,
+    /// It came too late for an answer in time.
+    Overdue,
+    /// Its customer has as many requests open as its plan allows, by what this node knows.
+    Places,
+    /// Its customer's quota is spent, as the counter tells.
+    Spent,
+    /// The counter is being asked for this customer, and what is asked for is taken.
+    Asking,
+    /// The counter was not asked or is away, and this node's even share is spent.
+    Share,
+    /// No server that may take it came free in its time.
+    NoServer,
+    /// No connection to a server came up.
+    NoConnection,
+    /// The server turned it away: full or draining.
+    TurnedAway,
+    /// The server answered with an error.
+    Error,
+    /// The server did not answer in time.
+    TimedOut,
+    /// The connection broke under the request.
+    Reset,
+    /// Its attempt was given up, and another came too late.
+    Cancelled,
+}
+
+impl Reason {
+    /// All of them, each at its number.
+    pub const ALL: [Reason; 13] = [
+        Reason::Overload,
+        Reason::Overdue,
+        Reason::Places,
+        Reason::Spent,
+        Reason::Asking,
+        Reason::Share,
+        Reason::NoServer,
+        Reason::NoConnection,
+        Reason::TurnedAway,
+        Reason::Error,
+        Reason::TimedOut,
+        Reason::Reset,
+        Reason::Cancelled,
+    ];
+
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Overload => "overload",
+            Reason::Overdue => "overdue",
+            Reason::Places => "places",
+            Reason::Spent => "spent",
+            Reason::Asking => "asking",
+            Reason::Share => "share",
+            Reason::NoServer => "no_server",
+            Reason::NoConnection => "no_connection",
+            Reason::TurnedAway => "turned_away",
+            Reason::Error => "error",
+            Reason::TimedOut => "timed_out",
+            Reason::Reset => "reset",
+            Reason::Cancelled => "cancelled",
+        }
+    }
+}
+
+impl From<Outcome> for Reason {
+    fn from(outcome: Outcome) -> Reason {
+        match outcome {
+            Outcome::ConnectFailed => Reason::NoConnection,
+            Outcome::Full => Reason::TurnedAway,
+            Outcome::TimedOut => Reason::TimedOut,
+            Outcome::Reset => Reason::Reset,
+            Outcome::Cancelled => Reason::Cancelled,
+            // An attempt that was not started came too late.
+            Outcome::Ignored => Reason::Overdue,
+            Outcome::Ok | Outcome::Error => Reason::Error,
+        }
+    }
+}
+
 /// What a node does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -366,11 +450,15 @@
         id: RequestId,
         /// How long to stay away; 0: no advice.
         retry_after: Micros,
+        /// Why.
+        why: Reason,
     },
     /// Final answer: failed, nothing promised.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        why: Reason,
     },
     /// Give up an attempt.
     Cancel {
--- a/crates/decisions/tests/common/fleet.rs
+++ b/crates/decisions/tests/common/fleet.rs
@@ -171,7 +171,7 @@
         for action in actions {
             match action {
                 Action::Send { id, server, .. } => self.send(node, id, server),
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     self.open.remove(&(node, id));
                 }
                 _ => {}
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use mountbend::interface::{Micros, NewRequest, RequestId};
+use mountbend::interface::{Micros, NewRequest, Reason, RequestId};
 use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
 use pinerelay_succession::connection::{Action, Event, Why};
 use tokio::net::{TcpListener, TcpStream};
@@ -274,8 +274,8 @@
         let (mut response, end) = match self.serve(request, wire).await {
             Ok(Answer::Served(body)) => (Response::new(body.into()), false),
             Ok(Answer::Long(body)) => (Response::new(Reply::Long(body)), false),
-            Ok(Answer::Refused(wait)) => (refused(wait), false),
-            Ok(Answer::Failed) => (plain(StatusCode::BAD_GATEWAY, ""), false),
+            Ok(Answer::Refused(wait, _)) => (refused(wait), false),
+            Ok(Answer::Failed(_)) => (plain(StatusCode::BAD_GATEWAY, ""), false),
             Err(Rejected(status, why)) => {
                 let mut response = plain(status, why);
                 if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -380,7 +380,7 @@
         let answer = tokio::select! {
             biased;
             // Never a refusal where the node gives none: nothing is known of what the attempts have done.
-            answer = answer => Ok(answer.unwrap_or(Answer::Failed)),
+            answer = answer => Ok(answer.unwrap_or(Answer::Failed(Reason::TimedOut))),
             _ = overdue => Err(Rejected(StatusCode::GATEWAY_TIMEOUT, "")),
         };
         upload.iter().for_each(|upload| upload.drain());
@@ -388,12 +388,14 @@
         if let Ok(Answer::Long(body)) = answer {
             return Ok(Answer::Long(body.counted(self.figures.clone(), class.into(), pending)));
         }
-        let result = match &answer {
-            Ok(Answer::Served(_) | Answer::Long(_)) => figures::Result::Completed,
-            Ok(Answer::Refused(_)) => figures::Result::Rejected,
-            Ok(Answer::Failed) | Err(_) => figures::Result::Failed,
+        let (result, why) = match &answer {
+            Ok(Answer::Served(_) | Answer::Long(_)) => (figures::Result::Completed, None),
+            Ok(Answer::Refused(_, why)) => (figures::Result::Rejected, Some(*why)),
+            Ok(Answer::Failed(why)) => (figures::Result::Failed, Some(*why)),
+            Err(_) => (figures::Result::Failed, Some(Reason::TimedOut)),
         };
         self.figures.ended(class, result);
+        why.into_iter().for_each(|why| self.figures.unserved(class, why));
         answer
     }
 }
--- a/crates/node/src/net/node.rs
+++ b/crates/node/src/net/node.rs
@@ -121,7 +121,7 @@
         for id in left {
             let waited = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take());
             if let Some(sender) = waited {
-                let _ = sender.send(Answer::Failed);
+                let _ = sender.send(Answer::Failed(Reason::TimedOut));
                 self.event(Event::Gone { id });
             }
         }
@@ -130,8 +130,8 @@
     fn perform(&self, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
-            Action::Refuse { id, retry_after } => self.finish(&id, Answer::Refused(retry_after)),
-            Action::Fail { id } => self.finish(&id, Answer::Failed),
+            Action::Refuse { id, retry_after, why } => self.finish(&id, Answer::Refused(retry_after, why)),
+            Action::Fail { id, why } => self.finish(&id, Answer::Failed(why)),
             Action::Cancel { id, attempt } => self.end(&id, attempt as usize, Outcome::Cancelled, None),
             Action::Probe { server } => self.peers.upstream.probe(server),
             Action::Count { name, amount, keep_for } => self.peers.store.add(name, amount, keep_for),
--- a/crates/node/src/net/operators/figures.rs
+++ b/crates/node/src/net/operators/figures.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
+use mountbend::interface::Reason;
+
 /// How a request of a class ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Result {
@@ -18,11 +20,18 @@
 const RESULTS: [(Result, &str); 3] =
     [(Result::Completed, "completed"), (Result::Rejected, "rejected"), (Result::Failed, "failed")];
 
+/// What came of a class's requests.
+struct Counts {
+    class: String,
+    results: [u64; 3],
+    reasons: [u64; Reason::ALL.len()],
+}
+
 /// What counts up while the process lives.
 #[derive(Default)]
 pub struct Figures {
     /// By class, in the order in which they were first named.
-    classes: RefCell<Vec<(String, [u64; 3])>>,
+    classes: RefCell<Vec<Counts>>,
     upstream: Cell<u64>,
     pending: Cell<u64>,
     reloads: Cell<u64>,
@@ -51,8 +60,8 @@
     /// Names a class, so that it is reported before its first request.
     pub fn name(&self, class: &str) {
         let mut classes = self.classes.borrow_mut();
-        if !classes.iter().any(|(name, _)| name == class) {
-            classes.push((class.into(), [0; 3]));
+        if !classes.iter().any(|c| c.class == class) {
+            classes.push(Counts { class: class.into(), results: [0; 3], reasons: [0; Reason::ALL.len()] });
         }
     }
 
@@ -64,9 +73,17 @@
 
     /// A request of this class has its final answer.
     pub fn ended(&self, class: &str, result: Result) {
-        let mut classes = self.classes.borrow_mut();
-        if let Some((_, counts)) = classes.iter_mut().find(|(name, _)| name == class) {
-            counts[result as usize] += 1;
+        self.count(class, |counts| counts.results[result as usize] += 1);
+    }
+
+    /// A request of this class was rejected or has failed for this reason.
+    pub fn unserved(&self, class: &str, why: Reason) {
+        self.count(class, |counts| counts.reasons[why as usize] += 1);
+    }
+
+    fn count(&self, class: &str, add: impl FnOnce(&mut Counts)) {
+        if let Some(counts) = self.classes.borrow_mut().iter_mut().find(|c| c.class == class) {
+            add(counts);
         }
     }
 
@@ -95,16 +112,27 @@
         line("config_reloads_total", "counter", self.reloads.get());
         line("config_reload_errors_total", "counter", self.reload_errors.get());
         text.push_str("# TYPE edge_proxy_downstream_requests_total counter\n");
-        for (class, counts) in self.classes.borrow().iter() {
+        for counts in self.classes.borrow().iter() {
+            let class = escaped(&counts.class);
             for (result, name) in RESULTS {
-                let value = counts[result as usize];
-                let class = escaped(class);
+                let value = counts.results[result as usize];
                 let _ = writeln!(
                     text,
                     "edge_proxy_downstream_requests_total{{lane=\"{class}\",result=\"{name}\"}} {value}"
                 );
             }
         }
+        text.push_str("# TYPE edge_proxy_unserved_requests_total counter\n");
+        for counts in self.classes.borrow().iter() {
+            let class = escaped(&counts.class);
+            for (why, value) in Reason::ALL.iter().zip(counts.reasons) {
+                let why = why.name();
+                let _ = writeln!(
+                    text,
+                    "edge_proxy_unserved_requests_total{{lane=\"{class}\",reason=\"{why}\"}} {value}"
+                );
+            }
+        }
         text
     }
 }
@@ -127,6 +155,7 @@
         figures.ended("slip", Result::Rejected);
         figures.ended("slip", Result::Rejected);
         figures.ended("unknown", Result::Failed);
+        figures.unserved("slip", Reason::Overload);
         figures.sent();
         figures.reloaded(true);
         figures.reloaded(false);
@@ -136,6 +165,8 @@
             "edge_proxy_downstream_requests_total{lane=\"slip\",result=\"completed\"} 0",
             "edge_proxy_downstream_requests_total{lane=\"slip\",result=\"rejected\"} 2",
             "edge_proxy_downstream_requests_total{lane=\"odd\\\"one\",result=\"failed\"} 0",
+            "edge_proxy_unserved_requests_total{lane=\"slip\",reason=\"overload\"} 1",
+            "edge_proxy_unserved_requests_total{lane=\"slip\",reason=\"timed_out\"} 0",
             "edge_proxy_upstream_requests_total 1",
             "edge_proxy_pending 2",
             "edge_proxy_members 9",
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
-use mountbend::interface::{CountName, Event, Micros, Outcome, RequestId, ServerId};
+use mountbend::interface::{CountName, Event, Micros, Outcome, Reason, RequestId, ServerId};
 use std::rc::Rc;
 use tokio::task::AbortHandle;
 
@@ -75,10 +75,10 @@
     Served(Bytes),
     /// An app server's answer that is passed on as it comes.
     Long(Download),
-    /// Turned away: a repeat is harmless. How long to stay away, in microseconds, if told; else 0.
-    Refused(Micros),
-    /// Failed, nothing promised.
-    Failed,
+    /// Turned away: a repeat is harmless. How long to stay away, in microseconds, if told; else 0. And why.
+    Refused(Micros, Reason),
+    /// Failed, nothing promised, and why.
+    Failed(Reason),
 }
 
 /// A request's body.
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -1,5 +1,6 @@
 //! The app servers: where they are, the connections kept to each, attempts and their outcomes, probes.
 
+pub mod backoff;
 pub mod discovery;
 pub mod http;
 pub mod members;
--- a/crates/node/src/net/servers/discovery.rs
+++ b/crates/node/src/net/servers/discovery.rs
@@ -16,6 +16,7 @@
 
 use crate::net::body::whole;
 use crate::net::ports::MemberSource;
+use crate::net::servers::backoff::Backoff;
 use crate::net::servers::http::Connection;
 use crate::net::servers::members::Members;
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// How long to wait before the next call. Danger: where all nodes ask one service that has no time for them, calls at
+/// an agent's pace keep it from serving any.
+fn away(backoff: Option<&RefCell<Backoff>>, failure: &Failure, pause: &mut Duration) -> Duration {
+    match (backoff, failure) {
+        (Some(backoff), Failure::Status(_)) => backoff.borrow_mut().pause(),
+        _ => std::mem::replace(pause, (*pause * 2).min(PAUSE_MOST)),
+    }
+}
+
 /// Discovery as this node sees it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -60,18 +70,22 @@
     index: Cell<Option<u64>>,
     heard: Cell<bool>,
     watcher: RefCell<Option<AbortHandle>>,
+    /// For how long to stay away where all nodes ask one service; none where an agent answers for itself.
+    backoff: Option<RefCell<Backoff>>,
     me: Weak<Discovery>,
 }
 
 impl Discovery {
-    /// Discovery at this address; what it tells goes to these members.
-    pub fn new(address: SocketAddr, members: Rc<Members>) -> Rc<Self> {
+    /// Discovery at this address; what it tells goes to these members. With a back-off, a call that is answered by
+    /// an error is taken for one that a service which all nodes share had no time for.
+    pub fn new(address: SocketAddr, members: Rc<Members>, backoff: Option<Backoff>) -> Rc<Self> {
         Rc::new_cyclic(|me| Discovery {
             address: Cell::new(address),
             members,
             index: Cell::default(),
             heard: Cell::default(),
             watcher: RefCell::default(),
+            backoff: backoff.map(RefCell::new),
             me: me.clone(),
         })
     }
@@ -118,6 +132,7 @@
             match self.get(&mut connection, &path, wait).await {
                 Ok(list) => {
                     (pause, failing) = (PAUSE, false);
+                    self.backoff.iter().for_each(|b| b.borrow_mut().served());
                     let nothing = list.endpoints.is_empty() && !list.snapshot && self.index.get().is_some();
                     let whole = list.snapshot || self.index.get().is_none();
                     let kind = if whole { ListKind::Whole } else { ListKind::Changes };
@@ -135,8 +150,7 @@
                         eprintln!("pinerelay: discovery: {failure}; trying on");
                     }
                     connection = None;
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MOST);
+                    tokio::time::sleep(away(self.backoff.as_ref(), &failure, &mut pause)).await;
                 }
             }
         }
@@ -201,3 +215,26 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_service_that_all_share_is_left_alone_and_an_agent_is_asked_again_at_once() {
+        let shared = RefCell::new(Backoff::new(3));
+        let full = Failure::Status(StatusCode::SERVICE_UNAVAILABLE);
+        let mut pause = PAUSE;
+        for _ in 0..8 {
+            assert!(away(Some(&shared), &full, &mut pause) >= Duration::from_secs(2));
+        }
+        assert_eq!(pause, PAUSE);
+        for (backoff, failure) in
+            [(None, &full), (Some(&shared), &Failure::Broken), (Some(&shared), &Failure::Silent)]
+        {
+            let mut pause = PAUSE;
+            let most = (0..8).map(|_| away(backoff, failure, &mut pause)).max();
+            assert_eq!(most, Some(PAUSE_MOST));
+        }
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -30,6 +30,7 @@
 use crate::net::operators::figures::Figures;
 use crate::net::operators::{Ops, CALLERS};
 use crate::net::room::Room;
+use crate::net::servers::backoff::Backoff;
 use crate::net::servers::discovery::Discovery;
 use crate::net::servers::http::OnWritten;
 use crate::net::servers::members::Members;
@@ -96,6 +97,7 @@
     let clock = Rc::new(Clock::new());
     let counter_at = counter.filter(|_| settings.counter.allowed);
     let (wait, try_limit) = (settings.counter.wait, settings.limits.try_limit);
+    let backoff = settings.list_on_request.then(|| Backoff::new(seed));
     let mut controller = Controller::new(seed, settings);
     let (shared, found) = shared(at, claimable, handed_on || ops_at.is_some());
     let shared = Rc::new(shared);
@@ -123,7 +125,7 @@
             }
         };
         let members = Members::new(zones, kinds, shared.clone(), servers.clone(), core);
-        let discovery = Discovery::new(discovery, members.clone());
+        let discovery = Discovery::new(discovery, members.clone(), backoff);
         joined = Some((servers.clone(), store.clone(), members, discovery.clone()));
         Peers { upstream: servers, store: store.port(), members: discovery }
     });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -296,10 +296,10 @@
         Action::Send { id, server, timeout } => {
             Output::PassOn { xid: id.0.to_string(), server: server.0, timeout }
         }
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             Output::Bounce { xid: id.0.to_string(), not_before_for: retry_after }
         }
-        Action::Fail { id } => Output::EndFailed { xid: id.0.to_string() },
+        Action::Fail { id, .. } => Output::EndFailed { xid: id.0.to_string() },
         Action::Cancel { id, attempt } => Output::Abandon { xid: id.0.to_string(), seq_no: attempt },
         Action::Probe { server } => Output::Check { server: server.0 },
         Action::Count { name, amount, keep_for } => Output::Add { book: name.0, amount, keep_for },
