Give cold servers time to answer, and less while they answer nothing; model the troubles

Seen by second: cold boxes need 1 s, every attempt is given up after 0.3 to 0.6 s and sent again, the boxes go on with both, and as none answers, no latency is ever learnt. Lines to blame: overdue() in choice.rs, one time for warm and cold; per_server(), which goes on with what warm boxes carried though nothing is answered.

Change: an attempt at a cold server is overdue by as many times as much as the server is colder; where no server is warm, they get a quarter of what warm ones carried while they answer nothing, and all of it as they answer.

--- a/crates/decisions/src/control/attempts.rs
+++ b/crates/decisions/src/control/attempts.rs
@@ -215,9 +215,10 @@
         for (id, r) in &self.requests {
             let mut flying = r.attempts.iter().enumerate().filter(|(_, a)| a.out);
             let (Some((n, a)), None) = (flying.next(), flying.next()) else { continue };
-            let silent = self.servers.get(&a.server).is_some_and(|s| self.silent(s) || s.ejected > self.now);
+            let Some(s) = self.servers.get(&a.server) else { continue };
+            let silent = self.silent(s) || s.ejected > self.now;
             let age = self.now.saturating_sub(a.sent) as f64;
-            if silent && age > self.overdue() && self.set.limits.cancel && self.may_resend(id) {
+            if silent && age > self.overdue(s) && self.set.limits.cancel && self.may_resend(id) {
                 late.push((id.clone(), n as u32, a.server));
             }
         }
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -17,6 +17,9 @@
 const COLD_DRAWN: f64 = 1.4;
 /// Where no server is warm, what they are sent may grow by this much over what they answer.
 const COLD_GROWTH: f64 = 1.5;
+/// What they get of what warm ones carried while they answer nothing. Danger: those that come back may be
+/// smaller, and with more than they can do none answers in time to tell.
+const COLD_UNHEARD: f64 = 0.25;
 /// Smoothing of what a warm server carries: over minutes of a rush, and little of a crash's last moments.
 const CARRY_SPAN: f64 = 15.0e6;
 /// From how many attempts out at each server on own counts outweigh the lot. Danger: where a node sees less
@@ -127,7 +130,8 @@
         let sum = |(w, d), s: &Server| (w + self.warmth(s) * s.size, d + s.done.get(self.now, DONE_SPAN));
         let (warmth, done) = listed.fold((0.0, 0.0), sum);
         let in_turn = 1e6 / (self.latency * f64::from(self.set.nodes.max(1))) * self.parts();
-        (done / warmth.max(0.05) * self.parts() * COLD_GROWTH).max(self.carried.value).max(in_turn)
+        let heard = ((done + 1.0) / (self.sends.get(self.now, RATE_SPAN) + 1.0)).clamp(COLD_UNHEARD, 1.0);
+        (done / warmth.max(0.05) * self.parts() * COLD_GROWTH).max(self.carried.value * heard).max(in_turn)
     }
 
     /// How many nodes there are for each that keeps to a server.
@@ -147,9 +151,10 @@
         (pace * (rules.cold_from + (1.0 - rules.cold_from) * age)).min(1.0)
     }
 
-    /// An attempt out for longer than this is past what the fleet usually needs.
-    pub(super) fn overdue(&self) -> f64 {
-        self.latency + 4.0 * self.deviation
+    /// An attempt out for longer than this is past what such a server needs. Danger: a cold one takes some
+    /// times as long; given up before it could answer, none would ever tell how long that is.
+    pub(super) fn overdue(&self, s: &Server) -> f64 {
+        (self.latency + 4.0 * self.deviation) / self.warmth(s).max(0.05)
     }
 
     /// Silence while others answer, by the oldest attempt out since the last ejection. Danger: what hung
@@ -157,7 +162,7 @@
     pub(super) fn silent(&self, s: &Server) -> bool {
         let Some(&oldest) = s.out.iter().find(|&&sent| sent >= s.ejected) else { return false };
         let since = self.now.saturating_sub(oldest.max(s.heard)) as f64;
-        since > self.overdue() * if s.out.len() > 2 { 1.0 } else { 2.0 }
+        since > self.overdue(s) * if s.out.len() > 2 { 1.0 } else { 2.0 }
     }
 
     /// Whether a server answers, and about as fast as the others.
@@ -169,7 +174,7 @@
     /// later attempts were answered, stays out until its client gives up; one or two look like a full fleet.
     /// It does harm where single requests work for much longer than others: these are not seen.
     pub(super) fn working(&self, s: &Server) -> usize {
-        let lost = s.answered.saturating_sub(self.overdue() as Micros);
+        let lost = s.answered.saturating_sub(self.overdue(s) as Micros);
         s.out.iter().filter(|&&sent| sent >= s.ejected && sent >= lost).count()
     }
 
--- a/crates/decisions/src/control/overload.rs
+++ b/crates/decisions/src/control/overload.rs
@@ -22,6 +22,8 @@
         let credit = self.set.classes.iter().map(|c| c.credit).fold(1e-9, f64::max);
         let factor = self.set.plans.iter().map(|p| p.worth_factor).fold(1e-9, f64::max);
         let rank = class.credit / credit * plan.worth_factor / factor;
+        // What is no number ranks last.
+        let rank = if rank > 0.0 { rank.min(1.0) } else { 0.0 };
         let share = SHED_CHEAPEST + (SHED_DEAREST - SHED_CHEAPEST) * rank;
         // All classes queue at the same servers: the shortest aim rules, or the patient class takes all.
         let over = self.expected() / (self.shortest_aim() * share).max(1.0);
@@ -60,7 +62,9 @@
         count / warmth
     }
 
+    /// A class without an aim has its deadline. Danger: an aim of nothing would shed all other classes.
     pub(super) fn shortest_aim(&self) -> f64 {
-        self.set.classes.iter().map(|c| c.on_time).min().unwrap_or(0) as f64
+        let aims = self.set.classes.iter().map(|c| if c.on_time > 0 { c.on_time } else { c.deadline });
+        aims.filter(|&aim| aim > 0).min().unwrap_or(0) as f64
     }
 }
--- a/crates/decisions/tests/common/fleet.rs
+++ b/crates/decisions/tests/common/fleet.rs
@@ -17,6 +17,9 @@
 const TIP_AFTER: Micros = 1_500 * MS;
 /// What chance may add to what a box bears, in requests.
 const SLACK: f64 = 3.0;
+/// After how long a connection that does not come up is given up, and an attempt that nobody answers.
+const CONNECT: Micros = 250 * MS;
+const STOP: Micros = 1_975 * MS;
 
 /// What is played: how many nodes and boxes, whether boxes are up and warm before, and how the cold ones come.
 #[derive(Clone, Copy)]
@@ -63,6 +66,10 @@
     /// When each core is free.
     free_at: [Micros; CORES],
     pub sent: Vec<Micros>,
+    /// Connections to it never come up while it is off.
+    dark: bool,
+    /// It takes what it is sent and answers nothing.
+    pub hangs: bool,
 }
 
 impl BoxUnderTest {
@@ -98,6 +105,18 @@
     Start(u32),
     Replace(u32),
     Cut,
+    /// These boxes are off, and connections to them never come up.
+    Dark(u32),
+    /// The list says that this box is gone.
+    Unlist(u32),
+    /// These nodes are killed, with all that they hold.
+    Kill(usize),
+    /// They start again from nothing.
+    Revive(usize),
+    /// From now on clients offer so many requests a second.
+    Load(f64),
+    /// From now on this box takes what it is sent and answers nothing.
+    Hang(u32),
 }
 
 /// The whole fleet, on one clock.
@@ -109,11 +128,19 @@
     agenda: BTreeMap<(Micros, u64), Due>,
     numbered: u64,
     open: BTreeSet<(usize, RequestId)>,
-    attempts: BTreeMap<(usize, RequestId), u32>,
+    /// Which boxes a request has been sent to.
+    attempts: BTreeMap<(usize, RequestId), Vec<ServerId>>,
     /// Which node has sent to which server.
     ties: BTreeSet<(usize, ServerId)>,
     /// When each was served, and how long it took.
     served: Vec<(Micros, Micros)>,
+    /// When each was asked for, and when each was refused or failed.
+    pub asked: Vec<Micros>,
+    pub turned_down: Vec<Micros>,
+    /// By node, its part of the traffic; none at one that is down.
+    weights: Vec<f64>,
+    seed: u64,
+    set: Settings,
     random: u64,
 }
 
@@ -131,6 +158,8 @@
             on,
             free_at: [0; CORES],
             sent: Vec::new(),
+            dark: false,
+            hangs: false,
         };
         let mut fleet = Fleet {
             setup,
@@ -143,6 +172,11 @@
             attempts: BTreeMap::new(),
             ties: BTreeSet::new(),
             served: Vec::new(),
+            asked: Vec::new(),
+            turned_down: Vec::new(),
+            weights: vec![1.0; setup.nodes],
+            seed,
+            set,
             random: seed,
         };
         let listed = if setup.warm_before { setup.boxes } else { 0 };
@@ -176,6 +210,11 @@
                 Action::Send { id, server, .. } => self.send(node, id, server),
                 Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     self.open.remove(&(node, id));
+                    self.turned_down.push(self.now);
+                }
+                Action::Cancel { id, attempt } => {
+                    let server = self.attempts[&(node, id.clone())][attempt as usize];
+                    self.end(node, id, attempt, server, Outcome::Cancelled, 0);
                 }
                 _ => {}
             }
@@ -184,19 +223,44 @@
 
     fn send(&mut self, node: usize, id: RequestId, server: ServerId) {
         let attempts = self.attempts.entry((node, id.clone())).or_default();
-        let attempt = *attempts;
-        *attempts += 1;
+        let attempt = attempts.len() as u32;
+        attempts.push(server);
         self.ties.insert((node, server));
         let work = if self.setup.varied { -(1.0 - self.lot()).ln() } else { 1.0 };
         let one = &mut self.boxes[(LAST_NAME - server.0) as usize];
-        let (at, outcome) = if one.on {
-            (one.take(self.now, work), Outcome::Ok)
+        let (spent, outcome) = if one.hangs {
+            one.sent.push(self.now);
+            (STOP, Outcome::TimedOut)
+        } else if one.on {
+            (one.take(self.now, work) - self.now, Outcome::Ok)
         } else {
-            (self.now + MS, Outcome::ConnectFailed)
+            (if one.dark { CONNECT } else { MS }, Outcome::ConnectFailed)
         };
-        let (spent, finished) = (at - self.now, outcome == Outcome::Ok);
+        self.end(node, id, attempt, server, outcome, spent);
+    }
+
+    fn end(
+        &mut self,
+        node: usize,
+        id: RequestId,
+        attempt: u32,
+        server: ServerId,
+        outcome: Outcome,
+        spent: Micros,
+    ) {
+        let finished = outcome == Outcome::Ok;
         let end = Ended { id, attempt, server, outcome, spent, finished, final_units: None };
-        self.plan(at, Due::End(node, end));
+        self.plan(self.now + spent, Due::End(node, end));
+    }
+
+    /// A node by its part of the traffic.
+    fn front(&mut self) -> usize {
+        let mut left = self.lot() * self.weights.iter().sum::<f64>();
+        let taken = self.weights.iter().position(|&weight| {
+            left -= weight;
+            left < 0.0
+        });
+        taken.unwrap_or(0)
     }
 
     pub fn play(&mut self, until: Micros) {
@@ -208,7 +272,8 @@
             self.now = at;
             match due {
                 Due::Arrival => {
-                    let node = (self.lot() * self.setup.nodes as f64) as usize;
+                    let node = self.front();
+                    self.asked.push(at);
                     self.nodes[node].now = at;
                     let (id, actions) = self.nodes[node].ask(0, 1.0);
                     self.open.insert((node, id.clone()));
@@ -218,7 +283,9 @@
                     self.plan(at + (gap * 1e6) as Micros, Due::Arrival);
                 }
                 Due::Tick(node) => {
-                    self.event(node, Event::Timer { id: 0 });
+                    if self.weights[node] > 0.0 {
+                        self.event(node, Event::Timer { id: 0 });
+                    }
                     self.plan(at + 20 * MS, Due::Tick(node));
                 }
                 Due::End(node, end) => {
@@ -235,7 +302,8 @@
                 Due::Start(server) => {
                     let one = &mut self.boxes[server as usize];
                     (one.on, one.started, one.free_at) = (true, Some(at), [at; CORES]);
-                    one.capacity = self.setup.capacity;
+                    one.capacity = self.setup.capacity * self.setup.speed(server);
+                    one.dark = false;
                     self.list(server, MemberState::In, at);
                 }
                 Due::Replace(old) => {
@@ -243,11 +311,34 @@
                     let capacity = self.setup.capacity * self.setup.speed(new);
                     let sent = Vec::new();
                     let started = Some(at);
-                    self.boxes.push(BoxUnderTest { capacity, started, on: true, free_at: [at; CORES], sent });
+                    let free_at = [at; CORES];
+                    let (on, dark, hangs) = (true, false, false);
+                    self.boxes.push(BoxUnderTest { capacity, started, on, dark, hangs, free_at, sent });
                     self.boxes[old as usize].on = false;
                     self.list(old, MemberState::Out, 0);
                     self.list(new, MemberState::In, at);
                 }
+                Due::Dark(server) => {
+                    let one = &mut self.boxes[server as usize];
+                    (one.on, one.dark) = (false, true);
+                }
+                Due::Unlist(server) => self.list(server, MemberState::Out, 0),
+                Due::Kill(nodes) => {
+                    self.weights[..nodes].fill(0.0);
+                    self.open.retain(|(node, _)| *node >= nodes);
+                    let lost = |due: &Due| matches!(due, Due::End(n, _) | Due::GiveUp(n, _) if *n < nodes);
+                    self.agenda.retain(|_, due| !lost(due));
+                }
+                Due::Revive(nodes) => {
+                    for node in 0..nodes {
+                        self.weights[node] = 1.0;
+                        let set = Settings { me: node as u32, ..self.set.clone() };
+                        self.nodes[node] = Node::seeded(self.seed * 1_000_000 + node as u64, set, 0);
+                        self.tell_all(node);
+                    }
+                }
+                Due::Hang(server) => self.boxes[server as usize].hangs = true,
+                Due::Load(load) => self.setup.load = load,
                 Due::Cut => {
                     self.boxes.iter_mut().for_each(|b| b.on = false);
                     // What is inside is lost with the box.
@@ -264,6 +355,16 @@
         self.now = until;
     }
 
+    /// The whole list, as a node that has just started hears it.
+    fn tell_all(&mut self, node: usize) {
+        let listed = |(b, one): (usize, &BoxUnderTest)| {
+            member(LAST_NAME - b as u32, MemberState::In, one.started.unwrap_or(0))
+        };
+        let on = self.boxes.iter().enumerate().filter(|(_, one)| one.on);
+        let entries = on.map(listed).collect();
+        self.event(node, Event::Members { kind: ListKind::Whole, entries });
+    }
+
     fn list(&mut self, server: u32, state: MemberState, started: Micros) {
         for node in 0..self.setup.nodes {
             let entries = vec![member(LAST_NAME - server, state, started)];
@@ -271,6 +372,66 @@
         }
     }
 
+    /// Half of the boxes are lost for 5 s and come back cold; the list tells of both after 2 s and 1 s.
+    pub fn lose_half(&mut self, at: Micros) {
+        for b in (0..self.setup.boxes).step_by(2) {
+            self.plan(at, Due::Dark(b));
+            self.plan(at + 2 * SECOND, Due::Unlist(b));
+            self.plan(at + 6 * SECOND, Due::Start(b));
+        }
+    }
+
+    /// So many nodes are killed, and start again from nothing 2 s later; clients go to the others meanwhile.
+    pub fn kill(&mut self, nodes: usize, at: Micros) {
+        self.plan(at, Due::Kill(nodes));
+        self.plan(at + 2 * SECOND, Due::Revive(nodes));
+    }
+
+    pub fn hang(&mut self, server: u32, at: Micros) {
+        self.plan(at, Due::Hang(server));
+    }
+
+    /// All boxes can do so many requests a second, and take as much longer for each.
+    pub fn slow(&mut self, capacity: f64) {
+        self.boxes.iter_mut().for_each(|b| b.capacity *= capacity / CAPACITY);
+    }
+
+    /// How often a box has been sent to since then.
+    pub fn sent_to(&self, server: u32, from: Micros) -> usize {
+        self.boxes[server as usize].sent.iter().filter(|&&at| at >= from).count()
+    }
+
+    pub fn offer(&mut self, load: f64, at: Micros) {
+        self.plan(at, Due::Load(load));
+    }
+
+    /// A node gets so many times the traffic of another one.
+    pub fn favour(&mut self, node: usize, times: f64) {
+        self.weights[node] = times;
+    }
+
+    /// What boxes that are on can do, in requests a second.
+    pub fn could(&self) -> f64 {
+        self.boxes.iter().filter(|b| b.on).map(|b| b.share(self.now) * b.capacity).sum()
+    }
+
+    /// Of what was asked for from `from` to `to`, the part that was refused or failed.
+    pub fn turned_away(&self, from: Micros, to: Micros) -> f64 {
+        let count = |of: &[Micros]| of.iter().filter(|&&at| at >= from && at < to).count() as f64;
+        count(&self.turned_down) / count(&self.asked).max(1.0)
+    }
+
+    /// Of what was asked for from `from` to `to`, the part that was served within `most`; by when it was served.
+    pub fn in_time(&self, from: Micros, to: Micros, most: Micros) -> f64 {
+        let served = self.served.iter().filter(|s| s.0 >= from && s.0 < to && s.1 <= most).count() as f64;
+        served / self.asked.iter().filter(|&&at| at >= from && at < to).count().max(1) as f64
+    }
+
+    /// Attempts for each request that was sent on at all.
+    pub fn attempts_each(&self) -> f64 {
+        self.attempts.values().map(Vec::len).sum::<usize>() as f64 / self.attempts.len().max(1) as f64
+    }
+
     /// Boxes start cold, one after the other from `at` on, and the load goes on for 20 s more; gives when the
     /// last one starts.
     pub fn start_all(&mut self, at: Micros) -> Micros {
