--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -58,11 +58,6 @@
             Err(TryLockError::Error(error)) => Err(error),
         }
     }
-
-    /// Reads a folder that may be in use, to look and not to write.
-    pub fn read_only(path: &Path) -> Reader {
-        Reader { path: path.into() }
-    }
 }
 
 impl Disk for Folder {
@@ -103,23 +98,6 @@
     }
 }
 
-/// A folder that is read while another may write to it: a journal of a node that is gone, or one that is looked at.
-pub struct Reader {
-    path: PathBuf,
-}
-
-impl Reader {
-    /// The names of all files.
-    pub fn names(&self) -> io::Result<Vec<String>> {
-        names(&self.path)
-    }
-
-    /// All that is in a file.
-    pub fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        read(&self.path.join(name))
-    }
-}
-
 fn names(path: &Path) -> io::Result<Vec<String>> {
     let names = fs::read_dir(path)?.map(|entry| Ok(entry?.file_name().into_string().unwrap_or_default()));
     names.collect()
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -1,12 +1,10 @@
 //! How segments and records stand in bytes. Version 1; numbers are little-endian.
 //!
-//! A segment begins with a header: `PRJ1`, what follows the version as 0, the segment's number (8 bytes), the number of
+//! A segment begins with a header: `PRJ1`, four bytes that are 0, the segment's number (8 bytes), the number of
 //! the first record that it may hold (8), up to which record all were acknowledged when it was begun (8), CRC-32C of all of
 //! that (4). Frames follow: kind (1), length of the body (4), the record's number (8), up to which record all were durable
 //! when it was written (8), CRC-32C of these and the body (4), the body.
 
-/// The version that is written and read.
-pub const VERSION: u32 = 1;
 const MAGIC: &[u8; 4] = b"PRJ1";
 /// Bytes of a segment's header.
 pub const HEADER: usize = 36;
