Move what any program needs that traffic goes through into a package of its own

Cause: the gateway's proxy needs the clients' and servers' connections, bodies, descriptors and the node that carries out what the decisions say; all of them stood inside the edge node's package, joined to its protocol.

Ruled out: a proxy that depends on the edge node's package (it would bring its configuration, Redis and succession records along); a second copy of the sockets' code.

Change: crates/traffic holds connections, bodies, room, budget, vigil, clock and the node, which is generic over the kind of traffic; the clients' side is split into connections (Front) and who answers (Handler). The schedule of open promises stands in mountbend::schedule, where the gateway's admission will use it, too; a node's number among others may change (Event::Placed). Nothing that the edge node does is changed.

--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -13,6 +13,7 @@
 
 use crate::interface::*;
 use crate::measure::*;
+use crate::schedule::Schedule;
 use leases::{Call, Verdict, KEEP};
 
 /// Housekeeping period: rescues, half-open servers, held requests, give-backs.
@@ -65,7 +66,7 @@
     untold: f64,
     /// Even share of quota while the counter is away.
     share: Option<Bucket>,
-    promises: VecDeque<Micros>,
+    promises: Schedule,
     open: u32,
     used_at: Micros,
 }
@@ -217,6 +218,10 @@
             Event::Retuned { classes, try_limit } if classes.len() >= self.set.classes.len() => {
                 (self.set.classes, self.set.limits.try_limit) = (classes, try_limit);
             }
+            Event::Placed { me, nodes } => {
+                (self.set.me, self.set.nodes) = (me, nodes);
+                self.arrange();
+            }
             Event::Retuned { .. } | Event::Probed { .. } => {}
         }
     }
--- a/crates/decisions/src/control/choice.rs
+++ b/crates/decisions/src/control/choice.rs
@@ -64,12 +64,17 @@
                 (s.slow, s.latency) = (slow, self.latency);
             }
         }
+        self.arrange();
+        self.measure_warm();
+        self.forget();
+    }
+
+    /// Puts the listed servers in the order in which this node turns to them.
+    pub(super) fn arrange(&mut self) {
         let listed = self.servers.iter().filter(|(_, s)| s.listed);
         let listed = listed.map(|(&key, s)| (key, s.zone, s.size));
         self.ring = ring::ring(self.set.me, self.set.nodes, listed);
         self.keep_to();
-        self.measure_warm();
-        self.forget();
     }
 
     /// Takes the first on the ring for those that this node keeps to, by what it sends. Danger: a hundred
--- a/crates/decisions/src/control/deferral.rs
+++ b/crates/decisions/src/control/deferral.rs
@@ -3,9 +3,6 @@
 use super::overload::SHED_CHEAPEST;
 use super::*;
 
-/// Open promises per customer at most, in mean requests of the burst: D-hat of the paper.
-const PROMISES_MAX: usize = 16;
-
 impl Controller {
     /// Beyond quota: DSRT. A retry-after x past the latest promise, at most D of them open.
     pub(super) fn beyond(&mut self, id: &RequestId, why: Reason, out: &mut Vec<Action>) {
@@ -26,14 +23,9 @@
         };
         let reach = if rate > 0.0 { burst / rate * 1e6 } else { self.latency * plan.open_limit as f64 };
         let reach = reach.min(self.set.limits.max_retry_after as f64);
-        c.promises.retain(|&p| p > now);
-        let most = ((reach / x.max(1.0)) as usize).min(PROMISES_MAX);
-        let mut advice = 0;
-        if self.set.limits.retry_after && !r.marked && c.promises.len() < most {
-            let at = c.promises.back().copied().unwrap_or(now) + x as Micros;
-            c.promises.push_back(at);
-            advice = at - now;
-        }
+        c.promises.drop_due(now);
+        let told = self.set.limits.retry_after && !r.marked;
+        let advice = told.then(|| c.promises.promise(now, x, reach)).flatten().unwrap_or(0);
         self.refuse(id, advice, why, out);
     }
 }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -339,6 +339,13 @@
     },
     /// The node is about to end and takes no more requests.
     Stopping,
+    /// This node's number among so many has changed.
+    Placed {
+        /// Its number, from 0.
+        me: u32,
+        /// Nodes in all.
+        nodes: u32,
+    },
     /// The settings have changed; open requests keep theirs.
     Retuned {
         /// The classes: those there were, each under its number, and new ones behind them.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod measure;
 pub mod memory;
 mod ring;
+pub mod schedule;
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -1,50 +1,32 @@
 //! The clients' side: what is accepted, what a request must hold, the answers, and `/up`.
 
-mod connection;
 pub mod listen;
-mod wire;
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
 use mountbend::interface::{Micros, NewRequest, Reason, RequestId};
 use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
-use pinerelay_succession::connection::{Action, Event, Why};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use pinerelay_traffic::front::{last, Handler};
+use pinerelay_traffic::wire::Wire;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::net::body::BadBody;
-use crate::net::budget::{Budget, Slot};
-use crate::net::long::{take, Download, Outgoing, Taken, Upload};
+use crate::net::long::{take, Download, End, Outgoing, Taken, Upload};
 use crate::net::node::{Node, FAIL_BEFORE};
 use crate::net::operators::figures::{self, Figures};
 use crate::net::ports::{Answer, Forward, Payload};
 use crate::net::room::Room;
 use crate::net::servers::Servers;
-use crate::net::vigil::TICK;
 use crate::net::Common;
 use crate::operator::Front;
 
-use connection::{Idle, Watched};
-use listen::Gate;
-use wire::Wire;
-
-/// A head is at most this long. It bounds what a connection may hold in buffers, too.
-const HEAD_MOST: usize = 16 * 1024;
-/// A new connection without a request by then counts as idle: what comes with it lies there from the start.
-const FIRST_REQUEST: Duration = Duration::from_millis(50);
 /// Clients use new classes 1.2 s after the node has heard of them at the earliest (the operators' page on retuning).
 const FORMER: Duration = Duration::from_millis(1_200);
 /// What a client that sends 64 kB a second takes for the part that is taken in ahead.
@@ -53,12 +35,6 @@
 const FAIL: Duration = Duration::from_micros(FAIL_BEFORE);
 /// When a client is to come back whose long body found no room, in seconds.
 const FULL_WAIT: &str = "1";
-/// How long a process without a free place leaves who comes to another that accepts too. Then it closes an idle connection
-/// for him all the same: the other may have no place either.
-const ANOTHERS_TURN: Duration = Duration::from_millis(100);
-/// Pause of the listener when accepting fails.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// An answer's body.
 type Reply = Outgoing<Download>;
 
@@ -70,18 +46,10 @@
     /// The rules before the last retuning, and until when they are still heeded.
     former: RefCell<Option<(Rc<Rules>, Instant)>>,
     figures: Rc<Figures>,
-    budget: Rc<Budget>,
     room: Room,
     /// How long a head may take, from connecting or from its first byte, and then a body.
     head_wait: Duration,
     body_wait: Duration,
-    /// Each change tells the connections open by then to close as soon as they are idle.
-    closing: watch::Sender<u32>,
-    /// The open connections.
-    open: RefCell<BTreeMap<u64, Rc<Idle>>>,
-    opened: Cell<u64>,
-    /// Another process accepts from the same socket.
-    beside: Cell<bool>,
 }
 
 impl Clients {
@@ -91,37 +59,19 @@
         servers: Rc<Servers>,
         rules: Rules,
         figures: Rc<Figures>,
-        Common { budget, room, vigil }: Common,
+        common: Common,
         front: &Front,
     ) -> Rc<Self> {
-        let clients = Rc::new(Clients {
+        Rc::new(Clients {
             node,
             servers,
             rules: RefCell::new(Rc::new(rules)),
             former: RefCell::default(),
             figures,
-            budget,
-            room,
+            room: common.room,
             head_wait: front.head_wait.0,
             body_wait: front.body_wait.0,
-            closing: watch::channel(0).0,
-            open: RefCell::default(),
-            opened: Cell::default(),
-            beside: Cell::default(),
-        });
-        let weak = Rc::downgrade(&clients);
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(TICK).await;
-                vigil.tick().await;
-                let Some(clients) = weak.upgrade() else { return };
-                let open = clients.open.borrow();
-                open.values()
-                    .filter(|idle| idle.overdue(clients.head_wait))
-                    .for_each(|idle| idle.cut.notify_one());
-            }
-        });
-        clients
+        })
     }
 
     /// Reads requests by new rules. Clients learn of them later than the node does: what fits the old ones alone is
@@ -144,153 +94,6 @@
         })
     }
 
-    /// Tells all open connections to close when idle.
-    pub fn close_idle(&self) {
-        self.closing.send_modify(|n| *n += 1);
-    }
-
-    /// Accepts while the gate is open. Guard: with no descriptor left the last that was accepted waits for one, idle
-    /// connections being closed first; what the machine has accepted meanwhile waits in the backlog. A socket of this process's own (`handed_on`
-    /// false) is emptied once the gate is shut, and closed: nobody else would meet what lies there.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, gate: Rc<Gate>, handed_on: bool) {
-        loop {
-            gate.is(true).await;
-            self.accept_while_open(&listener, &gate).await;
-            if !handed_on {
-                break;
-            }
-            gate.heed();
-        }
-        // Danger: what the runtime knows of the backlog is as old as its last look.
-        if let Ok(listener) = listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                if let (Ok(stream), Some(slot)) = (stream, self.budget.for_client()) {
-                    self.open(stream, slot);
-                }
-            }
-        }
-        gate.heed();
-    }
-
-    /// Danger: a place made ahead of need is made by closing a connection whose client comes again, and needs it. So one is
-    /// accepted first, with a descriptor that is kept back for this, and then finds or is made its place.
-    async fn accept_while_open(self: &Rc<Self>, listener: &TcpListener, gate: &Gate) {
-        let mut shut = std::pin::pin!(gate.is(false));
-        loop {
-            tokio::select! {
-                biased;
-                () = shut.as_mut() => return,
-                () = self.budget.client_finds_slot() => {}
-                () = tokio::time::sleep(ANOTHERS_TURN), if self.beside.get() => {}
-                () = std::future::ready(()), if !self.beside.get() => {}
-            }
-            let accepted = tokio::select! {
-                biased;
-                () = shut.as_mut() => return,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.open(stream, self.slot().await),
-                Err(error) => {
-                    eprintln!("pinerelay: accepting a connection failed: {error}");
-                    self.budget.close_an_idle_client();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Whether another process accepts from the same socket.
-    pub fn beside(&self, another: bool) {
-        self.beside.set(another);
-    }
-
-    async fn slot(&self) -> Slot {
-        let close_one =
-            || self.budget.exhausted() && self.servers.close_an_idle() || self.budget.close_an_idle_client();
-        self.budget.room(|| self.budget.for_client(), close_one).await
-    }
-
-    fn open(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
-        let idle = Idle::new(self.budget.clone());
-        let clients = self.clone();
-        let mut closing = self.closing.subscribe();
-        tokio::task::spawn_local(async move {
-            let _slot = slot;
-            let _listed = Listed::new(&clients, &idle);
-            // Without it answers are late, not wrong.
-            let _ = stream.set_nodelay(true);
-            let service = service_fn(|request| {
-                let (clients, idle) = (clients.clone(), idle.clone());
-                async move {
-                    idle.taken(&request);
-                    let mut response = clients.answer(request, &idle.wire).await;
-                    if idle.answered() {
-                        last(&mut response);
-                    }
-                    Ok::<_, Infallible>(response)
-                }
-            });
-            let stream = Rc::new(RefCell::new(stream));
-            let watched = Watched { stream: stream.clone(), idle: idle.clone() };
-            let connection = http1::Builder::new()
-                .max_buf_size(HEAD_MOST)
-                .header_read_timeout(None)
-                .serve_connection(TokioIo::new(watched), service);
-            let mut connection = std::pin::pin!(connection);
-            // Danger: the first request of a new connection may lie unread; only one that stays silent is idle.
-            let mut silent = std::pin::pin!(tokio::time::sleep(FIRST_REQUEST));
-            let mut new = true;
-            loop {
-                let event = tokio::select! {
-                    biased;
-                    _ = connection.as_mut() => return,
-                    _ = idle.close.notified() => Event::Told(Why::Room),
-                    _ = closing.changed() => Event::Told(Why::Stop),
-                    _ = idle.cut.notified() => idle.late(),
-                    _ = silent.as_mut(), if new => {
-                        new = false;
-                        idle.settled();
-                        continue;
-                    }
-                };
-                match idle.told(event, &stream.borrow()) {
-                    None | Some(Action::Look | Action::LastAnswer) => {}
-                    Some(Action::Again) => idle.again(),
-                    Some(Action::Cut) => return,
-                    // One that has never been used would wait for its first request.
-                    Some(Action::Shut) if !idle.used() => return,
-                    Some(Action::Shut) => connection.as_mut().graceful_shutdown(),
-                }
-            }
-        });
-    }
-
-    async fn answer(&self, request: Request<Incoming>, wire: &Wire) -> Response<Reply> {
-        // Danger: where a body in chunks ends, the next request may have been read along with it. Its head is not
-        // looked at for what this one's was.
-        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let (mut response, end) = match self.serve(request, wire).await {
-            Ok(Answer::Served(body)) => (Response::new(body.into()), false),
-            Ok(Answer::Long(body)) => (Response::new(Reply::Long(body)), false),
-            Ok(Answer::Refused(wait, _)) => (refused(wait), false),
-            Ok(Answer::Failed(_)) => (plain(StatusCode::BAD_GATEWAY, ""), false),
-            Err(Rejected(status, why)) => {
-                let mut response = plain(status, why);
-                if status == StatusCode::SERVICE_UNAVAILABLE {
-                    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(FULL_WAIT));
-                }
-                (response, status.is_client_error() && status != StatusCode::CONFLICT)
-            }
-        };
-        // Danger: behind a request that can't be trusted may lie another that its sender hid there.
-        if end || chunked || self.node.stopping() {
-            last(&mut response);
-        }
-        response
-    }
-
     async fn serve(&self, request: Request<Incoming>, wire: &Wire) -> Result<Answer, Rejected> {
         let now = self.node.clock.now();
         let (head, body) = request.into_parts();
@@ -386,7 +189,13 @@
         upload.iter().for_each(|upload| upload.drain());
         let class = class_of(&class);
         if let Ok(Answer::Long(body)) = answer {
-            return Ok(Answer::Long(body.counted(self.figures.clone(), class.into(), pending)));
+            let (figures, class) = (self.figures.clone(), String::from(class));
+            return Ok(Answer::Long(body.counted(move |end| {
+                let _pending = pending;
+                let result =
+                    if end == End::Whole { figures::Result::Completed } else { figures::Result::Failed };
+                figures.ended(&class, result);
+            })));
         }
         let (result, why) = match &answer {
             Ok(Answer::Served(_) | Answer::Long(_)) => (figures::Result::Completed, None),
@@ -400,13 +209,48 @@
     }
 }
 
-fn class_of(class: &Option<HeaderValue>) -> &str {
-    class.as_ref().and_then(|c| c.to_str().ok()).unwrap_or_default()
+impl Handler for Clients {
+    type Reply = Reply;
+
+    async fn answer(&self, request: Request<Incoming>, wire: &Wire) -> Response<Reply> {
+        // Danger: where a body in chunks ends, the next request may have been read along with it. Its head is not
+        // looked at for what this one's was.
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let (mut response, end) = match self.serve(request, wire).await {
+            Ok(Answer::Served(body)) => (Response::new(body.into()), false),
+            Ok(Answer::Long(body)) => (Response::new(Reply::Long(body)), false),
+            Ok(Answer::Refused(wait, _)) => (refused(wait), false),
+            Ok(Answer::Failed(_)) => (plain(StatusCode::BAD_GATEWAY, ""), false),
+            Err(Rejected(status, why)) => {
+                let mut response = plain(status, why);
+                if status == StatusCode::SERVICE_UNAVAILABLE {
+                    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(FULL_WAIT));
+                }
+                (response, status.is_client_error() && status != StatusCode::CONFLICT)
+            }
+        };
+        // Danger: behind a request that can't be trusted may lie another that its sender hid there.
+        if end || chunked || self.node.stopping() {
+            last(&mut response);
+        }
+        response
+    }
+
+    fn close_an_idle(&self) -> bool {
+        self.servers.close_an_idle()
+    }
+
+    fn head_wait(&self) -> Duration {
+        self.head_wait
+    }
+
+    fn idle_wait(&self) -> Option<Duration> {
+        None
+    }
 }
 
-/// Says with an answer that its connection ends with it.
-fn last(response: &mut Response<Reply>) {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+fn class_of(class: &Option<HeaderValue>) -> &str {
+    class.as_ref().and_then(|c| c.to_str().ok()).unwrap_or_default()
 }
 
 /// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
@@ -421,27 +265,6 @@
     }
 }
 
-/// A connection's place on the list of open ones.
-struct Listed {
-    clients: Rc<Clients>,
-    number: u64,
-}
-
-impl Listed {
-    fn new(clients: &Rc<Clients>, idle: &Rc<Idle>) -> Self {
-        let number = clients.opened.get();
-        clients.opened.set(number + 1);
-        clients.open.borrow_mut().insert(number, idle.clone());
-        Listed { clients: clients.clone(), number }
-    }
-}
-
-impl Drop for Listed {
-    fn drop(&mut self) {
-        self.clients.open.borrow_mut().remove(&self.number);
-    }
-}
-
 /// An answer to what is no proper request, or had no answer in time.
 struct Rejected(StatusCode, &'static str);
 
--- a/crates/node/src/net/counts/redis.rs
+++ b/crates/node/src/net/counts/redis.rs
@@ -34,12 +34,15 @@
     RedisStore::new(server, wait, incarnation, Rc::new(tell))
 }
 
-impl QuotaStore for RedisStore {
+/// It, as the node sees it.
+pub struct OnRedis(pub Rc<RedisStore>);
+
+impl QuotaStore for OnRedis {
     fn add(&self, name: CountName, amount: f64, keep_for: Micros) {
-        RedisStore::add(self, name, amount, keep_for);
+        self.0.add(name, amount, keep_for);
     }
 
     fn settled(&self) -> bool {
-        RedisStore::settled(self)
+        self.0.settled()
     }
 }
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -1,66 +1,43 @@
-//! The seams between the node and its peers: what it needs of each, and what they tell it.
-//!
-//! The node holds each peer as one of these traits and knows no other thing of it; a peer knows the node as
-//! [`Core`]. A second quota store or member source implements the same trait and nothing else changes.
+//! What the edge node passes on: its kind of traffic, and the register of app servers that it is sent to.
 
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
-use mountbend::interface::{CountName, Event, Micros, Outcome, Reason, RequestId, ServerId};
-use std::rc::Rc;
-use tokio::task::AbortHandle;
-
-use crate::net::long::{Download, Upload};
-
-/// What peers tell the node. It takes each thing in at once; what follows from it may call the peer again
-/// before this returns, so nothing may be borrowed meanwhile.
-pub trait Core {
-    /// Something has happened that the decisions are to know.
-    fn event(&self, event: Event);
-    /// An attempt has ended; with a body, it has served the request. A second end of the same one is dropped.
-    fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>);
-    /// An attempt's long answer has begun, and goes to the client as it comes; false if nobody waits for it.
-    fn answer_begins(&self, id: &RequestId, number: usize, answer: Download) -> bool;
-    /// A long body has begun to go to an app server, and can't be sent again; or all of it has gone.
-    fn upload_goes(&self, id: &RequestId, number: usize, whole: bool);
-    /// Whether the decisions send an app server nothing new for now, though it is in service.
-    fn avoids(&self, server: ServerId) -> bool;
-}
-
-/// Where the shared counts live: an amount is added to a named count in one step, and its total comes back.
-pub trait QuotaStore {
-    /// Adds `amount` units to a name that, if new, is kept for `keep_for` microseconds. Told once, as
-    /// [`Event::Counted`], at the store's time-out at the latest: `Ok` (added; the total), `Full` and
-    /// `ConnectFailed` (nothing was added), `TimedOut` (it may have been, or may yet be), `Reset` (it may have
-    /// been, and the store is alive), `Error` (it was, but the total can't be read).
-    fn add(&self, name: CountName, amount: f64, keep_for: Micros);
-    /// Whether the outcome of every call has been told.
-    fn settled(&self) -> bool;
+use mountbend::interface::{Micros, ServerId};
+use pinerelay_traffic::long::Download;
+use pinerelay_traffic::node::STOP_BEFORE;
+use pinerelay_traffic::ports;
+
+pub use pinerelay_traffic::ports::{Core, Ends, MemberSource, Payload, QuotaStore, Traffic, Upstream};
+
+/// The requests of plans' customers to app servers.
+pub struct Boxes;
+
+impl Traffic for Boxes {
+    type Forward = Forward;
+    type Whole = Bytes;
+    type Long = Download;
+
+    /// A long body's time counts from its last byte, and the attempt looks to it.
+    fn stop(forward: &Forward, due: Micros) -> Micros {
+        match forward.body {
+            Payload::Whole(_) => due.saturating_sub(STOP_BEFORE),
+            Payload::Long(_) => Micros::MAX,
+        }
+    }
+
+    fn tries(_: &Forward) -> Option<usize> {
+        None
+    }
 }
 
-/// Who tells of app servers. What it hears goes to [`crate::net::servers::members::Members`].
-pub trait MemberSource {
-    /// Asks for the whole list once more; told as a whole list, or as lost.
-    fn fetch(&self);
-}
+/// The one final answer to a request.
+pub type Answer = ports::Answer<Boxes>;
 
-/// The app servers: where they are, and attempts at them.
-pub trait Upstream {
-    /// Starts an attempt, to be given up at `stop`; told once through [`Core::attempt_over`]. Nothing is sent
-    /// again once a byte may have gone. Aborting the task closes its connection: so an app server learns that
-    /// the attempt is given up.
-    fn attempt(
-        &self,
-        id: RequestId,
-        number: usize,
-        server: ServerId,
-        forward: Rc<Forward>,
-        stop: Micros,
-    ) -> AbortHandle;
-    /// Asks an app server whether it is alive; told as [`Event::Probed`].
-    fn probe(&self, server: ServerId);
+/// Where the app servers are.
+pub trait Register {
     /// What is known of an app server; without a usable address the last one stands. False if there is none.
     fn set(&self, server: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool;
     /// Forgets an app server that has been removed.
@@ -69,26 +46,6 @@
     fn keep_only(&self, listed: &[ServerId]);
 }
 
-/// The one final answer to a request.
-pub enum Answer {
-    /// An app server's answer.
-    Served(Bytes),
-    /// An app server's answer that is passed on as it comes.
-    Long(Download),
-    /// Turned away: a repeat is harmless. How long to stay away, in microseconds, if told; else 0. And why.
-    Refused(Micros, Reason),
-    /// Failed, nothing promised, and why.
-    Failed(Reason),
-}
-
-/// A request's body.
-pub enum Payload {
-    /// All of it has come, and it may be sent again.
-    Whole(Bytes),
-    /// It is passed on as it comes, once.
-    Long(Rc<Upload>),
-}
-
 /// What goes on to an app server.
 pub struct Forward {
     /// The method.
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -2,9 +2,7 @@
 
 pub mod backoff;
 pub mod discovery;
-pub mod http;
 pub mod members;
-pub mod reuse;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,12 +25,12 @@
 use crate::net::clock::Clock;
 use crate::net::long::{take, Download, End, Taken};
 use crate::net::node::STOP_BEFORE;
-use crate::net::ports::{Core, Forward, Payload, Upstream};
+use crate::net::ports::{Boxes, Ends, Forward, Payload, Register, Upstream};
 use crate::net::room::Room;
-use crate::net::servers::http::{framed, Broken, Connection, OnWritten, Sent};
-use crate::net::servers::reuse::Reuse;
 use crate::net::vigil::Vigil;
 use crate::net::Common;
+use pinerelay_traffic::http::{framed, Broken, Connection, OnWritten, Sent};
+use pinerelay_traffic::reuse::Reuse;
 
 /// How long an answer that has begun may stand still. Danger: one that says it is longer than it is never ends. It does
 /// harm where app servers pause for longer within a short answer.
@@ -74,7 +72,7 @@
     reuse: Reuse,
     on_written: OnWritten,
     clock: Rc<Clock>,
-    core: Weak<dyn Core>,
+    core: Weak<dyn Ends<Boxes>>,
     room: Room,
     vigil: Rc<Vigil>,
     me: Weak<Servers>,
@@ -112,7 +110,7 @@
         conn_idle: Micros,
         on_written: OnWritten,
         clock: Rc<Clock>,
-        core: Weak<dyn Core>,
+        core: Weak<dyn Ends<Boxes>>,
     ) -> Rc<Self> {
         let or = |value: Micros, default| if value > 0 { value } else { default };
         let servers = Rc::new_cyclic(|me: &Weak<Servers>| Servers {
@@ -393,7 +391,7 @@
     }
 }
 
-impl Upstream for Servers {
+impl Upstream<Boxes> for Servers {
     fn attempt(
         &self,
         id: RequestId,
@@ -423,7 +421,9 @@
             }
         });
     }
+}
 
+impl Register for Servers {
     fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
--- a/crates/node/src/net/servers/discovery.rs
+++ b/crates/node/src/net/servers/discovery.rs
@@ -17,8 +17,8 @@
 use crate::net::body::whole;
 use crate::net::ports::MemberSource;
 use crate::net::servers::backoff::Backoff;
-use crate::net::servers::http::Connection;
 use crate::net::servers::members::Members;
+use pinerelay_traffic::http::Connection;
 
 /// How long a watch may wait, and how much later its answer counts as lost. Danger: a change counts as told
 /// 6 s after it at the latest, arrived or not, so a watch on a dead connection is given up sooner.
--- a/crates/node/src/net/servers/members.rs
+++ b/crates/node/src/net/servers/members.rs
@@ -8,7 +8,7 @@
 use pinerelay_protocol::list::{number, Endpoint};
 
 use crate::net::operators::figures::MemberFigures;
-use crate::net::ports::{Core, Upstream};
+use crate::net::ports::{Core, Register};
 use crate::net::succession::shared::Shared;
 
 /// An app server as its source tells it.
@@ -26,7 +26,7 @@
     kinds: Vec<String>,
     told: RefCell<BTreeMap<ServerId, Told>>,
     shared: Rc<Shared>,
-    upstream: Rc<dyn Upstream>,
+    upstream: Rc<dyn Register>,
     core: Weak<dyn Core>,
 }
 
@@ -36,7 +36,7 @@
         zones: Vec<String>,
         kinds: Vec<String>,
         shared: Rc<Shared>,
-        upstream: Rc<dyn Upstream>,
+        upstream: Rc<dyn Register>,
         core: Weak<dyn Core>,
     ) -> Rc<Self> {
         Rc::new(Members { zones, kinds, told: RefCell::default(), shared, upstream, core })
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -32,7 +32,6 @@
 use crate::net::room::Room;
 use crate::net::servers::backoff::Backoff;
 use crate::net::servers::discovery::Discovery;
-use crate::net::servers::http::OnWritten;
 use crate::net::servers::members::Members;
 use crate::net::servers::Servers;
 use crate::net::succession::learned;
@@ -41,6 +40,8 @@
 use crate::net::vigil::Vigil;
 use crate::net::Common;
 use crate::operator::Operator;
+use pinerelay_traffic::front::Front;
+use pinerelay_traffic::http::OnWritten;
 
 use life::{live, Parts, Times};
 use retune::{longest, reload, Retuned};
@@ -158,11 +159,12 @@
     };
     tokio::task::spawn_local(reload(hangup, path, file, discovery.clone(), store.clone(), retuned));
     let gate = Rc::new(Gate::default());
-    tokio::task::spawn_local(clients.clone().accept(listener, gate.clone(), handed_on));
+    let front = Front::new(clients, common.clone());
+    tokio::task::spawn_local(front.clone().accept(listener, gate.clone(), handed_on));
     let store = store.port();
     let parts = Parts {
         node,
-        clients,
+        front,
         gate,
         ops,
         budget,
--- a/crates/node/src/run/life.rs
+++ b/crates/node/src/run/life.rs
@@ -9,6 +9,7 @@
 use pinerelay_succession::places::{gives_back, Side};
 use pinerelay_succession::process::{Action, Event, Others, Phase, Process, Timer};
 use pinerelay_succession::record::Standing;
+use pinerelay_traffic::front::Front;
 use tokio::signal::unix::Signal;
 use tokio::time::{sleep_until, Instant};
 
@@ -61,7 +62,7 @@
     /// The node.
     pub node: Rc<Node>,
     /// Its clients' side.
-    pub clients: Rc<Clients>,
+    pub front: Rc<Front<Clients>>,
     /// Whether they are accepted.
     pub gate: Rc<Gate>,
     /// The operators' side.
@@ -271,7 +272,7 @@
         let leaves = standing == Standing::Leaves;
         p.vigil.looked(looked.others != Others::default());
         p.budget.resize(looked.claim);
-        p.clients.beside(looked.others.serving > 0);
+        p.front.beside(looked.others.serving > 0);
         let settled = self.changed.elapsed() >= SETTLED;
         let side = Side { standing, others: looked.others, settled };
         let holds = p.budget.holds(p.servers.idle());
@@ -300,7 +301,7 @@
                     // The others are to hear of it at once, and it is to hear who follows it.
                     self.next_look = Instant::now();
                 }
-                Action::CloseIdle => p.clients.close_idle(),
+                Action::CloseIdle => p.front.close_idle(),
                 Action::HandBack => p.node.event(Told::Stopping),
                 Action::FailAll => p.node.fail_all(),
                 Action::Start(timer) => self.timers.push((Instant::now() + self.times.of(timer), timer)),
--- a/crates/node/src/run/store.rs
+++ b/crates/node/src/run/store.rs
@@ -26,7 +26,7 @@
     pub fn port(&self) -> Rc<dyn QuotaStore> {
         match self {
             Store::Counter(counter) => counter.clone(),
-            Store::Redis(redis) => redis.clone(),
+            Store::Redis(store) => Rc::new(redis::OnRedis(store.clone())),
         }
     }
 
--- a/crates/node/src/net/clients/connection.rs
+++ b/crates/traffic/src/connection.rs
@@ -17,18 +17,20 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::wire::Wire;
-use crate::net::budget::{Budget, Ticket};
-use crate::net::long::STUCK;
+use crate::budget::{Budget, Ticket};
+use crate::long::STUCK;
+use crate::wire::Wire;
 
 /// One connection: its place in the budget, and what is under way on it.
-pub(super) struct Idle {
+pub(crate) struct Idle {
     budget: Rc<Budget>,
     /// Told that its place is wanted.
-    pub(super) close: Rc<Notify>,
+    pub(crate) close: Rc<Notify>,
     /// Told that a head or the taking of an answer has had its time.
-    pub(super) cut: Notify,
+    pub(crate) cut: Notify,
     ticket: Cell<Option<Ticket>>,
+    /// Since when it stands idle.
+    idle_since: Cell<Option<Instant>>,
     /// So new that its first request may still lie unread.
     fresh: Cell<bool>,
     /// A request has come on it.
@@ -39,7 +41,7 @@
     head_since: Cell<Option<Instant>>,
     /// Since when the client has taken nothing of what lies there for it.
     stuck_since: Cell<Option<Instant>>,
-    pub(super) wire: Wire,
+    pub(crate) wire: Wire,
 }
 
 fn past(since: &Cell<Option<Instant>>, most: Duration) -> bool {
@@ -54,7 +56,7 @@
 
 impl Idle {
     /// One that has just been accepted.
-    pub(super) fn new(budget: Rc<Budget>) -> Rc<Idle> {
+    pub(crate) fn new(budget: Rc<Budget>) -> Rc<Idle> {
         // Counted as new from here on, and not from when its task first runs.
         budget.fresh();
         Rc::new(Idle {
@@ -62,6 +64,7 @@
             close: Rc::default(),
             cut: Notify::new(),
             ticket: Cell::new(None),
+            idle_since: Cell::default(),
             fresh: Cell::new(true),
             used: Cell::new(false),
             life: Cell::default(),
@@ -72,7 +75,7 @@
     }
 
     /// A request's head has come.
-    pub(super) fn taken(&self, request: &Request<Incoming>) {
+    pub(crate) fn taken(&self, request: &Request<Incoming>) {
         self.matured();
         self.used.set(true);
         self.on(Event::Taken);
@@ -82,7 +85,7 @@
     }
 
     /// Its answer is handed over; tells whether it is to be the last.
-    pub(super) fn answered(&self) -> bool {
+    pub(crate) fn answered(&self) -> bool {
         let told = self.life.get().told();
         let ahead = self.wire.ahead();
         self.on(Event::Answered { ahead });
@@ -92,7 +95,7 @@
     }
 
     /// It has had the time in which a new one's first request comes.
-    pub(super) fn settled(&self) {
+    pub(crate) fn settled(&self) {
         self.matured();
         if !self.used.get() {
             self.begin();
@@ -100,17 +103,17 @@
     }
 
     /// Whether a request has ever come on it.
-    pub(super) fn used(&self) -> bool {
+    pub(crate) fn used(&self) -> bool {
         self.used.get()
     }
 
     /// Its head gets its time once more.
-    pub(super) fn again(&self) {
+    pub(crate) fn again(&self) {
         self.head_since.set(Some(Instant::now()));
     }
 
     /// Why it is to be cut.
-    pub(super) fn late(&self) -> Event {
+    pub(crate) fn late(&self) -> Event {
         if self.stuck() {
             Event::Stuck
         } else {
@@ -120,14 +123,20 @@
 
     fn begin(&self) {
         self.end();
+        self.idle_since.set(Some(Instant::now()));
         self.ticket.set(Some(self.budget.idle(self.close.clone(), self.used.get())));
     }
 
     /// Whether a head has been under way for too long, or the client takes nothing.
-    pub(super) fn overdue(&self, head_wait: Duration) -> bool {
+    pub(crate) fn overdue(&self, head_wait: Duration) -> bool {
         self.life.get().stage() != Stage::InWork && past(&self.head_since, head_wait) || self.stuck()
     }
 
+    /// Whether it has stood idle, between two requests, for so long.
+    pub(crate) fn idle_for(&self, most: Duration) -> bool {
+        past(&self.idle_since, most)
+    }
+
     fn stuck(&self) -> bool {
         past(&self.stuck_since, STUCK)
     }
@@ -140,7 +149,7 @@
     }
 
     /// Takes an event, and looks what lies unread if that is wanted.
-    pub(super) fn told(&self, event: Event, stream: &TcpStream) -> Option<Action> {
+    pub(crate) fn told(&self, event: Event, stream: &TcpStream) -> Option<Action> {
         let mut life = self.life.get();
         let mut action = life.on(event);
         if action == Some(Action::Look) {
@@ -157,6 +166,7 @@
     }
 
     fn end(&self) {
+        self.idle_since.set(None);
         if let Some(ticket) = self.ticket.take() {
             self.budget.busy(ticket);
         }
@@ -171,10 +181,10 @@
 }
 
 /// A client's socket that notes when something comes while no request is open.
-pub(super) struct Watched {
+pub(crate) struct Watched {
     /// Shared with who looks what lies unread; never borrowed across a wait.
-    pub(super) stream: Rc<RefCell<TcpStream>>,
-    pub(super) idle: Rc<Idle>,
+    pub(crate) stream: Rc<RefCell<TcpStream>>,
+    pub(crate) idle: Rc<Idle>,
 }
 
 impl AsyncRead for Watched {
--- a/crates/node/src/net/servers/http.rs
+++ b/crates/traffic/src/http.rs
@@ -21,7 +21,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
-use crate::net::long::{Outgoing, UploadBody};
+use crate::long::{Outgoing, UploadBody};
 
 /// What a connection reads ahead at most; no head is longer.
 const BUFFER_MOST: usize = 16 * 1024;
--- a/crates/node/src/net/long.rs
+++ b/crates/traffic/src/long.rs
@@ -14,11 +14,10 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant, Sleep};
 
-use crate::net::body::{bad_body, BadBody};
-use crate::net::operators::figures::{self, Figures, Pending};
-use crate::net::room::{Hold, Room};
+use crate::body::{bad_body, BadBody};
+use crate::room::{Hold, Room};
 
-/// No body is longer: 32 MB, and what a careless sender counts on top.
+/// No body is longer unless the room says so: 32 MB, and what a careless sender counts on top.
 pub const LONGEST: u64 = 34_000_000;
 /// The least that a client sends of a body in a second.
 const RATE: u64 = 64_000;
@@ -42,7 +41,7 @@
     room: &Room,
 ) -> Result<Taken, BadBody> {
     let least = body.size_hint().lower();
-    if least > LONGEST {
+    if least > room.longest() {
         return Err(BadBody::TooLong);
     }
     if least > most as u64 {
@@ -113,6 +112,7 @@
     tell: Notify,
     /// What it holds on its way; nothing of one that is only drained.
     _pipe: Option<Hold>,
+    longest: u64,
 }
 
 impl Upload {
@@ -137,6 +137,7 @@
             stage: Cell::new(Stage::Waiting),
             ended: Cell::default(),
             tell: Notify::new(),
+            longest: pipe.as_ref().map_or(LONGEST, Hold::longest),
             _pipe: pipe,
         })
     }
@@ -261,7 +262,7 @@
             };
             let received = this.upload.received.get() + data.len() as u64;
             this.upload.received.set(received);
-            if received > LONGEST {
+            if received > this.upload.longest {
                 this.upload.over(Stage::Broken);
                 return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
             }
@@ -314,8 +315,8 @@
     /// Tells the attempt; dropped untold, the client has gone.
     end: Option<oneshot::Sender<End>>,
     timer: Pin<Box<Sleep>>,
-    counted: Option<(Rc<Figures>, String, Pending)>,
-    _pipe: Hold,
+    counted: Option<Box<dyn FnOnce(End)>>,
+    pipe: Hold,
 }
 
 impl Download {
@@ -330,14 +331,14 @@
             end: Some(end),
             timer: Box::pin(sleep_until(Instant::now() + STUCK)),
             counted: None,
-            _pipe: pipe,
+            pipe,
         };
         (download, ended)
     }
 
-    /// Counts its end under this class.
-    pub fn counted(mut self, figures: Rc<Figures>, class: String, pending: Pending) -> Self {
-        self.counted = Some((figures, class, pending));
+    /// Tells its end to who counts it; dropped untold, the client has gone.
+    pub fn counted(mut self, count: impl FnOnce(End) + 'static) -> Self {
+        self.counted = Some(Box::new(count));
         self
     }
 
@@ -346,9 +347,8 @@
             // An attempt that is over has nothing to be told.
             let _ = tell.send(end);
         }
-        if let Some((figures, class, _pending)) = self.counted.take() {
-            let result = if end == End::Whole { figures::Result::Completed } else { figures::Result::Failed };
-            figures.ended(&class, result);
+        if let Some(count) = self.counted.take() {
+            count(end);
         }
     }
 }
@@ -385,7 +385,7 @@
             };
             this.timer.as_mut().reset(Instant::now() + STUCK);
             this.passed += data.len() as u64;
-            if this.passed > LONGEST {
+            if this.passed > this.pipe.longest() {
                 this.over(End::Broken);
                 return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
             }
--- a/crates/node/src/net/node.rs
+++ b/crates/traffic/src/node.rs
@@ -6,7 +6,6 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use bytes::Bytes;
 use mountbend::control::Controller;
 use mountbend::interface::*;
 use mountbend::memory::Memory;
@@ -14,9 +13,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::net::clock::Clock;
-use crate::net::long::Download;
-use crate::net::ports::{Answer, Core, Forward, MemberSource, Payload, QuotaStore, Upstream};
+use crate::clock::Clock;
+use crate::ports::{Answer, Core, Ends, MemberSource, QuotaStore, Traffic, Upstream};
 
 /// Attempts are given up this long before the client gives up, so that the answer still reaches it.
 pub const STOP_BEFORE: Micros = 25_000;
@@ -30,10 +28,10 @@
     task: Option<AbortHandle>,
 }
 
-struct Open {
+struct Open<T: Traffic> {
     /// Where the final answer goes; none once it has been given or the client has gone.
-    answer: Option<oneshot::Sender<Answer>>,
-    forward: Rc<Forward>,
+    answer: Option<oneshot::Sender<Answer<T>>>,
+    forward: Rc<T::Forward>,
     /// Attempts are given up at this time.
     stop: Micros,
     attempts: Vec<Attempt>,
@@ -41,9 +39,9 @@
 }
 
 /// What the node is joined to.
-pub struct Peers {
+pub struct Peers<T: Traffic> {
     /// The app servers.
-    pub upstream: Rc<dyn Upstream>,
+    pub upstream: Rc<dyn Upstream<T>>,
     /// Where the shared counts live.
     pub store: Rc<dyn QuotaStore>,
     /// Who tells of app servers.
@@ -51,32 +49,32 @@
 }
 
 /// One edge node.
-pub struct Node {
+pub struct Node<T: Traffic> {
     /// The node's clock.
     pub clock: Rc<Clock>,
-    peers: Peers,
+    peers: Peers<T>,
     try_limit: Cell<usize>,
     controller: RefCell<Controller>,
-    open: RefCell<BTreeMap<RequestId, Open>>,
+    open: RefCell<BTreeMap<RequestId, Open<T>>>,
     events: RefCell<VecDeque<Event>>,
     busy: Cell<bool>,
     stopping: Cell<bool>,
-    me: Weak<Node>,
+    me: Weak<Node<T>>,
 }
 
 /// A request under an id that is still in work.
 pub struct Duplicate;
 
-impl Node {
+impl<T: Traffic> Node<T> {
     /// A node that knows nothing yet, joined to the peers that `join` makes. They may tell it things only once
     /// this has returned.
     pub fn new(
         controller: Controller,
         try_limit: u32,
         clock: Rc<Clock>,
-        join: impl FnOnce(Weak<dyn Core>) -> Peers,
+        join: impl FnOnce(Weak<dyn Ends<T>>) -> Peers<T>,
     ) -> Rc<Self> {
-        Rc::new_cyclic(|me: &Weak<Node>| Node {
+        Rc::new_cyclic(|me: &Weak<Node<T>>| Node {
             clock,
             peers: join(me.clone()),
             try_limit: Cell::new(try_limit.max(1) as usize),
@@ -155,21 +153,13 @@
     pub fn take(
         &self,
         request: NewRequest,
-        forward: Forward,
-    ) -> Result<oneshot::Receiver<Answer>, Duplicate> {
+        forward: T::Forward,
+    ) -> Result<oneshot::Receiver<Answer<T>>, Duplicate> {
         let (sender, receiver) = oneshot::channel();
-        // A long body's time counts from its last byte, and the attempt looks to it.
-        let stop = match forward.body {
-            Payload::Whole(_) => request.due.saturating_sub(STOP_BEFORE),
-            Payload::Long(_) => Micros::MAX,
-        };
-        let open = Open {
-            answer: Some(sender),
-            forward: Rc::new(forward),
-            stop,
-            attempts: Vec::new(),
-            try_limit: self.try_limit.get(),
-        };
+        let stop = T::stop(&forward, request.due);
+        let try_limit = T::tries(&forward).unwrap_or(self.try_limit.get());
+        let open =
+            Open { answer: Some(sender), forward: Rc::new(forward), stop, attempts: Vec::new(), try_limit };
         match self.open.borrow_mut().entry(request.id.clone()) {
             std::collections::btree_map::Entry::Occupied(_) => return Err(Duplicate),
             std::collections::btree_map::Entry::Vacant(place) => place.insert(open),
@@ -191,7 +181,7 @@
         }
     }
 
-    fn finish(&self, id: &RequestId, answer: Answer) {
+    fn finish(&self, id: &RequestId, answer: Answer<T>) {
         if let Some(sender) = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take()) {
             // A client that has just gone is told of by its connection.
             let _ = sender.send(answer);
@@ -239,7 +229,7 @@
     }
 
     /// An attempt is over; a second end of the same one is dropped. With a body, it has served the request.
-    fn end(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
+    fn end(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<T::Whole>) {
         let mut requests = self.open.borrow_mut();
         let Some(open) = requests.get_mut(id) else { return };
         let Some(attempt) = open.attempts.get_mut(number) else { return };
@@ -269,7 +259,7 @@
     }
 }
 
-impl Core for Node {
+impl<T: Traffic> Core for Node<T> {
     /// Hands an event to the decisions and carries out what they say. Danger: actions may cause events at
     /// once; these wait until the actions of the earlier event are all done, or the decisions would be
     /// entered twice.
@@ -297,17 +287,6 @@
         self.busy.set(false);
     }
 
-    fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<Bytes>) {
-        self.end(id, number, outcome, body);
-    }
-
-    fn answer_begins(&self, id: &RequestId, number: usize, answer: Download) -> bool {
-        let waits = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
-        let sent = waits.is_some_and(|sender| sender.send(Answer::Long(answer)).is_ok());
-        self.event(Event::Streams { id: id.clone(), attempt: number as u32, stage: Stage::Answering });
-        sent
-    }
-
     fn upload_goes(&self, id: &RequestId, number: usize, whole: bool) {
         let stage = if whole { Stage::Sent } else { Stage::Sending };
         self.event(Event::Streams { id: id.clone(), attempt: number as u32, stage });
@@ -317,3 +296,16 @@
         self.controller.borrow().avoids(server)
     }
 }
+
+impl<T: Traffic> Ends<T> for Node<T> {
+    fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, body: Option<T::Whole>) {
+        self.end(id, number, outcome, body);
+    }
+
+    fn answer_begins(&self, id: &RequestId, number: usize, answer: T::Long) -> bool {
+        let waits = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
+        let sent = waits.is_some_and(|sender| sender.send(Answer::Long(answer)).is_ok());
+        self.event(Event::Streams { id: id.clone(), attempt: number as u32, stage: Stage::Answering });
+        sent
+    }
+}
--- a/crates/node/src/net/room.rs
+++ b/crates/traffic/src/room.rs
@@ -4,11 +4,13 @@
 //! switches share buffers: Choudhury and Hahne, IEEE/ACM Transactions on Networking 6 (2), 1998): one body alone gets all
 //! that it wants, and however many stall together, some of the room stays free.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use bytes::Bytes;
 
+use crate::long::LONGEST;
+
 /// A body may have this part of what is free taken in ahead.
 const PART: usize = 8;
 /// What a long body holds on its way, in bytes: a buffer of 16 KiB on either side.
@@ -23,6 +25,7 @@
 
 struct Share {
     most: usize,
+    longest: AtomicU64,
     held: AtomicUsize,
 }
 
@@ -39,7 +42,17 @@
     }
 
     fn sized(most: usize) -> Room {
-        Room(Arc::new(Share { most, held: AtomicUsize::new(0) }))
+        Room(Arc::new(Share { most, longest: AtomicU64::new(LONGEST), held: AtomicUsize::new(0) }))
+    }
+
+    /// The most bytes that one body may have.
+    pub fn longest(&self) -> u64 {
+        self.0.longest.load(Ordering::Relaxed)
+    }
+
+    /// Bodies may have so many bytes from now on.
+    pub fn lengthen(&self, longest: u64) {
+        self.0.longest.store(longest, Ordering::Relaxed);
     }
 
     fn free(&self) -> usize {
@@ -71,6 +84,11 @@
         self.room.0.held.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// The most bytes that the body may have.
+    pub fn longest(&self) -> u64 {
+        self.room.longest()
+    }
+
     /// Whether more of the same body may be taken in ahead.
     pub fn may_grow(&self) -> bool {
         self.bytes <= self.room.free() / PART
--- a/crates/node/src/net/clients/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -6,12 +6,12 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::Request;
 
-use super::HEAD_MOST;
+use crate::front::HEAD_MOST;
 
 /// The heads of a connection's requests as they came. The parser drops a length that stands beside chunks; whether there
 /// was one is seen only here.
 #[derive(Default)]
-pub(super) struct Wire {
+pub struct Wire {
     /// What has come since the last request ended, while it may belong to a head.
     head: RefCell<Vec<u8>>,
     /// Bytes of the present body that are yet to come.
@@ -22,7 +22,7 @@
 
 impl Wire {
     /// Bytes have come.
-    pub(super) fn read(&self, mut bytes: &[u8]) {
+    pub(crate) fn read(&self, mut bytes: &[u8]) {
         let skipped = self.skip.get().min(bytes.len() as u64);
         self.skip.set(self.skip.get() - skipped);
         bytes = &bytes[skipped as usize..];
@@ -33,7 +33,7 @@
     }
 
     /// A request's head has come: what is left over is of its body, or of the next one.
-    pub(super) fn begins(&self, request: &Request<Incoming>) {
+    pub(crate) fn begins(&self, request: &Request<Incoming>) {
         let mut bytes = self.head.borrow_mut();
         let blank = |at: usize| bytes[at..].starts_with(b"\r\n\r\n") || bytes[at..].starts_with(b"\n\n");
         let start = bytes.iter().position(|b| !matches!(b, b'\r' | b'\n')).unwrap_or(bytes.len());
@@ -53,12 +53,12 @@
     }
 
     /// Whether something of a next request has been read.
-    pub(super) fn ahead(&self) -> bool {
+    pub(crate) fn ahead(&self) -> bool {
         self.skip.get() == 0 && !self.head.borrow().is_empty()
     }
 
     /// Whether the head of the request named a length.
-    pub(super) fn names_length(&self) -> bool {
+    pub fn names_length(&self) -> bool {
         self.length.get()
     }
 }
