--- a/crates/dance/tests/stores.rs
+++ b/crates/dance/tests/stores.rs
@@ -212,7 +212,7 @@
                     written.push(token);
                 }
                 written.into_iter().for_each(|token| self.give(&name, Input::Written(token, true)));
-                if now % 20_000 == 0 {
+                if now.is_multiple_of(20_000) {
                     self.give(&name, Input::Tick);
                 }
             }
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -83,7 +83,7 @@
     /// The registries that it wants links to.
     pub fn wanted(&self) -> Vec<String> {
         let all: BTreeSet<&String> = self.seeds.iter().chain(&self.known).collect();
-        let named = rendezvous(&self.hello.node, all.into_iter());
+        let named = rendezvous(&self.hello.node, all);
         // One that does not answer must not leave it with fewer than there are.
         let linked: BTreeSet<&String> = self.registries.values().map(|r| &r.hello.ip).collect();
         let mut wanted: Vec<String> = Vec::new();
@@ -146,12 +146,10 @@
                 self.known.extend(standing.scouts.iter().cloned());
                 registry.standing = Some(standing);
             }
-            Speech::Placed { me, nodes } => {
-                if self.placed != (me, nodes) {
-                    self.placed = (me, nodes);
-                    self.purse.shared_by(nodes as usize);
-                    out.push(Output::Placed(me, nodes));
-                }
+            Speech::Placed { me, nodes } if self.placed != (me, nodes) => {
+                self.placed = (me, nodes);
+                self.purse.shared_by(nodes as usize);
+                out.push(Output::Placed(me, nodes));
             }
             Speech::News(items) => self.merge(items, out),
             Speech::Digest(digests) => {
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -308,8 +308,8 @@
     fn digest(&mut self, peer: Peer, hello: &Hello, digests: [u64; 2], out: &mut Vec<Output>) {
         let realms = if hello.role == Role::Comb { 1 } else { 2 };
         let mut same = true;
-        for realm in 0..realms {
-            if digests[realm] != self.realms[realm].digest() {
+        for (realm, digest) in digests.into_iter().enumerate().take(realms) {
+            if digest != self.realms[realm].digest() {
                 same &= realm > 0;
                 let lines = self.realms[realm].summary();
                 out.push(Output::Say(peer, Speech::Summary { realm: realm as u8, lines, answer: true }));
--- a/crates/traffic/src/clock.rs
+++ b/crates/traffic/src/clock.rs
@@ -11,6 +11,12 @@
     at: Instant,
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
 impl Clock {
     /// A clock that starts at the machine's time.
     pub fn new() -> Self {
--- a/crates/traffic/src/reuse.rs
+++ b/crates/traffic/src/reuse.rs
@@ -30,6 +30,12 @@
     limit: Cell<usize>,
 }
 
+impl Default for Reuse {
+    fn default() -> Self {
+        Reuse::new()
+    }
+}
+
 impl Reuse {
     /// Nothing is known yet: any age will do.
     pub fn new() -> Self {
