A proxy that reaches no count lives on its share of the rate, told by what it draws

Blocks die after half a second, and the even share came after 2.5 s. A restarted registry promised no duty for 0.9 s, and nodes waited for the next pulse to know that their configuration was whole.

Change: each draw tells the proxy its share of the rate, by what it drew; shares sum up to less than the rate. A proxy whose asks fail for a quarter of a second lives on that, from when it was told. The count takes what a silent proxy may spend out of the bucket from when it was last heard, so nothing runs twice over. Promises of a process that has ended are dropped by who held them, so that the new process may promise as soon as all others have heard of it. Whether the configuration is whole is looked at whenever either side changes.

Random play of 11 proxies with cuts, freezes, ends of proxies and of the count stays within the bound in every window (nectar::purse).

--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -14,8 +14,9 @@
 use pinerelay_propolis::link::Peer;
 use pinerelay_propolis::speech::{Hello, Role, Speech, Standing};
 
-/// How often it says what it has.
+/// How often it says what it has, and that it is there: the counts keep back the share of one that is not heard.
 const PULSE: Micros = 600_000;
+const HERE: Micros = 200_000;
 /// A proxy knows and watches so many registries; rendezvous hashing names them.
 const REGISTRIES: usize = 3;
 
@@ -39,6 +40,8 @@
 struct Registry {
     hello: Hello,
     standing: Option<Standing>,
+    /// What its configuration's items came to, as it said last.
+    digest: Option<u64>,
 }
 
 /// What is heard.
@@ -56,6 +59,7 @@
     /// Of a slice: how often in a row its owner, as seen from here, did not have the duty.
     astray: BTreeMap<usize, usize>,
     pulse_at: Micros,
+    here_at: Micros,
 }
 
 impl Hearing {
@@ -66,12 +70,13 @@
             known: BTreeSet::new(),
             seeds,
             realms: Default::default(),
-            purse: Purse::new(now),
+            purse: Purse::new(),
             registries: BTreeMap::new(),
             whole: false,
             placed: (0, 1),
             astray: BTreeMap::new(),
             pulse_at: now,
+            here_at: now,
         }
     }
 
@@ -133,18 +138,16 @@
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
-            self.registries.insert(peer, Registry { hello, standing: None });
+            self.registries.insert(peer, Registry { hello, standing: None, digest: None });
             out.push(Output::Say(peer, Speech::Digest(self.digests())));
             return;
         }
         let Some(registry) = self.registries.get_mut(&peer) else { return out.push(Output::Cut(peer)) };
         match speech {
             Speech::Standing(standing) => {
-                if standing.majority {
-                    self.purse.heard(now);
-                }
                 self.known.extend(standing.scouts.iter().cloned());
                 registry.standing = Some(standing);
+                self.look();
             }
             Speech::Placed { me, nodes } if self.placed != (me, nodes) => {
                 self.placed = (me, nodes);
@@ -153,7 +156,7 @@
             }
             Speech::News(items) => self.merge(items, out),
             Speech::Digest(digests) => {
-                let whole = registry.standing.as_ref().is_some_and(|s| s.whole);
+                registry.digest = Some(digests[0]);
                 let own = self.digests();
                 for realm in 0..2 {
                     if digests[realm] != own[realm] {
@@ -164,10 +167,7 @@
                         ));
                     }
                 }
-                if whole && digests[0] == own[0] && !self.whole {
-                    log::info!("has the whole configuration: {} items", self.realms[0].len());
-                    self.whole = true;
-                }
+                self.look();
             }
             Speech::Summary { realm, lines, answer } => {
                 let Some(cells) = self.realms.get(usize::from(realm)) else { return };
@@ -202,6 +202,16 @@
         [self.realms[0].digest(), self.realms[1].digest()]
     }
 
+    /// Looks whether the configuration here is that of a registry whose own is whole.
+    fn look(&mut self) {
+        let own = self.realms[0].digest();
+        let whole = |r: &Registry| r.digest == Some(own) && r.standing.as_ref().is_some_and(|s| s.whole);
+        if !self.whole && self.registries.values().any(whole) {
+            log::info!("has the whole configuration: {} items", self.realms[0].len());
+            self.whole = true;
+        }
+    }
+
     fn merge(&mut self, items: Vec<Item>, out: &mut Vec<Output>) {
         let mut configured = false;
         for item in items {
@@ -217,6 +227,7 @@
             }
         }
         if configured {
+            self.look();
             out.push(Output::Configured(Arc::new(Table::of(&self.realms[0]))));
         }
     }
@@ -241,8 +252,9 @@
             // Who sees other registries alive than they see themselves finds the owner among the next.
             let names = rendezvous(&format!("duty-{slice}"), alive.keys());
             debug_assert!(names.first().copied() == owner(slice, alive.keys()));
-            if let Some(name) = names.get(astray % names.len().max(1)) {
-                by_peer.entry(alive[*name]).or_default().push(ask);
+            match names.get(astray % names.len().max(1)) {
+                Some(name) => by_peer.entry(alive[*name]).or_default().push(ask),
+                None => self.purse.unasked(now, &ask.tenant),
             }
         }
         out.extend(by_peer.into_iter().map(|(peer, asks)| Output::Say(peer, Speech::Draw(asks))));
@@ -253,6 +265,10 @@
         let ended = self.purse.tick(now);
         out.extend(ended.into_iter().map(|(id, admission)| Output::Admitted(id, admission)));
         self.ask(now, out);
+        if now >= self.here_at {
+            self.here_at = now + HERE;
+            out.extend(self.registries.keys().map(|&peer| Output::Say(peer, Speech::Here)));
+        }
         if now >= self.pulse_at {
             self.pulse_at = now + PULSE;
             let digest = Speech::Digest(self.digests());
--- a/crates/nectar/src/fence.rs
+++ b/crates/nectar/src/fence.rs
@@ -59,6 +59,8 @@
 struct Mine {
     /// It may act until then.
     until: Micros,
+    /// By whose promises.
+    by: BTreeSet<String>,
     /// The claim under way: its turn, when it was asked for, and who has promised.
     asked: Option<(u64, Micros, BTreeSet<String>)>,
 }
@@ -69,8 +71,10 @@
     me: String,
     voters: Vec<String>,
     alive: BTreeSet<String>,
-    /// What was promised before its process began is not known: it promises nothing until that must be over.
+    /// What was promised before its process began is not known: it promises nothing until that must be over, or all others
+    /// have heard that this is a new process, and have dropped what it had promised.
     from: Micros,
+    met: BTreeSet<String>,
     mine: Vec<Mine>,
     promised: BTreeMap<usize, (String, Micros)>,
     turn: u64,
@@ -94,6 +98,7 @@
             voters: Vec::new(),
             alive: BTreeSet::new(),
             from: if fresh { now } else { now + PROMISE },
+            met: BTreeSet::new(),
             mine: vec![Mine::default(); SLICES],
             promised: BTreeMap::new(),
             turn: now,
@@ -106,6 +111,28 @@
         self.voters = voters.to_vec();
     }
 
+    /// Another node is known to have heard that this process is a new one.
+    pub fn met(&mut self, name: &str) {
+        self.met.insert(name.into());
+        if self.voters.iter().all(|voter| *voter == self.me || self.met.contains(voter)) {
+            self.from = 0;
+        }
+    }
+
+    /// Another node's process is a new one: what it had promised before counts no more.
+    pub fn restarted(&mut self, name: &str) {
+        let most = self.voters.len() / 2 + 1;
+        for mine in &mut self.mine {
+            if let Some((.., by)) = &mut mine.asked {
+                by.remove(name);
+            }
+            if mine.by.remove(name) && mine.by.len() < most {
+                mine.until = 0;
+                self.renew_at = 0;
+            }
+        }
+    }
+
     /// Whether this node may act for a slice now.
     pub fn holds(&self, now: Micros, slice: usize) -> bool {
         now < self.mine[slice].until
@@ -212,6 +239,7 @@
                     out.push(Step::Gained(slice));
                 }
                 mine.until = mine.until.max(until);
+                mine.by.clone_from(by);
             }
         }
     }
@@ -243,6 +271,9 @@
             places.insert(name.clone(), Place { fence: Some(fence), frozen_until: 0, inbox: Vec::new() });
         }
         let (mut cut, mut cut_until, mut dead_until) = (0, 0, 0);
+        // Whose life each has heard of, and the words that it has.
+        let (mut lives, mut met) = ([1_u64; 3], [[1_u64; 3]; 3]);
+        let mut hellos: Vec<(Micros, usize, u64, usize)> = Vec::new();
         let (mut acting, mut moments) = (0, 0);
         for step in 0..4_000_u64 {
             let now = step * 10_000;
@@ -269,6 +300,8 @@
                     let mut fence = Fence::new(now, name, false);
                     fence.elect(&names);
                     place.fence = Some(fence);
+                    lives[n] += 1;
+                    met[n] = [0; 3];
                 }
                 if now < place.frozen_until {
                     continue;
@@ -277,7 +310,25 @@
                 let (due, later): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut place.inbox).into_iter().partition(|(at, ..)| *at <= now);
                 place.inbox = later;
+                // Who is linked hears of a new life, says so, and is then met by it.
+                for other in alive.iter().filter_map(|o| names.iter().position(|name| name == o)) {
+                    if met[n][other] != lives[other] {
+                        met[n][other] = lives[other];
+                        if let Some(fence) = place.fence.as_mut() {
+                            fence.restarted(&names[other]);
+                        }
+                        let at = now + dice(40_000);
+                        hellos.push((at, other, lives[other], n));
+                    }
+                }
                 if let Some(fence) = place.fence.as_mut() {
+                    hellos.retain(|&(at, to, life, from)| {
+                        let due = to == n && at <= now;
+                        if due && life == lives[n] {
+                            fence.met(&names[from]);
+                        }
+                        !due
+                    });
                     due.into_iter().for_each(|(_, from, word)| fence.heard(now, &from, word, &mut out));
                     fence.tick(now, alive, &mut out);
                 }
--- a/crates/nectar/src/purse.rs
+++ b/crates/nectar/src/purse.rs
@@ -21,9 +21,9 @@
 const PATIENCE: Micros = 300_000;
 /// After it was told that there is nothing, a proxy asks again no sooner.
 const DRY: Micros = 25_000;
-/// With no word from any count for so long a proxy is cut off, and lives on its even share. By then the counts have
-/// noticed, and keep that share back.
-const CUT_OFF: Micros = 2_500_000;
+/// With no word from a tenant's count for so long, though it asks, a proxy lives on the share that it was told last. The
+/// count takes that out of the rate from when it last heard the proxy, which is no later.
+const FAILING: Micros = 250_000;
 /// Units that would die unspent within this are handed back.
 const HAND_BACK: Micros = 60_000;
 
@@ -64,9 +64,16 @@
         life: Micros,
         /// The fence under which they were granted.
         fence: u64,
+        /// The part of the rate that the proxy may live on when it reaches no count.
+        share: f64,
+    },
+    /// Nothing is there.
+    Dry {
+        /// Or will be for so long.
+        wait: Micros,
+        /// As with a block.
+        share: f64,
     },
-    /// Nothing is there, or will be for so long.
-    Dry(Micros),
     /// The duty for this tenant is not there.
     Elsewhere,
 }
@@ -90,7 +97,13 @@
     arrivals: Rate,
     drawn: Rate,
     schedule: Schedule,
-    share: Option<Bucket>,
+    /// The part of the rate that it may live on, and when it was told.
+    share: f64,
+    told: Micros,
+    /// Since when asks have failed.
+    failing: Option<Micros>,
+    /// What there is of the share meanwhile.
+    living: Option<Bucket>,
 }
 
 impl Pouch {
@@ -114,6 +127,26 @@
         true
     }
 
+    /// Spends of the share, if asks have failed for long enough.
+    fn live_on(&mut self, now: Micros) -> bool {
+        if self.failing.is_none_or(|since| now < since + FAILING) {
+            return false;
+        }
+        let living = self.living.get_or_insert(Bucket { store: 0.0, at: self.told });
+        living.refill(now, self.quota.rate * self.share, (self.quota.burst * self.share).max(1.0));
+        if living.store < 1.0 {
+            return false;
+        }
+        living.store -= 1.0;
+        self.drawn.add(now, 1.0, SPAN);
+        true
+    }
+
+    fn heard(&mut self, now: Micros, share: f64) {
+        (self.failing, self.living) = (None, None);
+        (self.share, self.told) = (share, now);
+    }
+
     /// How many units it should hold.
     fn target(&self, now: Micros) -> f64 {
         let life = if self.life > 0 { self.life as f64 * AHEAD_OF_LIFE } else { AHEAD };
@@ -137,7 +170,8 @@
             return 0.0;
         }
         let (units, target) = (self.units(now), self.target(now));
-        let waiting = self.waiting.len() as f64;
+        // One whose asks have failed goes on to ask, or it would live on its share for good.
+        let waiting = (self.waiting.len() as f64).max(if self.failing.is_some() { 1.0 } else { 0.0 });
         if waiting == 0.0 && units >= target / 2.0 {
             return 0.0;
         }
@@ -152,14 +186,12 @@
     tenants: BTreeMap<String, Pouch>,
     /// How many proxies share the rates, as the counts tell.
     nodes: usize,
-    /// When a count last said anything.
-    heard: Micros,
 }
 
 impl Purse {
     /// An empty one.
-    pub fn new(now: Micros) -> Purse {
-        Purse { nodes: 1, heard: now, ..Purse::default() }
+    pub fn new() -> Purse {
+        Purse { nodes: 1, ..Purse::default() }
     }
 
     /// So many proxies share the rates.
@@ -167,14 +199,13 @@
         self.nodes = nodes.max(1);
     }
 
-    /// A count has said something, whatever it was.
-    pub fn heard(&mut self, now: Micros) {
-        self.heard = now;
-        self.tenants.values_mut().for_each(|pouch| pouch.share = None);
-    }
-
-    fn cut_off(&self, now: Micros) -> bool {
-        now > self.heard + CUT_OFF
+    /// Nobody is there to be asked for this tenant.
+    pub fn unasked(&mut self, now: Micros, tenant: &str) {
+        if let Some(pouch) = self.tenants.get_mut(tenant) {
+            pouch.asked = None;
+            pouch.rest = now + DRY;
+            pouch.failing.get_or_insert(now);
+        }
     }
 
     /// A request of this tenant has come.
@@ -182,7 +213,7 @@
         if quota.rate <= 0.0 {
             return Admission::Go;
         }
-        let (cut_off, nodes) = (self.cut_off(now), self.nodes);
+        let nodes = self.nodes;
         if !self.tenants.contains_key(tenant) {
             self.tenants.insert(tenant.into(), Pouch::default());
         }
@@ -192,16 +223,8 @@
         if pouch.waiting.is_empty() && pouch.spend(now) {
             return Admission::Go;
         }
-        if cut_off {
-            let share = pouch.share.get_or_insert(Bucket { store: 0.0, at: now });
-            let even = quota.rate / nodes as f64;
-            share.refill(now, even, (quota.burst / nodes as f64).max(1.0));
-            if share.store >= 1.0 {
-                share.store -= 1.0;
-                pouch.drawn.add(now, 1.0, SPAN);
-                return Admission::Go;
-            }
-            return pouch.refuse(now, nodes);
+        if pouch.failing.is_some_and(|since| now >= since + FAILING) {
+            return if pouch.live_on(now) { Admission::Go } else { pouch.refuse(now, nodes) };
         }
         if now < pouch.dry {
             return pouch.refuse(now, nodes);
@@ -236,12 +259,11 @@
 
     /// An ask has been answered; tells what becomes of the requests that waited for it.
     pub fn granted(&mut self, now: Micros, tenant: &str, grant: Grant) -> Vec<(u64, Admission)> {
-        self.heard(now);
         let nodes = self.nodes;
         let Some(pouch) = self.tenants.get_mut(tenant) else { return Vec::new() };
         let Some(asked) = pouch.asked.take() else { return Vec::new() };
         match grant {
-            Grant::Block { units, life, fence } => {
+            Grant::Block { units, life, fence, share } => {
                 // The life counts from before it was asked for: what the way took is the proxy's loss.
                 if asked + life > now && units >= 1.0 {
                     pouch.blocks.push_back((asked + life, units));
@@ -250,10 +272,15 @@
                 if pouch.fence != fence {
                     (pouch.fence, pouch.back) = (fence, 0.0);
                 }
+                pouch.heard(now, share);
+            }
+            Grant::Dry { wait, share } => {
+                pouch.dry = now + wait.max(DRY);
+                pouch.heard(now, share);
             }
-            Grant::Dry(time) => pouch.dry = now + time.max(DRY),
             Grant::Elsewhere => {
                 pouch.rest = now + DRY;
+                pouch.failing.get_or_insert(now);
                 return Vec::new();
             }
         }
@@ -278,16 +305,21 @@
     /// Time has passed: asks without an answer are made anew, and what has waited for too long is refused.
     pub fn tick(&mut self, now: Micros) -> Vec<(u64, Admission)> {
         let nodes = self.nodes;
-        let cut_off = self.cut_off(now);
         let mut ended = Vec::new();
         for pouch in self.tenants.values_mut() {
-            if pouch.asked.is_some_and(|asked| now >= asked + ANSWER) {
+            if let Some(asked) = pouch.asked.filter(|asked| now >= asked + ANSWER) {
                 pouch.asked = None;
+                pouch.failing.get_or_insert(asked);
             }
-            while pouch.waiting.front().is_some_and(|(_, since)| cut_off || now >= since + PATIENCE) {
-                if let Some((id, _)) = pouch.waiting.pop_front() {
+            while let Some(&(id, since)) = pouch.waiting.front() {
+                if pouch.live_on(now) {
+                    ended.push((id, Admission::Go));
+                } else if now >= since + PATIENCE || pouch.living.is_some() {
                     ended.push((id, pouch.refuse(now, nodes)));
+                } else {
+                    break;
                 }
+                pouch.waiting.pop_front();
             }
             while pouch.blocks.front().is_some_and(|(until, _)| *until <= now + HAND_BACK) {
                 if let Some((until, units)) = pouch.blocks.pop_front().filter(|(until, _)| *until > now) {
@@ -323,50 +355,62 @@
     const QUOTA: Quota = Quota { rate: 94.0, burst: 94.0 };
 
     /// Proxies that lease from one count, over a way that takes some milliseconds; some are cut off for a while, freeze,
-    /// or die with what they hold. Tells what ran, when, and how many were asked for.
+    /// or die with what they hold; the count's process ends at times, and a new one knows nothing. Tells what ran, when,
+    /// and how many were asked for.
     fn play(seed: u64, nodes: usize, asked_per_s: f64, troubles: bool) -> (Vec<Micros>, u64) {
         let bounds = Bounds::default();
         let mut random = seed;
         let mut dice = |most: f64| lot(&mut random) * most;
         let mut well = Well::new(0, QUOTA);
-        let mut purses: Vec<Purse> = (0..nodes).map(|_| Purse::new(0)).collect();
+        let mut purses: Vec<Purse> = (0..nodes).map(|_| Purse::new()).collect();
         purses.iter_mut().for_each(|purse| purse.shared_by(nodes));
-        let mut cut: Vec<(Micros, Micros)> = vec![(0, 0); nodes];
+        let mut cut: Vec<Micros> = vec![0; nodes];
+        let mut heard: Vec<Micros> = vec![0; nodes];
         let mut frozen: Vec<Micros> = vec![0; nodes];
+        let (mut down, mut fence) = (0, 1);
+        let name: Vec<String> = (0..nodes).map(|n| n.to_string()).collect();
         type Way = Vec<(Micros, usize, Grant)>;
         let (mut way, mut runs, mut arrivals): (Way, Vec<Micros>, u64) = Default::default();
         for now in (3_000_000..33_000_000_u64).step_by(1_000) {
-            if troubles && dice(1.0) < 0.0005 {
-                let node = dice(nodes as f64) as usize;
-                cut[node] = (now, now + dice(8e6) as Micros);
+            // One trouble at a time: a new count does not know who is cut off.
+            if troubles && now > down + 6_000_000 && dice(1.0) < 0.0005 {
+                cut[dice(nodes as f64) as usize] = now + dice(8e6) as Micros;
             }
             if troubles && dice(1.0) < 0.0005 {
                 frozen[dice(nodes as f64) as usize] = now + dice(2e6) as Micros;
             }
             if troubles && dice(1.0) < 0.0003 {
                 let node = dice(nodes as f64) as usize;
-                purses[node] = Purse::new(now);
+                purses[node] = Purse::new();
                 purses[node].shared_by(nodes);
+                well.ended(now, &name[node]);
+            }
+            if troubles && dice(1.0) < 0.0001 && cut.iter().all(|until| now > *until) {
+                down = now + dice(3e6) as Micros;
+                fence += 1;
+                well = Well::new(down, QUOTA);
+                heard.fill(down);
             }
-            let is_cut = |node: usize| now < cut[node].1;
-            // The count misses those that it has not heard for two seconds.
-            let missing = (0..nodes).filter(|&n| is_cut(n) && now > cut[n].0 + 2_000_000).count();
-            let reserved = missing as f64 / nodes as f64;
             let due: Way = way.iter().filter(|w| w.0 <= now).cloned().collect();
             way.retain(|w| w.0 > now);
             let mut ended = Vec::new();
             for (_, node, grant) in due {
-                if !is_cut(node) && now >= frozen[node] {
+                if now >= cut[node] && now >= frozen[node] {
                     ended.extend(purses[node].granted(now, "t", grant));
                 }
             }
             for node in 0..nodes {
+                let linked = now >= cut[node] && now >= down;
+                if now >= frozen[node] && linked && now % 200_000 == 0 {
+                    heard[node] = now;
+                    well.returned(now, &name[node]);
+                }
+                if now >= down && now > heard[node] + 650_000 {
+                    well.missing(now, &name[node], heard[node]);
+                }
                 if now < frozen[node] {
                     continue;
                 }
-                if !is_cut(node) && now % 700_000 == 0 {
-                    purses[node].heard(now);
-                }
                 if dice(1.0) < asked_per_s / nodes as f64 / 1e3 {
                     arrivals += 1;
                     ended.push((0, purses[node].arrive(now, "t", QUOTA, arrivals)));
@@ -375,10 +419,14 @@
                     ended.extend(purses[node].tick(now));
                 }
                 for ask in purses[node].asks(now) {
-                    if !is_cut(node) {
-                        let grant = match well.draw(now, reserved, ask.want, ask.back) {
-                            Ok(units) => Grant::Block { units, life: bounds.life(QUOTA), fence: 1 },
-                            Err(dry) => Grant::Dry(dry),
+                    if linked {
+                        heard[node] = now;
+                        let back = if ask.fence == fence { ask.back } else { 0.0 };
+                        let drawn = well.draw(now, &name[node], 0.0, ask.want, back);
+                        let share = drawn.share;
+                        let grant = match drawn.units {
+                            Ok(units) => Grant::Block { units, life: bounds.life(QUOTA), fence, share },
+                            Err(wait) => Grant::Dry { wait, share },
                         };
                         if ask.want >= 1.0 {
                             way.push((now + 1_000 + dice(3_000.0) as Micros, node, grant));
@@ -417,6 +465,9 @@
         let (runs, _) = play(1, 11, 500.0, false);
         let rate = runs.len() as f64 / 30.0;
         expect_that!(rate, gt(0.93 * QUOTA.rate));
+        // The count's process ends now and then, and proxies are cut off.
+        let (runs, arrivals) = play(5, 11, 60.0, true);
+        expect_that!(runs.len() as f64, gt(0.93 * arrivals as f64));
         let (runs, arrivals) = play(2, 11, 60.0, false);
         expect_that!(runs.len() as f64, gt(0.985 * arrivals as f64));
         // Thin: a unit every other second at each of many nodes.
@@ -426,11 +477,11 @@
 
     #[gtest]
     fn beyond_quota_returns_are_spaced_capped_and_not_deferred_twice() {
-        let mut purse = Purse::new(0);
+        let mut purse = Purse::new();
         purse.shared_by(10);
         expect_that!(purse.arrive(0, "t", Quota { rate: 50.0, burst: 25.0 }, 1), eq(Admission::Wait));
         expect_that!(purse.asks(0).len(), eq(1));
-        let ended = purse.granted(1_000, "t", Grant::Dry(400_000));
+        let ended = purse.granted(1_000, "t", Grant::Dry { wait: 400_000, share: 0.1 });
         // x is one request over the configured rate over the nodes, 5 a second; the burst lasts 0.5 s: two fit.
         expect_that!(ended, elements_are![eq(&(1, Admission::Later(200_000)))]);
         let mut arrive = |now| purse.arrive(now, "t", Quota { rate: 50.0, burst: 25.0 }, 2);
--- a/crates/nectar/src/well.rs
+++ b/crates/nectar/src/well.rs
@@ -1,56 +1,166 @@
 //! The count of one tenant's units, where the duty for it is.
 
+use std::collections::BTreeMap;
+
+use mountbend::measure::Rate;
+
 use crate::terms::Quota;
 use crate::Micros;
 
-/// Units that are there to be leased: a bucket that fills at the quota's rate up to its burst.
+/// What a proxy draws is smoothed over this.
+const SPAN: f64 = 3.0e6;
+/// All shares together are this part of the rate: what was told to one may be old at another.
+const SHARED: f64 = 0.95;
+/// What a proxy that draws nothing weighs beside one that draws a unit a second.
+const IDLE: f64 = 0.05;
+/// One that has drawn nothing for so long has no share.
+const FORGET: Micros = 20_000_000;
+
+/// A proxy that draws.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lessee {
+    drawn: Rate,
+    /// The share that it was told last, and the one before, which it has as long as it has not asked again.
+    told: f64,
+    before: f64,
+    /// It has not been heard since it was last told, and lives on its share.
+    missing: bool,
+}
+
+impl Lessee {
+    fn holds(&self) -> f64 {
+        self.told.max(self.before)
+    }
+}
+
+/// What a proxy is answered.
 #[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Drawn {
+    /// Units; where there is none, when one will be there.
+    pub units: Result<f64, Micros>,
+    /// The part of the rate that it may live on when it reaches no count.
+    pub share: f64,
+}
+
+/// Units that are there to be leased: a bucket that fills at the quota's rate up to its burst.
+///
+/// The rate has one owner at any time. A proxy that is cut off lives on the share that it was told; shares sum up to less
+/// than one, and while a proxy is missing its share does not fill the bucket. What it had by then since it was last heard is
+/// taken out: the bucket may be in debt.
+#[derive(Debug, Clone)]
 pub struct Well {
     quota: Quota,
     level: f64,
     at: Micros,
+    lessees: BTreeMap<String, Lessee>,
 }
 
 impl Well {
     /// The count of a tenant whose duty has just been taken over, or that is new. It begins with nothing: what was there
     /// may have been granted by who had the duty before.
     pub fn new(now: Micros, quota: Quota) -> Well {
-        Well { quota, level: 0.0, at: now }
+        Well { quota, level: 0.0, at: now, lessees: BTreeMap::new() }
     }
 
-    /// Time passes. Of the rate, `reserved` (0 to 1) is kept for nodes that are cut off and live on their even share.
+    fn most(&self) -> f64 {
+        self.quota.burst.max(1.0)
+    }
+
+    /// Time passes. Of the rate `reserved` is kept back for proxies that are cut off and that this count has never heard
+    /// of; and the shares of those that it has.
     fn fill(&mut self, now: Micros, reserved: f64) {
         let seconds = now.saturating_sub(self.at) as f64 / 1e6;
         self.at = self.at.max(now);
-        let rate = self.quota.rate * (1.0 - reserved.clamp(0.0, 1.0));
-        self.level = (self.level + rate * seconds).min(self.quota.burst.max(1.0));
+        let missing: f64 = self.lessees.values().filter(|l| l.missing).map(Lessee::holds).sum();
+        let rate = self.quota.rate * (1.0 - reserved - missing).clamp(0.0, 1.0);
+        self.level = (self.level + rate * seconds).min(self.most());
     }
 
     /// The quota has changed. What is there above a lower burst is gone.
-    pub fn change(&mut self, now: Micros, reserved: f64, quota: Quota) {
-        self.fill(now, reserved);
+    pub fn change(&mut self, now: Micros, quota: Quota) {
+        self.fill(now, 0.0);
         self.quota = quota;
-        self.fill(now, reserved);
+        self.fill(now, 0.0);
     }
 
-    /// Leases up to `want` whole units, `back` having been handed back unspent (the negative add). Where it has none,
-    /// tells when one will be there.
-    pub fn draw(&mut self, now: Micros, reserved: f64, want: f64, back: f64) -> Result<f64, Micros> {
+    /// A proxy has not been heard since then: it may live on its share.
+    pub fn missing(&mut self, now: Micros, node: &str, since: Micros) {
+        self.fill(now, 0.0);
+        let rate = self.quota.rate;
+        if let Some(lessee) = self.lessees.get_mut(node).filter(|lessee| !lessee.missing) {
+            lessee.missing = true;
+            self.level -= lessee.holds() * rate * now.saturating_sub(since) as f64 / 1e6;
+        }
+    }
+
+    /// It is heard again.
+    pub fn returned(&mut self, now: Micros, node: &str) {
+        if self.lessees.get(node).is_some_and(|lessee| lessee.missing) {
+            self.fill(now, 0.0);
+            self.lessees.entry(node.into()).and_modify(|lessee| lessee.missing = false);
+        }
+    }
+
+    /// Its process has ended, and what it was told with it.
+    pub fn ended(&mut self, now: Micros, node: &str) {
+        if self.lessees.contains_key(node) {
+            self.fill(now, 0.0);
+            self.lessees.remove(node);
+        }
+    }
+
+    /// Leases up to `want` whole units to a proxy, `back` having been handed back unspent (the negative add).
+    pub fn draw(&mut self, now: Micros, node: &str, reserved: f64, want: f64, back: f64) -> Drawn {
         self.fill(now, reserved);
-        self.level = (self.level + back.max(0.0)).min(self.quota.burst.max(1.0));
-        let granted = want.max(0.0).min(self.level).floor();
+        self.level = (self.level + back.max(0.0)).min(self.most());
+        let granted = want.max(0.0).min(self.level.max(0.0)).floor();
         self.level -= granted;
+        let share = self.share(now, node, granted);
         if granted >= 1.0 || want < 1.0 {
-            return Ok(granted);
+            return Drawn { units: Ok(granted), share };
         }
         let rate = (self.quota.rate * (1.0 - reserved)).max(1e-3);
-        Err(((1.0 - self.level).max(0.0) / rate * 1e6) as Micros)
+        Drawn { units: Err(((1.0 - self.level).max(0.0) / rate * 1e6) as Micros), share }
+    }
+
+    /// Shares follow what is drawn. Danger: a proxy that is not heard keeps what it was told, so another's share grows only
+    /// into what is free.
+    fn share(&mut self, now: Micros, node: &str, granted: f64) -> f64 {
+        self.lessees.retain(|_, lessee| lessee.missing || now < lessee.drawn.at + FORGET);
+        if !self.lessees.contains_key(node) {
+            self.lessees.insert(node.into(), Lessee::default());
+        }
+        if let Some(lessee) = self.lessees.get_mut(node) {
+            lessee.drawn.add(now, granted, SPAN);
+            // It has heard what it was told last, or it would not ask.
+            lessee.before = 0.0;
+        }
+        let weigh = |lessee: &Lessee| lessee.drawn.get(now, SPAN) + IDLE;
+        let (mut all, mut others) = (0.0, 0.0);
+        for (name, lessee) in &self.lessees {
+            all += weigh(lessee);
+            others += if name == node { 0.0 } else { lessee.holds() };
+        }
+        let Some(lessee) = self.lessees.get_mut(node) else { return 0.0 };
+        let share = (weigh(lessee) / all * SHARED).min((SHARED - others).max(0.0));
+        (lessee.before, lessee.told) = (lessee.told, share);
+        share
+    }
+
+    /// Whether a proxy has been told a share here.
+    pub fn knows(&self, node: &str) -> bool {
+        self.lessees.contains_key(node)
     }
 
     /// The quota that it holds to.
     pub fn quota(&self) -> Quota {
         self.quota
     }
+
+    /// Units that are there; less than nothing where cut-off proxies have had more than was there.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
 }
 
 #[cfg(test)]
@@ -69,7 +179,7 @@
         for _ in 0..5_000 {
             now += (mountbend::measure::lot(&mut lot) * 20_000.0) as Micros;
             let want = (mountbend::measure::lot(&mut lot) * 8.0).floor();
-            if let Ok(units) = well.draw(now, 0.0, want, 0.0) {
+            if let Ok(units) = well.draw(now, "n", 0.0, want, 0.0).units {
                 granted.push((now, units));
             }
         }
@@ -87,13 +197,57 @@
     #[gtest]
     fn a_new_one_has_nothing_and_tells_when_it_will() {
         let mut well = Well::new(0, Quota { rate: 10.0, burst: 5.0 });
-        expect_that!(well.draw(0, 0.0, 2.0, 0.0), err(eq(100_000)));
-        expect_that!(well.draw(100_000, 0.0, 2.0, 0.0), ok(eq(1.0)));
-        expect_that!(well.draw(100_000, 0.0, 2.0, 1.0), ok(eq(1.0)), "what came back is there again");
-        expect_that!(well.draw(10_000_000, 0.0, 9.0, 0.0), ok(eq(5.0)), "no more than the burst");
-        // Half of the nodes are cut off and live on half of the rate.
-        expect_that!(well.draw(10_200_000, 0.5, 9.0, 0.0), ok(eq(1.0)));
-        well.change(11_200_000, 0.0, Quota { rate: 10.0, burst: 2.0 });
-        expect_that!(well.draw(11_200_000, 0.0, 9.0, 0.0), ok(eq(2.0)));
+        let mut draw = |now, want, back| well.draw(now, "n", 0.0, want, back).units;
+        expect_that!(draw(0, 2.0, 0.0), err(eq(100_000)));
+        expect_that!(draw(100_000, 2.0, 0.0), ok(eq(1.0)));
+        expect_that!(draw(100_000, 2.0, 1.0), ok(eq(1.0)), "what came back is there again");
+        expect_that!(draw(10_000_000, 9.0, 0.0), ok(eq(5.0)), "no more than the burst");
+        well.change(11_200_000, Quota { rate: 10.0, burst: 2.0 });
+        expect_that!(well.draw(11_200_000, "n", 0.0, 9.0, 0.0).units, ok(eq(2.0)));
+    }
+
+    #[gtest]
+    fn shares_follow_what_is_drawn_and_never_sum_up_to_more_than_the_rate() {
+        let mut well = Well::new(0, Quota { rate: 100.0, burst: 100.0 });
+        let mut lot = 4;
+        for step in 1..2_000_u64 {
+            let node = (mountbend::measure::lot(&mut lot) * 10.0) as usize;
+            // Whose clients are many changes on the way.
+            let busy = if step < 1_000 { 2 } else { 7 };
+            let want = if node == busy { 8.0 } else { 1.0 };
+            let share = well.draw(step * 20_000, &format!("n{node}"), 0.0, want, 0.0).share;
+            let held: f64 = well.lessees.values().map(Lessee::holds).sum();
+            // What was told before counts until the next word: it may stand beside what has been given on since.
+            expect_that!(held, le(1.0 + 1e-9), "at step {step}");
+            if step == 990 || step == 1_990 {
+                let busiest = well.lessees.iter().max_by(|a, b| a.1.told.total_cmp(&b.1.told));
+                expect_that!(busiest.map(|b| b.0.clone()), some(eq(&format!("n{busy}"))));
+                expect_that!(share, gt(0.02));
+            }
+        }
+    }
+
+    #[gtest]
+    fn while_one_is_missing_its_share_is_not_granted_to_others() {
+        let mut well = Well::new(0, Quota { rate: 100.0, burst: 10.0 });
+        let mut now = 0;
+        let mut share = 0.0;
+        for _ in 0..400 {
+            now += 20_000;
+            share = well.draw(now, "a", 0.0, 1.0, 0.0).share;
+            well.draw(now, "b", 0.0, 1.0, 0.0);
+        }
+        expect_that!(share, near(0.475, 0.02));
+        // It was last heard half a second ago: by now it may have spent half of its share of a second.
+        well.missing(now, "a", now - 500_000);
+        expect_that!(well.level(), lt(10.0 - 0.4 * 50.0));
+        let mut granted = 0.0;
+        for _ in 0..500 {
+            now += 20_000;
+            granted += well.draw(now, "b", 0.0, 9.0, 0.0).units.unwrap_or(0.0);
+        }
+        expect_that!(granted, all!(gt(450.0), lt(540.0)));
+        well.returned(now, "a");
+        expect_that!(well.draw(now + 100_000, "a", 0.0, 9.0, 0.0).units, ok(ge(8.0)));
     }
 }
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -112,6 +112,8 @@
         /// How many there are.
         nodes: u32,
     },
+    /// The speaker is there: nothing else was to be said.
+    Here,
     /// Of duties.
     Fence(fence::Word),
     /// A proxy's call for units.
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -22,8 +22,8 @@
 const PULSE: Micros = 600_000;
 /// A call that a store has not answered by then gets 503: the caller moves on after a second.
 const PATIENCE: Micros = 950_000;
-/// A proxy that has gone without a word counts as cut off after this, and for so long at the most.
-const CUT_OFF: Micros = 1_900_000;
+/// A proxy that says nothing for so long counts as cut off, and for so long at the most.
+const QUIET: Micros = 650_000;
 const MISSED: Micros = 60_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
@@ -68,6 +68,8 @@
     /// A store whose copy is whole has told all that it has.
     whole: bool,
     stores: BTreeMap<Peer, bool>,
+    /// What each store's items came to, as it said last.
+    stored: BTreeMap<Peer, u64>,
     beaten: BTreeMap<String, Beaten>,
     numbers: BTreeMap<u64, String>,
     holding: BTreeMap<u64, Holding>,
@@ -76,11 +78,14 @@
     /// Since when it reaches a majority of the core.
     majority: Option<Micros>,
     fence: Fence,
-    /// By slice: under which fence it was gained.
-    gained: BTreeMap<usize, u64>,
+    /// By slice: under which fence it was gained, and when.
+    gained: BTreeMap<usize, (u64, Micros)>,
     wells: BTreeMap<String, Well>,
-    /// Proxies that have gone without a word, and since when.
+    /// When each proxy was last heard; those that are not any more, and since when.
+    heard: BTreeMap<String, Micros>,
     missing: BTreeMap<String, Micros>,
+    /// The process of each proxy and registry, by its node.
+    lives: BTreeMap<(Role, String), u64>,
     /// How many proxies other registries know of.
     told: BTreeMap<String, u32>,
     passed: BTreeMap<u64, (u64, Micros)>,
@@ -106,6 +111,7 @@
             peers: BTreeMap::new(),
             whole: false,
             stores: BTreeMap::new(),
+            stored: BTreeMap::new(),
             beaten: BTreeMap::new(),
             numbers: BTreeMap::new(),
             holding: BTreeMap::new(),
@@ -114,7 +120,9 @@
             fence,
             gained: BTreeMap::new(),
             wells: BTreeMap::new(),
+            heard: BTreeMap::new(),
             missing: BTreeMap::new(),
+            lives: BTreeMap::new(),
             told: BTreeMap::new(),
             passed: BTreeMap::new(),
             placed: BTreeMap::new(),
@@ -159,12 +167,10 @@
     /// A connection has gone.
     pub fn down(&mut self, now: Micros, peer: Peer, out: &mut Vec<Output>) {
         self.stores.remove(&peer);
+        self.stored.remove(&peer);
         let Some(hello) = self.peers.remove(&peer) else { return };
         let again = self.peers.values().any(|h| h.role == hello.role && h.node == hello.node);
         match hello.role {
-            Role::Forager if !again => {
-                self.missing.insert(hello.node, now);
-            }
             Role::Scout if !again => {
                 self.told.remove(&hello.ip);
                 self.duties(now, out);
@@ -179,11 +185,14 @@
             return self.meet(now, peer, hello, out);
         }
         let Some(hello) = self.peers.get(&peer).cloned() else { return out.push(Output::Cut(peer)) };
+        if hello.role == Role::Forager {
+            self.loud(now, &hello.node);
+        }
         match (hello.role, speech) {
             (Role::Forager, Speech::Bye) => {
                 // Planned: it holds nothing that has to be kept back.
                 self.peers.remove(&peer);
-                self.missing.remove(&hello.node);
+                self.over(now, &hello.node);
             }
             (_, Speech::News(items)) => self.merge(peer, &hello, items, out),
             (_, Speech::Digest(digests)) => self.digest(peer, &hello, digests, out),
@@ -195,6 +204,8 @@
             (Role::Scout, Speech::Held(number)) => self.is_held(number, out),
             (Role::Scout, Speech::Beats(beats)) => self.beats(now, &beats),
             (Role::Scout, Speech::Standing(standing)) => {
+                // It has had this process's greeting: nothing is said before.
+                self.fence.met(&hello.ip);
                 self.told.insert(hello.ip, standing.foragers);
             }
             (Role::Scout, Speech::Fence(word)) => {
@@ -203,11 +214,12 @@
                 self.steps(now, steps, out);
             }
             (Role::Forager, Speech::Draw(asks)) => {
-                let grants = self.draw(now, asks);
+                let grants = self.draw(now, &hello.node, asks);
                 out.push(Output::Say(peer, Speech::Drawn(grants)));
             }
             (Role::Comb, Speech::StoreStands { voters, whole }) => {
                 self.stores.insert(peer, whole);
+                self.look();
                 if !voters.is_empty() && voters != self.voters {
                     self.fence.elect(&voters);
                     self.voters = voters;
@@ -225,7 +237,18 @@
 
     fn meet(&mut self, now: Micros, peer: Peer, hello: Hello, out: &mut Vec<Output>) {
         let role = hello.role;
-        self.missing.remove(&hello.node);
+        let before = self.lives.insert((role, hello.node.clone()), hello.life);
+        let another = before.is_some_and(|life| life != hello.life);
+        match role {
+            Role::Forager => {
+                if another {
+                    self.over(now, &hello.node);
+                }
+                self.loud(now, &hello.node);
+            }
+            Role::Scout if before != Some(hello.life) => self.fence.restarted(&hello.ip),
+            _ => {}
+        }
         self.peers.insert(peer, hello);
         if role == Role::Scout {
             self.duties(now, out);
@@ -295,6 +318,7 @@
         }
         if news.iter().any(|item| item.key.kind.is_config()) {
             self.table = Table::of(&self.realms[0]);
+            self.look();
         }
         // What another registry says it has told its proxies itself; digests mend what they have missed.
         let mut to = if hello.role == Role::Scout { Vec::new() } else { self.of(Role::Forager) };
@@ -307,17 +331,27 @@
 
     fn digest(&mut self, peer: Peer, hello: &Hello, digests: [u64; 2], out: &mut Vec<Output>) {
         let realms = if hello.role == Role::Comb { 1 } else { 2 };
-        let mut same = true;
         for (realm, digest) in digests.into_iter().enumerate().take(realms) {
             if digest != self.realms[realm].digest() {
-                same &= realm > 0;
                 let lines = self.realms[realm].summary();
                 out.push(Output::Say(peer, Speech::Summary { realm: realm as u8, lines, answer: true }));
             }
         }
-        if hello.role == Role::Comb && same && self.stores.get(&peer) == Some(&true) && !self.whole {
+        if hello.role == Role::Comb {
+            self.stored.insert(peer, digests[0]);
+            self.look();
+        }
+    }
+
+    /// Looks whether it has all that a store has whose copy is whole.
+    fn look(&mut self) {
+        let own = self.realms[0].digest();
+        let whole = |(peer, whole): (&Peer, &bool)| *whole && self.stored.get(peer) == Some(&own);
+        if !self.whole && self.stores.iter().any(whole) {
             log::info!("has the whole configuration: {} items", self.realms[0].len());
             self.whole = true;
+            // The proxies wait for this.
+            self.pulse_at = self.ticked;
         }
     }
 
@@ -373,6 +407,7 @@
             self.majority = Some(now);
         }
         self.duties(now, out);
+        self.quiet(now);
         self.overdue(now, out);
         self.missing.retain(|_, since| now < *since + MISSED);
         let late: Vec<u64> =
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -10,7 +10,10 @@
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::speech::Speech;
 
-use super::{Output, Registry, CUT_OFF};
+use super::{Output, Registry, QUIET};
+
+/// A count is young for so long after the duty was gained: cut-off proxies may live on shares told by who had it before.
+const YOUNG: Micros = 12_000_000;
 
 fn quota(tenant: &Tenant) -> Quota {
     Quota { rate: tenant.rate, burst: tenant.burst }
@@ -33,13 +36,13 @@
                 None if holds => {
                     self.wells.insert(tenant.name.clone(), Well::new(now, quota(tenant)));
                 }
-                Some(well) if well.quota() != quota(tenant) => well.change(now, 0.0, quota(tenant)),
+                Some(well) if well.quota() != quota(tenant) => well.change(now, quota(tenant)),
                 _ => {}
             }
         }
     }
 
-    pub(super) fn steps(&mut self, _now: Micros, steps: Vec<Step>, out: &mut Vec<Output>) {
+    pub(super) fn steps(&mut self, now: Micros, steps: Vec<Step>, out: &mut Vec<Output>) {
         let scouts = self.scouts();
         for step in steps {
             match step {
@@ -51,23 +54,59 @@
                 Step::Gained(slice) => {
                     // What was granted by who had it before is not known.
                     self.last += 1;
-                    self.gained.insert(slice, self.birth.hello.life.wrapping_add(self.last));
+                    let fence = self.birth.hello.life.wrapping_add(self.last);
+                    self.gained.insert(slice, (fence, now));
                     self.wells.retain(|tenant, _| fence::slice(tenant) != slice);
                 }
             }
         }
     }
 
-    /// The part of all rates that is kept back for proxies that are cut off and live on their even share.
-    fn reserved(&self, now: Micros) -> f64 {
-        let all = self.foragers();
-        let unsure = self.missing.values().filter(|since| now < **since + CUT_OFF).count();
-        let cut_off = all.saturating_sub(self.linked() + unsure);
-        cut_off as f64 / all.max(1) as f64
+    /// Proxies that have fallen silent: a count keeps back what they may live on, from when they were last heard.
+    pub(super) fn quiet(&mut self, now: Micros) {
+        let silent = self.heard.iter().filter(|(_, heard)| now >= **heard + QUIET);
+        let silent: Vec<(String, Micros)> = silent.map(|(node, &heard)| (node.clone(), heard)).collect();
+        for (node, since) in silent {
+            self.heard.remove(&node);
+            self.wells.values_mut().for_each(|well| well.missing(now, &node, since));
+            self.missing.insert(node, since);
+        }
+    }
+
+    /// A proxy is heard.
+    pub(super) fn loud(&mut self, now: Micros, node: &str) {
+        if self.missing.remove(node).is_some() {
+            self.wells.values_mut().for_each(|well| well.returned(now, node));
+        }
+        match self.heard.get_mut(node) {
+            Some(heard) => *heard = now,
+            None => {
+                self.heard.insert(node.into(), now);
+            }
+        }
+    }
+
+    /// A proxy's process has ended, and all that it held with it.
+    pub(super) fn over(&mut self, now: Micros, node: &str) {
+        self.missing.remove(node);
+        self.heard.remove(node);
+        self.wells.values_mut().for_each(|well| well.ended(now, node));
+    }
+
+    /// The part of a rate that is kept back for cut-off proxies that a new count has never heard of: who had the duty before
+    /// may have told them a share.
+    fn reserved(&self, now: Micros, slice: usize, tenant: &str) -> f64 {
+        let young = self.gained.get(&slice).is_some_and(|(_, since)| now < *since + YOUNG);
+        if !young {
+            return 0.0;
+        }
+        let unknown =
+            self.missing.keys().filter(|node| self.wells.get(tenant).is_none_or(|well| !well.knows(node)));
+        let elsewhere = self.foragers().saturating_sub(self.linked() + self.missing.len());
+        (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64
     }
 
-    pub(super) fn draw(&mut self, now: Micros, asks: Vec<Ask>) -> Vec<(String, Grant)> {
-        let reserved = self.reserved(now);
+    pub(super) fn draw(&mut self, now: Micros, node: &str, asks: Vec<Ask>) -> Vec<(String, Grant)> {
         let mut grants = Vec::with_capacity(asks.len());
         for ask in asks {
             let slice = fence::slice(&ask.tenant);
@@ -75,17 +114,20 @@
             let grant = match tenant {
                 Some(tenant) if slice < SLICES && self.fence.holds(now, slice) => {
                     let quota = quota(tenant);
+                    let reserved = self.reserved(now, slice, &ask.tenant);
                     let well = self.wells.entry(ask.tenant.clone()).or_insert_with(|| Well::new(now, quota));
-                    let fence = self.gained.get(&slice).copied().unwrap_or_default();
+                    let (fence, _) = self.gained.get(&slice).copied().unwrap_or_default();
                     let back = if ask.fence == fence { ask.back } else { 0.0 };
-                    match well.draw(now, reserved, ask.want, back) {
+                    let drawn = well.draw(now, node, reserved, ask.want, back);
+                    let share = drawn.share;
+                    match drawn.units {
                         Ok(units) => {
                             self.figures[2] += units as u64;
-                            Grant::Block { units, life: self.birth.bounds.life(quota), fence }
+                            Grant::Block { units, life: self.birth.bounds.life(quota), fence, share }
                         }
-                        Err(dry) => {
+                        Err(wait) => {
                             self.figures[3] += 1;
-                            Grant::Dry(dry)
+                            Grant::Dry { wait, share }
                         }
                     }
                 }
