Servers outlive a loss of all memory; proxies are linked to all who count

Its core has four machines, of which three vote and hold duties; a proxy was linked to three of the four, so most lacked one who counts.

Ruled out: links to all machines of the core (they grow with it; voters are three at the most).

Change: a registry tells who votes, and proxies link to those first. The machine's store keeps what the registry knows of servers, written at the pulse and never waited for; marks of servers that left are forgotten by the time of day that they carry, the same at all, and a lost one has left after two minutes. A proxy opens no more connections to a server than its part of what the server accepts.

--- a/crates/cells/src/item.rs
+++ b/crates/cells/src/item.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Forgets all that this says so of.
+    pub fn forget_if(&mut self, is: impl Fn(&Item) -> bool) {
+        let keys: Vec<Key> =
+            self.items.values().filter(|item| is(item)).map(|item| item.key.clone()).collect();
+        keys.iter().for_each(|key| self.forget(key));
+    }
+
     /// What there is here, in short.
     pub fn summary(&self) -> Vec<Line> {
         self.items.values().map(|item| (item.key.number(), item.version)).collect()
--- a/crates/cells/src/server.rs
+++ b/crates/cells/src/server.rs
@@ -45,6 +45,8 @@
 const LONGEST: usize = 64 * 1024;
 /// The number of calls that a leave counts as: none is higher.
 const LAST: u64 = u64::MAX;
+/// The mark of one that has left is kept for so long, in seconds; by then nothing that speaks of it is under way.
+const MARKED: u64 = 300;
 
 /// A beat as a server sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -99,10 +101,16 @@
         Item { key: Key::new(Kind::Server, id), version: Version(calls, self.state as u64), value }
     }
 
-    /// The item of one that has left.
-    pub fn left(mut self, id: &str) -> Item {
-        self.state = State::Gone;
-        self.item(id, LAST)
+    /// The mark of one that has left, at this time of day in seconds.
+    pub fn left(id: &str, wall: u64) -> Item {
+        Item { key: Key::new(Kind::Server, id), version: Version(LAST, wall), value: None }
+    }
+
+    /// Whether an item is the mark of one that left so long ago that it is to be forgotten, and not taken from others.
+    /// Danger: marks kept for good grow with all servers that ever were, and marks that each forgets by a clock of its
+    /// own would go back and forth between them.
+    pub fn past(item: &Item, wall: u64) -> bool {
+        item.version.0 == LAST && item.version.1.saturating_add(MARKED) < wall
     }
 
     /// Reads what an item holds.
@@ -146,11 +154,14 @@
         );
         expect_that!(cells.merge(as_in(State::Lost).item("i", 5)), eq(true));
         expect_that!(cells.merge(as_in(State::Draining).item("i", 6)), eq(true), "it beats again");
-        expect_that!(cells.merge(beat.server.clone().left("i")), eq(true));
+        expect_that!(cells.merge(Server::left("i", 1_000)), eq(true));
         expect_that!(cells.merge(as_in(State::Ready).item("i", 7)), eq(false));
         let cooler = Server { warmup_ms: 0, ..beat.server.clone() };
         expect_that!(cooler.says_no_more_than(&beat.server), eq(true));
         expect_that!(beat.server.says_no_more_than(&cooler), eq(false));
+        let mark = Server::left("i", 1_000);
+        expect_that!([1_000, 1_300, 1_301].map(|wall| Server::past(&mark, wall)), eq([false, false, true]));
+        expect_that!(Server::past(&beat.server.item("i", 4), u64::MAX), eq(false));
     }
 
     #[gtest]
--- a/crates/comb/src/disk.rs
+++ b/crates/comb/src/disk.rs
@@ -27,7 +27,8 @@
     Database(PathBuf, rusqlite::Error),
 }
 
-const KINDS: [Kind; 4] = Kind::CONFIG;
+/// Kinds by the number that they have on disk.
+const KINDS: [Kind; 5] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server];
 
 /// The database.
 struct Database(Connection);
@@ -100,6 +101,18 @@
                 params![kind as i64, item.key.name, item.version.0 as i64, item.version.1 as i64, item.value],
             )?;
         }
+        // What is no more than a mark of a server that left needs no place once nobody speaks of it.
+        if change.settled.iter().any(|item| item.key.kind == Kind::Server) {
+            let newest =
+                change.settled.iter().filter(|item| item.value.is_none()).map(|item| item.version.1).max();
+            if let Some(newest) = newest {
+                let past = newest.saturating_sub(600) as i64;
+                whole.execute(
+                    "DELETE FROM cells WHERE kind = 4 AND value IS NULL AND tie < ?1",
+                    params![past],
+                )?;
+            }
+        }
         whole.commit()
     }
 }
--- a/crates/comb/src/run.rs
+++ b/crates/comb/src/run.rs
@@ -7,8 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pinerelay_cells::{call, hash};
+use pinerelay_cells::server::Server;
+use pinerelay_cells::{call, hash, Cells, Item};
 use pinerelay_dance::store::Birth;
+use pinerelay_dance::voter::Change;
 use pinerelay_dance::{Input, Output, Reply, Request, Store};
 use pinerelay_propolis::link::{Event, Links, Peer, Wanted, PULSE};
 use pinerelay_propolis::ports;
@@ -36,6 +38,10 @@
 
 struct Comb {
     store: Store,
+    /// What the machine's registry knows of servers: kept for a day on which all memory is lost at once, and never waited
+    /// for.
+    hive: Cells,
+    unkept: Vec<Item>,
     links: Rc<Links>,
     disk: Disk,
     hello: Hello,
@@ -47,6 +53,8 @@
     last_call: u64,
     unwritten: usize,
     begun: Instant,
+    /// The time of day then, in seconds.
+    wall: u64,
     stood: Option<(Vec<String>, bool)>,
 }
 
@@ -74,7 +82,18 @@
     let (links, mut events) = Links::new();
     links.listen(ports::at(&settings, settings.ip, ports::COMB))?;
     let mut first = Vec::new();
+    let (mut hive, mut kept) = (Cells::default(), kept);
+    if let Some(kept) = &mut kept {
+        let (config, others) =
+            std::mem::take(&mut kept.cells).into_iter().partition(|i| i.key.kind.is_config());
+        kept.cells = config;
+        hive.merge_all(others);
+        hive.forget_if(|item| Server::past(item, now.as_secs()));
+    }
     let mut comb = Comb {
+        hive,
+        unkept: Vec::new(),
+        wall: now.as_secs(),
         store: Store::new(birth, kept, &mut first),
         links,
         disk,
@@ -121,6 +140,7 @@
         }
         comb.stands(Instant::now() >= pulse_at);
         if Instant::now() >= pulse_at {
+            comb.keep();
             pulse_at = Instant::now() + PULSE;
         }
     }
@@ -158,7 +178,7 @@
         self.stood = Some(stands);
         let scouts = self.of(Role::Scout);
         self.links.say_all(scouts.iter().copied(), &speech);
-        let digest = Speech::Digest([self.store.cells().digest(), 0]);
+        let digest = Speech::Digest([self.store.cells().digest(), self.hive.digest()]);
         self.links.say_all(scouts, &digest);
         if pulse {
             let combs = self.of(Role::Comb);
@@ -166,6 +186,17 @@
         }
     }
 
+    /// Writes what it was told of servers since the last time.
+    fn keep(&mut self) {
+        let wall = self.wall + self.begun.elapsed().as_secs();
+        self.hive.forget_if(|item| Server::past(item, wall));
+        let settled = std::mem::take(&mut self.unkept);
+        if !settled.is_empty() {
+            self.unwritten += 1;
+            self.disk.write(0, Change { settled, ..Change::default() });
+        }
+    }
+
     fn of(&self, role: Role) -> Vec<Peer> {
         self.peers.iter().filter(|(_, hello)| hello.role == role).map(|(&peer, _)| peer).collect()
     }
@@ -195,20 +226,28 @@
                 let from = hello.ip.clone();
                 self.give(Input::Heard(from, word));
             }
-            Speech::Summary { lines, answer, .. } if hello.role == Role::Scout => {
-                let (newer, behind) = self.store.cells().beside(&lines);
+            Speech::Summary { realm, lines, answer } if hello.role == Role::Scout => {
+                let cells = if realm == 0 { self.store.cells() } else { &self.hive };
+                let (newer, behind) = cells.beside(&lines);
                 if !newer.is_empty() {
                     self.links.say(peer, &Speech::News(newer));
                 }
                 // What a registry has settled items of, this store may have missed.
                 if behind && answer {
-                    let lines = self.store.cells().summary();
-                    self.links.say(peer, &Speech::Summary { realm: 0, lines, answer: false });
+                    let lines = cells.summary();
+                    self.links.say(peer, &Speech::Summary { realm, lines, answer: false });
                 }
             }
             Speech::News(items) if hello.role == Role::Scout => {
                 let from = hello.ip.clone();
-                let items = items.into_iter().filter(|item| item.key.kind.is_config()).collect();
+                let (items, others): (Vec<_>, Vec<_>) =
+                    items.into_iter().partition(|item| item.key.kind.is_config());
+                let wall = self.wall + self.begun.elapsed().as_secs();
+                let others = others.into_iter().filter(|item| !Server::past(item, wall));
+                self.unkept.extend(self.hive.merge_all(others));
+                if items.is_empty() {
+                    return;
+                }
                 self.give(Input::Heard(from, pinerelay_dance::Word::News(items)));
             }
             Speech::Pass(number, passed) if hello.role == Role::Scout => {
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -17,7 +17,8 @@
 /// How often it says what it has, and that it is there: the counts keep back the share of one that is not heard.
 const PULSE: Micros = 600_000;
 const HERE: Micros = 200_000;
-/// A proxy knows and watches so many registries; rendezvous hashing names them.
+/// A proxy knows and watches so many registries: those that duties are cut over, of which there are no more, and where they
+/// are not reached, others that rendezvous hashing names.
 const REGISTRIES: usize = 3;
 
 /// What the proxy wants done.
@@ -88,7 +89,10 @@
     /// The registries that it wants links to.
     pub fn wanted(&self) -> Vec<String> {
         let all: BTreeSet<&String> = self.seeds.iter().chain(&self.known).collect();
-        let named = rendezvous(&self.hello.node, all);
+        let voters = self.registries.values().filter_map(|r| r.standing.as_ref()).map(|s| &s.voters);
+        let voters: Vec<&String> = voters.max_by_key(|v| v.len()).into_iter().flatten().collect();
+        let mut named = voters.clone();
+        named.extend(rendezvous(&self.hello.node, all.into_iter().filter(|ip| !voters.contains(ip))));
         // One that does not answer must not leave it with fewer than there are.
         let linked: BTreeSet<&String> = self.registries.values().map(|r| &r.hello.ip).collect();
         let mut wanted: Vec<String> = Vec::new();
@@ -271,6 +275,8 @@
         }
         if now >= self.pulse_at {
             self.pulse_at = now + PULSE;
+            // The proxy's clock is the time of day at its begin, and goes on steadily.
+            self.realms[1].forget_if(|item| Server::past(item, now / 1_000_000));
             let digest = Speech::Digest(self.digests());
             out.extend(self.registries.keys().map(|&peer| Output::Say(peer, digest.clone())));
         }
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -123,6 +123,8 @@
     /// A new configuration is in force.
     pub fn configure(&self, table: Arc<Table>) {
         self.room.lengthen(table.limits.body_bytes);
+        let most = table.services.values().map(|service| (service.name.clone(), service.max_conns));
+        self.hosts.most.replace(most.collect());
         self.table.store(table);
     }
 
--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -56,6 +56,33 @@
     generation: u64,
     idle: Vec<Kept>,
     distrusted: Option<Instant>,
+    service: String,
+    /// Open connections.
+    open: Rc<Cell<usize>>,
+}
+
+/// A connection's place among those that a server accepts of this node.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(open: &Rc<Cell<usize>>) -> Place {
+        open.set(open.get() + 1);
+        Place(open.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Why there is no connection.
+enum NoLine {
+    /// None came up, or the server takes nothing new.
+    Failed,
+    /// This node has as many as are its part of what the server accepts.
+    Full,
 }
 
 /// Where all servers are, and the connections kept to them.
@@ -66,8 +93,10 @@
     reuse: Reuse,
     /// What may be sent to a second server.
     pub tries: RefCell<Tries>,
-    /// Among how many nodes that is shared.
+    /// Among how many nodes that is shared, and what servers accept.
     pub nodes: Cell<usize>,
+    /// By service: how many connections one of its servers accepts, of all callers together.
+    pub most: RefCell<BTreeMap<String, u64>>,
     opened: Cell<u64>,
     sent: Cell<u64>,
     spoilt: Cell<u64>,
@@ -92,6 +121,7 @@
             reuse: Reuse::new(),
             tries: RefCell::new(tries),
             nodes: Cell::new(1),
+            most: RefCell::default(),
             opened: Cell::new(0),
             sent: Cell::new(0),
             spoilt: Cell::new(0),
@@ -155,6 +185,8 @@
             generation: next,
             idle: Vec::new(),
             distrusted: None,
+            service: server.service.clone(),
+            open: Rc::default(),
         });
         if host.address != address {
             (host.address, host.generation) = (address, next);
@@ -172,33 +204,47 @@
         self.hosts.borrow().get(&server).is_some_and(|h| h.up && h.generation == generation)
     }
 
-    /// A kept connection or a new one; none if none came up.
-    async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Option<Line> {
-        let (address, generation, name) = {
+    /// This node's part of the connections that a server of a service accepts.
+    fn part(&self, service: &str) -> usize {
+        let most = self.most.borrow().get(service).copied().filter(|&most| most > 0);
+        most.map_or(usize::MAX, |most| (most as usize / self.nodes.get()).max(2))
+    }
+
+    /// A kept connection or a new one.
+    async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
+        let (address, generation, name, place) = {
             let mut hosts = self.hosts.borrow_mut();
-            let host = hosts.get_mut(&server).filter(|host| host.up)?;
+            let host = hosts.get_mut(&server).filter(|host| host.up).ok_or(NoLine::Failed)?;
             let trusted = host.distrusted.is_none_or(|since| since.elapsed() > DISTRUST);
             while let Some(kept) = host.idle.pop().filter(|_| !fresh_only && trusted) {
                 if self.usable(&kept) {
                     let (generation, idle) = (host.generation, Some(kept.since.elapsed()));
                     let name = host.name.clone();
-                    return Some(Line { connection: kept.connection, generation, name, idle });
+                    return Ok(Line { connection: kept.connection, generation, name, idle });
                 }
             }
-            (host.address, host.generation, host.name.clone())
+            if host.open.get() >= self.part(&host.service) {
+                return Err(NoLine::Full);
+            }
+            (host.address, host.generation, host.name.clone(), Place::take(&host.open))
         };
         let budget = &self.common.budget;
         let connect = async {
             let close_one = || self.close_an_idle() || budget.close_an_idle_client();
             let slot = budget.room(|| budget.for_server(), close_one).await;
-            Connection::open(address, slot, None).await
+            Connection::open(address, (slot, place), None).await
         };
         // Danger: a machine that has vanished must not take the time in which another could still be asked.
         let patience = CONNECT.min((left / 4).max(CONNECT_LEAST));
-        let connection = timeout(patience, connect).await.ok()?.ok()?;
+        let connection = match timeout(patience, connect).await {
+            Ok(Ok(connection)) => connection,
+            _ => return Err(NoLine::Failed),
+        };
         self.opened.set(self.opened.get() + 1);
         // What is known of it may have changed while the connection came up.
-        self.stands(server, generation).then_some(Line { connection, generation, name, idle: None })
+        self.stands(server, generation)
+            .then_some(Line { connection, generation, name, idle: None })
+            .ok_or(NoLine::Failed)
     }
 
     fn give_back(&self, server: ServerId, connection: Connection, generation: u64, keep: Duration) {
@@ -277,11 +323,11 @@
         let until = upload.map_or_else(|| self.clock.instant(stop), |upload| begun + upload.wait);
         let (mut fresh_only, mut again) = (false, None);
         loop {
-            let Ok(Some(line)) =
-                timeout_at(until, hosts.line(server, fresh_only, until - Instant::now())).await
-            else {
+            let line = match timeout_at(until, hosts.line(server, fresh_only, until - Instant::now())).await {
+                Ok(Ok(line)) => line,
+                Ok(Err(NoLine::Full)) => return (Outcome::Full, None),
                 // Nothing has been written.
-                return (Outcome::ConnectFailed, None);
+                _ => return (Outcome::ConnectFailed, None),
             };
             if hosts.common.vigil.behind() {
                 // Danger: what forbids this server may lie unread.
--- a/crates/forager/tests/stage/mod.rs
+++ b/crates/forager/tests/stage/mod.rs
@@ -244,9 +244,14 @@
 
 /// Plays a registry on one connection.
 fn tell(mut stream: TcpStream, items: &[Item]) {
-    let hello =
-        Hello { node: "core-1".into(), ip: "127.0.0.1".into(), role: Role::Scout, life: 1 };
-    let standing = Standing { scouts: vec!["127.0.0.1".into()], foragers: 1, majority: true, whole: true };
+    let hello = Hello { node: "core-1".into(), ip: "127.0.0.1".into(), role: Role::Scout, life: 1 };
+    let standing = Standing {
+        scouts: vec!["127.0.0.1".into()],
+        voters: vec!["127.0.0.1".into()],
+        foragers: 1,
+        majority: true,
+        whole: true,
+    };
     let mut cells = pinerelay_cells::Cells::default();
     cells.merge_all(items.iter().filter(|item| item.key.kind.is_config()).cloned());
     let mut out = GREETING.to_vec();
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -64,6 +64,8 @@
 pub struct Standing {
     /// The registries that it knows, itself too: their addresses.
     pub scouts: Vec<String>,
+    /// The machines of the core that vote, and that duties are cut over.
+    pub voters: Vec<String>,
     /// How many proxies share the tenants' rates.
     pub foragers: u32,
     /// It reaches a majority of the core.
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -7,7 +7,8 @@
 
 use pinerelay_cells::item::Line;
 use pinerelay_cells::routes::Table;
-use pinerelay_cells::{Cells, Item};
+use pinerelay_cells::server::Server;
+use pinerelay_cells::{Cells, Item, Key, Kind};
 use pinerelay_nectar::fence::Fence;
 use pinerelay_nectar::terms::Bounds;
 use pinerelay_nectar::well::Well;
@@ -48,6 +49,8 @@
     pub hello: Hello,
     /// The whole system starts for the first time.
     pub first: bool,
+    /// The time of day at the process's begin, in seconds.
+    pub wall: u64,
     /// How often servers tell of themselves.
     pub heartbeat: Micros,
     /// Of quotas.
@@ -71,6 +74,8 @@
     /// What each store's items came to, as it said last.
     stored: BTreeMap<Peer, u64>,
     beaten: BTreeMap<String, Beaten>,
+    /// Servers that are lost, and since when.
+    lost: BTreeMap<String, Micros>,
     numbers: BTreeMap<u64, String>,
     holding: BTreeMap<u64, Holding>,
     /// Servers whose leaving is known elsewhere, too.
@@ -113,6 +118,7 @@
             stores: BTreeMap::new(),
             stored: BTreeMap::new(),
             beaten: BTreeMap::new(),
+            lost: BTreeMap::new(),
             numbers: BTreeMap::new(),
             holding: BTreeMap::new(),
             held: BTreeSet::new(),
@@ -141,7 +147,7 @@
 
     /// Whether a store on its own machine is linked.
     pub fn has_own_store(&self) -> bool {
-        self.stores.keys().any(|peer| self.peers.get(peer).is_some_and(|h| h.ip == self.birth.hello.ip))
+        self.own_store().is_some()
     }
 
     /// The configuration's items, and all others.
@@ -149,6 +155,18 @@
         &self.realms
     }
 
+    fn wall(&self, now: Micros) -> u64 {
+        self.birth.wall + now / 1_000_000
+    }
+
+    /// The store on its own machine, which keeps the servers for a day on which all memory is lost at once.
+    fn own_store(&self) -> Option<Peer> {
+        self.stores
+            .keys()
+            .find(|peer| self.peers.get(peer).is_some_and(|h| h.ip == self.birth.hello.ip))
+            .copied()
+    }
+
     fn of(&self, role: Role) -> Vec<Peer> {
         self.peers.iter().filter(|(_, hello)| hello.role == role).map(|(&peer, _)| peer).collect()
     }
@@ -297,6 +315,7 @@
         scouts.sort();
         Standing {
             scouts,
+            voters: self.voters.clone(),
             foragers: (self.linked() + self.missing.len()) as u32,
             majority: self.majority.is_some(),
             whole: self.whole,
@@ -306,7 +325,8 @@
     /// Takes items that are news, and passes them on to those who have not heard them from their source.
     fn merge(&mut self, from: Peer, hello: &Hello, items: Vec<Item>, out: &mut Vec<Output>) {
         let mut news = Vec::new();
-        for item in items {
+        let wall = self.wall(self.ticked);
+        for item in items.into_iter().filter(|item| !Server::past(item, wall)) {
             let realm = usize::from(!item.key.kind.is_config());
             if self.realms[realm].merge(item.clone()) {
                 self.noted(&item);
@@ -321,17 +341,21 @@
             self.look();
         }
         // What another registry says it has told its proxies itself; digests mend what they have missed.
-        let mut to = if hello.role == Role::Scout { Vec::new() } else { self.of(Role::Forager) };
+        // One that does not vote has no proxies.
+        let told = hello.role == Role::Scout && self.voters.contains(&hello.ip);
+        let mut to = if told { Vec::new() } else { self.of(Role::Forager) };
         if hello.role == Role::Forager {
             to.extend(self.scouts().into_values());
         }
+        if hello.role != Role::Comb && news.iter().any(|item| !item.key.kind.is_config()) {
+            to.extend(self.own_store());
+        }
         to.retain(|peer| *peer != from);
         out.push(Output::SayAll(to, Speech::News(news)));
     }
 
     fn digest(&mut self, peer: Peer, hello: &Hello, digests: [u64; 2], out: &mut Vec<Output>) {
-        let realms = if hello.role == Role::Comb { 1 } else { 2 };
-        for (realm, digest) in digests.into_iter().enumerate().take(realms) {
+        for (realm, digest) in digests.into_iter().enumerate() {
             if digest != self.realms[realm].digest() {
                 let lines = self.realms[realm].summary();
                 out.push(Output::Say(peer, Speech::Summary { realm: realm as u8, lines, answer: true }));
@@ -379,8 +403,7 @@
     fn pass(&mut self, now: Micros, call: u64, passed: Passed, out: &mut Vec<Output>) {
         self.figures[1] += 1;
         // The machine's own store first; else any.
-        let own = |peer: &&Peer| self.peers.get(peer).is_some_and(|h| h.ip == self.birth.hello.ip);
-        let store = self.stores.keys().find(own).or(self.stores.keys().next()).copied();
+        let store = self.own_store().or(self.stores.keys().next().copied());
         let Some(store) = store else {
             return out.push(Output::Answer(call, error(503, "no store is reached")));
         };
@@ -425,10 +448,13 @@
         all.extend(scouts.values());
         out.push(Output::SayAll(all.clone(), Speech::Standing(self.standing())));
         out.push(Output::SayAll(all, Speech::Digest(self.digests())));
+        let wall = self.wall(now);
+        self.realms[1].forget_if(|item| Server::past(item, wall));
+        self.held.retain(|id| self.realms[1].get(&Key::new(Kind::Server, id.as_str())).is_some());
         self.place(out);
         let heard = self.heard_here(now);
         out.push(Output::SayAll(scouts.into_values().collect(), Speech::Beats(heard)));
-        out.push(Output::SayAll(self.of(Role::Comb), Speech::Digest(self.digests())));
+        out.push(Output::SayAll(self.own_store().into_iter().collect(), Speech::Digest(self.digests())));
     }
 
     /// Gives its duties up, at a planned end.
@@ -441,8 +467,8 @@
 
     fn figures(&self, now: Micros) -> Vec<(String, f64)> {
         let servers = |state| {
-            let states = self.realms[1].standing(pinerelay_cells::Kind::Server);
-            let states = states.filter_map(|(_, v)| pinerelay_cells::server::Server::read(v));
+            let states = self.realms[1].standing(Kind::Server);
+            let states = states.filter_map(|(_, v)| Server::read(v));
             states.filter(|server| server.state == state).count() as f64
         };
         use pinerelay_cells::server::State;
--- a/crates/scout/src/registry/servers.rs
+++ b/crates/scout/src/registry/servers.rs
@@ -1,6 +1,6 @@
 //! Servers: what they tell of themselves, who else has to know, and which have fallen silent.
 
-use pinerelay_cells::item::{Item, Key, Kind, Version};
+use pinerelay_cells::item::{Item, Key, Kind};
 use pinerelay_cells::server::{Beat, Server, State};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::speech::{Answered, Speech};
@@ -9,6 +9,8 @@
 
 /// A server that has not been heard for so many of its beats is lost.
 const BEATS: f64 = 3.2;
+/// One that stays lost for so long has left.
+const LOST: Micros = 120_000_000;
 /// Another registry has so long to say that it holds a leaving: the server waits for a second.
 const HOLD: Micros = 700_000;
 
@@ -58,9 +60,9 @@
 
     pub(super) fn leave(&mut self, now: Micros, call: u64, id: &str, out: &mut Vec<Output>) {
         let key = Key::new(Kind::Server, id);
-        let version = Version(u64::MAX, State::Gone as u64);
-        let item = Item { key: key.clone(), version, value: None };
-        if self.realms[1].merge(item.clone()) {
+        let known = self.realms[1].get(&key).is_some_and(|item| item.value.is_none());
+        let item = Server::left(id, self.wall(now));
+        if !known && self.realms[1].merge(item.clone()) {
             self.held.remove(id);
             self.noted(&item);
             self.tell(item, out);
@@ -75,6 +77,7 @@
     fn tell(&self, item: Item, out: &mut Vec<Output>) {
         let mut to = self.of(pinerelay_propolis::speech::Role::Forager);
         to.extend(self.scouts().into_values());
+        to.extend(self.own_store());
         out.push(Output::SayAll(to, Speech::News(vec![item])));
     }
 
@@ -107,7 +110,13 @@
         }
         let id = &item.key.name;
         self.numbers.insert(item.key.number(), id.clone());
-        if item.value.is_none() {
+        let server = item.value.as_deref().and_then(Server::read);
+        if server.as_ref().is_some_and(|server| server.state == State::Lost) {
+            self.lost.entry(id.clone()).or_insert(self.ticked);
+        } else {
+            self.lost.remove(id);
+        }
+        if server.is_none_or(|server| server.state == State::Lost) {
             self.beaten.remove(id);
         } else {
             let now = self.ticked;
@@ -146,6 +155,16 @@
                 out.push(Output::Answer(call, error(503, "no other registry holds it")));
             }
         }
+        let wall = self.wall(now);
+        let over: Vec<String> =
+            self.lost.iter().filter(|(_, since)| now >= **since + LOST).map(|(id, _)| id.clone()).collect();
+        for id in over {
+            let left = Server::left(&id, wall);
+            if self.realms[1].merge(left.clone()) {
+                self.noted(&left);
+                self.tell(left, out);
+            }
+        }
         let silence = (BEATS * self.birth.heartbeat as f64) as Micros;
         if self.majority.is_none_or(|since| now < since + silence) {
             return;
@@ -159,6 +178,7 @@
             if server.state != State::Lost {
                 let lost = Server { state: State::Lost, ..server }.item(&id, item.version.0);
                 if self.realms[1].merge(lost.clone()) {
+                    self.noted(&lost);
                     log::info!("server {id} is lost: not heard for {} ms", silence / 1_000);
                     self.tell(lost, out);
                 }
--- a/crates/scout/src/run.rs
+++ b/crates/scout/src/run.rs
@@ -80,6 +80,7 @@
     let birth = Birth {
         hello: Hello { node: settings.node.clone(), ip: me.clone(), role: Role::Scout, life },
         first: settings.first_start,
+        wall: now.as_secs(),
         heartbeat: settings.heartbeat.micros(),
         bounds: Bounds {
             period: bounds.quota_period.0,
