One command brings up a small gateway on loopback, plays troubles, and judges it

Ruled out: reusing the rehearsal kit's stand-ins and judge, which speak the edge node's protocol (a counter, a list of servers, plans) and not this one; use of the gateway's own packages by the judge, which would read a rule wrongly as the programs do; programs as dependencies of the test, which cargo does not offer across packages.

Change: the package pinerelay-meadow. Its program starts scout and comb on three core addresses and forager on three edge addresses of 127.0.1.x, stand-in servers, an operator and clients; a server leaves, one crashes with unsafe requests at work, a core machine is killed and comes back, a proxy ends by SIGTERM and comes back, a configuration changes, and a tenant asks for some five times its rate. Ten rules are judged by what servers, clients and operator saw; a rule that was held against nothing gives no verdict. A test plays the short form, with the programs built as they stand.

--- /dev/null
+++ b/crates/meadow/src/cli.rs
@@ -0,0 +1,171 @@
+//! The command line of the meadow.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use getopts::Options;
+use thiserror::Error;
+use tokio::runtime::LocalOptions;
+use tokio::signal::unix::{signal, SignalKind};
+
+use crate::field::terms;
+use crate::judge::{judge, verdict, Verdict};
+use crate::play::{Play, PlayError};
+use crate::report;
+
+/// How long clients ask, in seconds: without a word, and at the least and the most.
+const SECONDS: f64 = 20.0;
+const SECONDS_LEAST: f64 = 6.0;
+const SECONDS_MOST: f64 = 3_600.0;
+
+const EXIT_CODES: &str = "
+Exit codes:
+    0  all rules were kept
+    1  a rule was broken
+    2  the command line can't be followed
+    3  no verdict: it was cut short, could not be played, or a rule was held against nothing";
+
+/// What the meadow was called for.
+#[derive(Debug, PartialEq)]
+pub enum Command {
+    /// Play for so long; whether the gateway is left running then.
+    Play(Duration, bool),
+    /// Print this and end.
+    Print(String),
+}
+
+/// Why a command line can't be followed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// It has what is not known, or lacks a value.
+    #[error("{0}")]
+    Odd(#[from] getopts::Fail),
+    /// It has what is no option.
+    #[error("{0:?} is no option; --help tells them all")]
+    Free(String),
+    /// The seconds are none.
+    #[error("--seconds: a number from {SECONDS_LEAST} to {SECONDS_MOST} is wanted, not {0:?}")]
+    Seconds(String),
+}
+
+/// Reads a command line without the program's name.
+pub fn read(args: impl IntoIterator<Item = String>) -> Result<Command, CommandError> {
+    let mut options = Options::new();
+    options.optopt("s", "seconds", "how long clients ask (20); troubles may take a little longer", "N");
+    options.optflag("k", "keep", "leave the gateway running at the end, and print its addresses");
+    options.optflag("h", "help", "print this and end");
+    let found = options.parse(args)?;
+    if found.opt_present("help") {
+        let job =
+            "meadow: brings up a small gateway on loopback, plays troubles, and says whether its rules hold";
+        let usage = options.usage(&format!("{job}\nusage: meadow [OPTIONS]"));
+        return Ok(Command::Print(format!("{}\n{EXIT_CODES}", usage.trim_end())));
+    }
+    if let Some(free) = found.free.first() {
+        return Err(CommandError::Free(free.clone()));
+    }
+    let seconds = match found.opt_str("seconds") {
+        None => SECONDS,
+        Some(text) => {
+            let number = text.parse().ok().filter(|n| (SECONDS_LEAST..=SECONDS_MOST).contains(n));
+            number.ok_or(CommandError::Seconds(text))?
+        }
+    };
+    Ok(Command::Play(Duration::from_secs_f64(seconds), found.opt_present("keep")))
+}
+
+/// Follows a command line.
+pub fn main(args: impl IntoIterator<Item = String>) -> ExitCode {
+    let (length, keep) = match read(args) {
+        Ok(Command::Play(length, keep)) => (length, keep),
+        Ok(Command::Print(text)) => {
+            println!("{text}");
+            return 0.into();
+        }
+        Err(error) => {
+            eprintln!("meadow: {error}");
+            return 2.into();
+        }
+    };
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().build_local(LocalOptions::default());
+    let played =
+        runtime.map_err(PlayError::Server).and_then(|runtime| runtime.block_on(follow(length, keep)));
+    match played {
+        Ok(Some(Verdict::Kept)) => 0.into(),
+        Ok(Some(Verdict::Broken)) => 1.into(),
+        Ok(Some(Verdict::Unproven)) => 3.into(),
+        Ok(None) => {
+            eprintln!("meadow: cut short");
+            3.into()
+        }
+        Err(error) => {
+            eprintln!("meadow: {error}");
+            3.into()
+        }
+    }
+}
+
+/// Plays, unless it is told to end before; its processes end with it.
+async fn follow(length: Duration, keep: bool) -> Result<Option<Verdict>, PlayError> {
+    let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
+    let cut = async {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+    };
+    tokio::pin!(cut);
+    let programs = std::env::current_exe()?.parent().map(PathBuf::from).unwrap_or_default();
+    let mut play = tokio::select! {
+        play = Play::begin(programs) => play?,
+        () = &mut cut => return Ok(None),
+    };
+    println!("logs and settings are in {}\n", play.site.folder().display());
+    tokio::select! {
+        played = play.run(length) => played?,
+        () = &mut cut => return Ok(None),
+    }
+    let findings = judge(&play.field.records.borrow(), &terms());
+    let verdict = verdict(&findings);
+    print!("{}", report::write(&play.field, &findings));
+    if keep {
+        println!("\nStill running, until Ctrl-C:\n\n{}", play.addresses());
+        cut.await;
+    }
+    let folder = (verdict == Verdict::Kept).then(|| play.site.folder().to_path_buf());
+    drop(play);
+    if let Some(folder) = folder {
+        // What can't be removed lies under the system's folder for passing things.
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    Ok(Some(verdict))
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn said(args: &[&str]) -> std::result::Result<Command, String> {
+        read(args.iter().map(|a| a.to_string())).map_err(|e| e.to_string())
+    }
+
+    #[gtest]
+    fn options_are_read_and_what_is_odd_is_told() {
+        let play = |seconds, keep| Ok(Command::Play(Duration::from_secs(seconds), keep));
+        expect_that!(said(&[]), eq(&play(20, false)));
+        expect_that!(said(&["--seconds", "8", "--keep"]), eq(&play(8, true)));
+        for bad in ["5", "x", "inf", "nan", "-8"] {
+            let told = said(&[&format!("--seconds={bad}")]);
+            expect_that!(told, err(starts_with("--seconds: a number from 6 to 3600")), "{bad}");
+        }
+        expect_that!(said(&["now"]), err(starts_with("\"now\" is no option")));
+        expect_that!(
+            said(&["--help"]),
+            ok(matches_pattern!(Command::Print(contains_substring("Exit codes"))))
+        );
+    }
+}
--- /dev/null
+++ b/crates/meadow/src/field.rs
@@ -0,0 +1,95 @@
+//! What all parts of a play share: its clock, its figures, and the records that they add to.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::judge::Terms;
+use crate::record::{Micros, Records};
+
+/// How often servers tell of themselves.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// How long a server that leaves still serves.
+pub const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Within this a change is in force.
+pub const APPLY: Duration = Duration::from_millis(2_000);
+/// From SIGTERM to SIGKILL.
+pub const GRACE: Duration = Duration::from_millis(4_000);
+/// The window of quotas.
+pub const QUOTA_PERIOD: Duration = Duration::from_millis(2_000);
+/// The share by which a window may be over.
+pub const QUOTA_OVERRUN: f64 = 0.1;
+/// And the number.
+pub const QUOTA_MARGIN: f64 = 10.0;
+/// The share of requests within quotas that has to be served. Troubles cost some; a gateway that serves nothing keeps all
+/// other rules.
+const SERVED_LEAST: f64 = 0.9;
+
+/// What the judge holds a play against.
+pub fn terms() -> Terms {
+    Terms {
+        drain_timeout: DRAIN_TIMEOUT.as_micros() as Micros,
+        apply: APPLY.as_micros() as Micros,
+        quota_period: QUOTA_PERIOD.as_micros() as Micros,
+        quota_overrun: QUOTA_OVERRUN,
+        quota_margin: QUOTA_MARGIN,
+        served_least: SERVED_LEAST,
+    }
+}
+
+/// What the parts of a play share.
+pub struct Field {
+    begun: Instant,
+    /// What was seen so far.
+    pub records: RefCell<Records>,
+    /// Clients begin nothing more.
+    pub over: Cell<bool>,
+    random: Cell<u64>,
+    last: Cell<u64>,
+    said: RefCell<Vec<(Micros, String)>>,
+}
+
+impl Field {
+    /// A play that begins now.
+    pub fn new() -> Rc<Field> {
+        Rc::new(Field {
+            begun: Instant::now(),
+            records: RefCell::default(),
+            over: Cell::new(false),
+            random: Cell::new(0x9e37_79b9_7f4a_7c15),
+            last: Cell::new(0),
+            said: RefCell::default(),
+        })
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        self.begun.elapsed().as_micros() as Micros
+    }
+
+    /// A number that was not given yet.
+    pub fn number(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+
+    /// A number below `end`, by lot (xorshift; all plays draw the same).
+    pub fn below(&self, end: u64) -> u64 {
+        let mut x = self.random.get();
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.random.set(x);
+        x % end.max(1)
+    }
+
+    /// Notes a trouble or another turn of the play for the report.
+    pub fn say(&self, what: impl Into<String>) {
+        self.said.borrow_mut().push((self.now(), what.into()));
+    }
+
+    /// The turns of the play so far.
+    pub fn said(&self) -> Vec<(Micros, String)> {
+        self.said.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/meadow/src/lib.rs
@@ -0,0 +1,13 @@
+//! A small gateway on loopback: three cores, three proxies, stand-in servers and clients, troubles, and a judge.
+
+pub mod cli;
+pub mod client;
+pub mod field;
+pub mod http;
+pub mod judge;
+pub mod operator;
+pub mod play;
+pub mod record;
+pub mod report;
+pub mod server;
+pub mod site;
--- /dev/null
+++ b/crates/meadow/src/play.rs
@@ -0,0 +1,248 @@
+//! The conduct of a play: brings the gateway up, has servers and clients come, and plays its troubles.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use crate::client::Client;
+use crate::field::Field;
+use crate::http::Line;
+use crate::operator;
+use crate::server::{Plan, Server};
+use crate::site::{Class, Process, Site, SiteError, MACHINES};
+
+/// How long the gateway may take until it is ready, on however slow a machine.
+const UP: Duration = Duration::from_secs(30);
+/// How long the operator goes on asking for one thing.
+const INSIST: Duration = Duration::from_secs(10);
+/// The core machine that is lost: the duty for the quota of a tenant that stays within it is there.
+const LOST: usize = 2;
+/// How long a core machine is down.
+const DOWN: Duration = Duration::from_millis(1_000);
+/// A server that is to crash may take so long until it has something at work.
+const BUSY: Duration = Duration::from_millis(800);
+/// Between a core machine's return and the next trouble.
+const SETTLE: Duration = Duration::from_millis(1_000);
+/// Clients go on for so long after the last trouble.
+const AFTER: Duration = Duration::from_millis(1_000);
+/// How long the last requests may take.
+const LAST: Duration = Duration::from_secs(4);
+/// How often the proxies are asked whether they are ready.
+const ASK: Duration = Duration::from_millis(100);
+
+/// Why a play can't be played.
+#[derive(Debug, Error)]
+pub enum PlayError {
+    /// The site can't be set up.
+    #[error(transparent)]
+    Site(#[from] SiteError),
+    /// A stand-in server can't be started.
+    #[error("a stand-in server can't listen: {0}")]
+    Server(#[from] std::io::Error),
+    /// The operator was not heard.
+    #[error("{0} was not acknowledged in time")]
+    Operator(&'static str),
+    /// A proxy is not ready in time.
+    #[error("proxy {0} was not ready in time")]
+    Proxy(usize),
+}
+
+/// A gateway that is up, and what stands around it.
+pub struct Play {
+    /// What all parts share.
+    pub field: Rc<Field>,
+    /// The machines.
+    pub site: Site,
+    scouts: Vec<Process>,
+    combs: Vec<Process>,
+    foragers: Vec<Process>,
+    servers: Vec<Rc<Server>>,
+    clients: Vec<JoinHandle<()>>,
+    leaving: Rc<RefCell<usize>>,
+}
+
+/// Whether a proxy says that it is ready.
+async fn ready(site: &Site, n: usize) -> bool {
+    let address = site.readiness(n);
+    let Ok(mut line) = Line::open(address).await else { return false };
+    let request =
+        hyper::Request::get("/-/ready").header("host", address.to_string()).body(Default::default());
+    let Ok(request) = request else { return false };
+    timeout(Duration::from_secs(1), line.send(request)).await.is_ok_and(|r| r.is_ok_and(|r| r.status == 200))
+}
+
+impl Play {
+    /// Brings a gateway up with its programs from this folder, and waits until all its proxies are ready.
+    pub async fn begin(programs: PathBuf) -> Result<Play, PlayError> {
+        let field = Field::new();
+        let site = Site::new(programs)?;
+        let start = |class, program| {
+            (0..MACHINES).map(|n| site.start(class, n, program, true)).collect::<Result<Vec<_>, _>>()
+        };
+        let combs = start(Class::Core, "comb")?;
+        let scouts = start(Class::Core, "scout")?;
+        let foragers = start(Class::Edge, "forager")?;
+        let (servers, clients) = Default::default();
+        let leaving = Rc::default();
+        let mut play = Play { field, site, scouts, combs, foragers, servers, clients, leaving };
+        for n in 0..MACHINES {
+            play.server("bells", n).await?;
+        }
+        for n in MACHINES..2 * MACHINES {
+            play.server("posts", n).await?;
+        }
+        if !operator::first(&play.field, &play.site.controls(), UP).await {
+            return Err(PlayError::Operator("the first configuration"));
+        }
+        for n in 0..MACHINES {
+            play.await_ready(n).await?;
+        }
+        play.field.say("all proxies are ready");
+        Ok(play)
+    }
+
+    /// Starts the server of this number, in a new life.
+    async fn server(&mut self, service: &'static str, n: usize) -> Result<(), PlayError> {
+        // One server is small and queues nothing, so that it turns requests away now and then.
+        let small = n + 1 == 2 * MACHINES;
+        let plan = Plan {
+            id: format!("{service}-{n}-{}", self.field.number()),
+            service,
+            address: self.site.server(n),
+            zone: Site::zone(n),
+            capacity: if small { 1 } else { 4 },
+            queue: if small { 0 } else { 4 },
+            work: Duration::from_millis(20),
+        };
+        let server = Server::start(plan, self.field.clone(), self.site.controls()).await?;
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Waits until a proxy is ready.
+    async fn await_ready(&self, n: usize) -> Result<(), PlayError> {
+        let until = Instant::now() + UP;
+        while !ready(&self.site, n).await {
+            if Instant::now() > until {
+                return Err(PlayError::Proxy(n));
+            }
+            sleep(ASK).await;
+        }
+        Ok(())
+    }
+
+    fn clients_come(&mut self) {
+        let proxies = Rc::new((0..MACHINES).map(|n| self.site.public(n)).collect::<Vec<_>>());
+        let client = |home, keeps| Client::new(self.field.clone(), proxies.clone(), home, keeps);
+        for home in 0..MACHINES {
+            self.clients.push(tokio::task::spawn_local(client(home, true).usual()));
+            self.clients.push(tokio::task::spawn_local(client(home, true).usual()));
+            self.clients.push(tokio::task::spawn_local(client(home, false).usual()));
+            self.clients.push(tokio::task::spawn_local(client(home, true).greedy()));
+        }
+        self.clients.push(tokio::task::spawn_local(client(0, false).probe()));
+    }
+
+    /// Plays for so long, or for as long as the troubles take; then reads the configuration back.
+    pub async fn run(&mut self, length: Duration) -> Result<(), PlayError> {
+        let begun = Instant::now();
+        let at = |share: f64| begun + length.mul_f64(share);
+        let controls = self.site.controls();
+        self.clients_come();
+
+        sleep_until(at(0.08)).await;
+        if !operator::second(&self.field, &controls, INSIST).await {
+            return Err(PlayError::Operator("the change"));
+        }
+        self.field.say("the configuration changed: a route moves, one goes, one comes");
+
+        sleep_until(at(0.16)).await;
+        let leaves = self.servers.remove(0);
+        self.field.say(format!("server {} leaves; another comes", leaves.id()));
+        *self.leaving.borrow_mut() += 1;
+        let leaving = self.leaving.clone();
+        tokio::task::spawn_local(async move {
+            leaves.leave().await;
+            *leaving.borrow_mut() -= 1;
+        });
+        self.server("bells", 2 * MACHINES).await?;
+
+        sleep_until(at(0.28)).await;
+        // The first of the other service: one of its peers has gone from before it.
+        let crashes = self.servers.remove(MACHINES - 1);
+        // What is at work when a server crashes is what a proxy must not send again.
+        let until = Instant::now() + BUSY;
+        while crashes.posts() < 2 && Instant::now() < until {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let posts = crashes.posts();
+        crashes.crash();
+        self.field.say(format!(
+            "server {} crashed with {posts} unsafe requests at work; another comes",
+            crashes.id()
+        ));
+        self.server("posts", 2 * MACHINES + 1).await?;
+
+        sleep_until(at(0.42)).await;
+        self.scouts[LOST].kill();
+        self.combs[LOST].kill();
+        self.field.say(format!("core machine {LOST} lost its processes (SIGKILL)"));
+        sleep(DOWN).await;
+        self.combs[LOST] = self.site.start(Class::Core, LOST, "comb", false)?;
+        self.scouts[LOST] = self.site.start(Class::Core, LOST, "scout", false)?;
+        self.field.say(format!("core machine {LOST} is back, with its disk"));
+
+        sleep(SETTLE).await;
+        sleep_until(at(0.64)).await;
+        self.field.say("proxy 1 was told to end (SIGTERM)");
+        let ended = self.foragers[1].end().await;
+        if ended.is_none_or(|status| !status.success()) {
+            let how = ended.map_or("not at all".into(), |status| status.to_string());
+            self.field.records.borrow_mut().ended.push(format!("forager-1, at SIGTERM: {how}"));
+        }
+        self.field.say("proxy 1 has ended");
+        self.foragers[1] = self.site.start(Class::Edge, 1, "forager", false)?;
+        self.await_ready(1).await?;
+        self.field.say("proxy 1 is back, and ready");
+
+        sleep(AFTER).await;
+        sleep_until(at(1.0)).await;
+        self.field.over.set(true);
+        let until = Instant::now() + LAST;
+        while Instant::now() < until
+            && (*self.leaving.borrow() > 0 || self.clients.iter().any(|client| !client.is_finished()))
+        {
+            sleep(Duration::from_millis(20)).await;
+        }
+        operator::read(&self.field, &controls, INSIST).await;
+        let mut records = self.field.records.borrow_mut();
+        for process in self.scouts.iter_mut().chain(&mut self.combs).chain(&mut self.foragers) {
+            records.watched += 1;
+            if let Some(status) = process.ended() {
+                records.ended.push(format!("{}, unasked: {status}", process.name));
+            }
+        }
+        Ok(())
+    }
+
+    /// Where people may try it: lines to print.
+    pub fn addresses(&self) -> String {
+        let proxies: Vec<String> = (0..MACHINES).map(|n| self.site.public(n).to_string()).collect();
+        let controls: Vec<String> = self.site.controls().iter().map(|c| c.to_string()).collect();
+        let (proxy, ready, control) = (&proxies[0], self.site.readiness(0), &controls[0]);
+        format!(
+            "proxies   {}\ncontrols  {}\nfolder    {}\n\n\
+             curl -i -H 'Host: hill.example' -H 'X-Request-Id: 1' -H 'X-Credential: key-of-bee' http://{proxy}/bell/try\n\
+             curl -i http://{ready}/-/ready\n\
+             curl -i -X POST 'http://{control}/-/rpc?call=config.read'\n",
+            proxies.join(" "),
+            controls.join(" "),
+            self.site.folder().display(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/meadow/src/record.rs
@@ -0,0 +1,128 @@
+//! What clients, servers and the operator of a play saw on their sockets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time since the play began, in microseconds.
+pub type Micros = u64;
+
+/// Items of a configuration: by list and name, the fields that are there, each as its JSON text.
+pub type Items = BTreeMap<(String, String), BTreeMap<String, String>>;
+
+/// What was answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// The `X-Request-Id` that it carries.
+    pub id: Option<String>,
+    /// The `X-Server-Seal` that it carries.
+    pub seal: Option<String>,
+    /// Its body.
+    pub body: String,
+}
+
+/// One try of a client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Try {
+    /// Its id, which no other try has.
+    pub id: String,
+    /// The route's name.
+    pub route: String,
+    /// Whether the route is safe: it may run more than once.
+    pub safe: bool,
+    /// Who owns the key that was sent; none for no key, or for one that nobody owns.
+    pub tenant: Option<String>,
+    /// Method, path and body.
+    pub asked: String,
+    /// When it was begun.
+    pub sent: Micros,
+    /// What was answered; none if the connection ended first, or time ran out.
+    pub answer: Option<Answer>,
+}
+
+/// A request at which a server began to work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The request's id.
+    pub id: String,
+    /// The server's id.
+    pub server: String,
+    /// Its service.
+    pub service: String,
+    /// When it came.
+    pub at: Micros,
+    /// The `X-Tenant` that came with it.
+    pub tenant: Option<String>,
+    /// Whether the client's key came with it.
+    pub key: bool,
+    /// Method, path and body, as they came.
+    pub asked: String,
+    /// The seal of its answer.
+    pub seal: String,
+    /// The body of its answer.
+    pub body: String,
+}
+
+/// A server's planned end that was acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Drained {
+    /// The server's id.
+    pub server: String,
+    /// When the acknowledgement came.
+    pub at: Micros,
+}
+
+/// A change of configuration that was acknowledged: from then on a route goes to these services, or to none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The route's name.
+    pub route: String,
+    /// Where it goes from then on.
+    pub services: BTreeSet<String>,
+    /// When the acknowledgement came.
+    pub at: Micros,
+}
+
+/// What a tenant may run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Quota {
+    /// The tenant's name.
+    pub tenant: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// On top of it.
+    pub burst: f64,
+}
+
+/// All that was seen.
+#[derive(Debug, Clone, Default)]
+pub struct Records {
+    /// Clients' tries.
+    pub tries: Vec<Try>,
+    /// What servers ran.
+    pub runs: Vec<Run>,
+    /// Requests that servers turned away, by the server's answer.
+    pub turned_away: BTreeMap<u16, usize>,
+    /// Arrivals that were turned away by a server that was leaving, but for 421: whose, and when.
+    pub late: Vec<(String, Micros)>,
+    /// Servers that were to leave.
+    pub drained: Vec<Drained>,
+    /// Where each route may go, by any configuration.
+    pub routes: BTreeMap<String, BTreeSet<String>>,
+    /// Changes.
+    pub changes: Vec<Change>,
+    /// Quotas.
+    pub quotas: Vec<Quota>,
+    /// The items that were acknowledged.
+    pub acknowledged: Items,
+    /// The items that were read back at the end.
+    pub read: Option<Items>,
+    /// Requests within quotas that clients asked for with all their tries, and how many of them were served.
+    pub wanted: usize,
+    /// See `wanted`.
+    pub served: usize,
+    /// Processes that were watched.
+    pub watched: usize,
+    /// Those that ended unasked, or otherwise than they should.
+    pub ended: Vec<String>,
+}
--- /dev/null
+++ b/crates/meadow/src/report.rs
@@ -0,0 +1,74 @@
+//! The report of a play: a page of plain text.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::field::{Field, QUOTA_PERIOD};
+use crate::judge::{most_in_a_window, verdict, Finding, Verdict};
+use crate::operator::GREEDY;
+use crate::record::{Micros, Records, Try};
+
+/// No more breaches of a rule are printed.
+const BREACHES: usize = 8;
+
+/// Writes the report.
+pub fn write(field: &Field, findings: &[Finding]) -> String {
+    let records = field.records.borrow();
+    let mut text = String::new();
+    for (at, what) in field.said() {
+        let _ = writeln!(text, "{:8.3} s  {what}", at as f64 / 1e6);
+    }
+    text.push('\n');
+    figures(&records, &mut text);
+    text.push('\n');
+    for finding in findings {
+        let word = match (finding.breaches.len(), finding.looked_at) {
+            (0, 0) => "no word",
+            (0, _) => "kept",
+            _ => "BROKEN",
+        };
+        let _ = writeln!(text, "{word:8}  {} ({} looked at)", finding.rule, finding.looked_at);
+        for breach in finding.breaches.iter().take(BREACHES) {
+            let _ = writeln!(text, "            {breach}");
+        }
+        if finding.breaches.len() > BREACHES {
+            let _ = writeln!(text, "            and {} more", finding.breaches.len() - BREACHES);
+        }
+    }
+    text.push_str(match verdict(findings) {
+        Verdict::Kept => "\nverdict: all rules kept\n",
+        Verdict::Broken => "\nverdict: rules broken\n",
+        Verdict::Unproven => "\nverdict: none, since a rule was held against nothing\n",
+    });
+    text
+}
+
+fn figures(records: &Records, text: &mut String) {
+    let share = 100.0 * records.served as f64 / records.wanted.max(1) as f64;
+    let _ = writeln!(text, "requests within quotas  {}, {share:.2}% served", records.wanted);
+    let mut statuses: BTreeMap<String, usize> = BTreeMap::new();
+    for tried in &records.tries {
+        let status = tried.answer.as_ref().map_or("none".to_string(), |a| a.status.to_string());
+        *statuses.entry(status).or_default() += 1;
+    }
+    let statuses: Vec<String> = statuses.iter().map(|(s, n)| format!("{s}: {n}")).collect();
+    let within = |t: &&Try| t.tenant.as_deref().is_some_and(|tenant| tenant != GREEDY);
+    let refused =
+        records.tries.iter().filter(within).filter(|t| t.answer.as_ref().is_some_and(|a| a.status == 429));
+    let mut seconds: BTreeMap<Micros, usize> = BTreeMap::new();
+    refused.for_each(|t| *seconds.entry(t.sent / 1_000_000).or_default() += 1);
+    let seconds: Vec<String> = seconds.iter().map(|(s, n)| format!("{n} in second {s}")).collect();
+    let seconds = if seconds.is_empty() { "none".into() } else { seconds.join(", ") };
+    let _ = writeln!(text, "429 within quotas       {seconds}");
+    let _ = writeln!(text, "tries, by answer        {}", statuses.join(", "));
+    let away: Vec<String> = records.turned_away.iter().map(|(s, n)| format!("{s}: {n}")).collect();
+    let away = if away.is_empty() { "none".into() } else { away.join(", ") };
+    let _ = writeln!(text, "servers ran             {}, turned away {away}", records.runs.len());
+    let asked = records.tries.iter().filter(|t| t.tenant.as_deref() == Some(GREEDY)).count();
+    let ran = records.runs.iter().filter(|r| r.tenant.as_deref() == Some(GREEDY)).count();
+    let (most, _) = most_in_a_window(records, GREEDY, QUOTA_PERIOD.as_micros() as Micros);
+    let _ = writeln!(
+        text,
+        "beyond its quota        {GREEDY} asked {asked}, ran {ran}, at most {most} in a window"
+    );
+}
--- /dev/null
+++ b/crates/meadow/tests/loopback.rs
@@ -0,0 +1,59 @@
+//! The short form of the play, with the real programs; and what the program says when it can't play.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+
+fn meadow() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_meadow"))
+}
+
+fn run(program: &Path, args: &[&str]) -> Output {
+    Command::new(program).args(args).output().expect("the meadow")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into()
+}
+
+/// Builds the programs beside the meadow. Cargo does not do so for another package's tests, and one that lies there may
+/// be older than the sources; where nothing has changed this takes no time.
+fn build() {
+    let folder = meadow().parent().map(PathBuf::from).expect("a folder");
+    let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or("cargo".into()));
+    cargo.current_dir(env!("CARGO_MANIFEST_DIR")).args(["build", "--locked", "--workspace"]);
+    cargo.args(["--bin", "forager", "--bin", "scout", "--bin", "comb"]);
+    if folder.ends_with("release") {
+        cargo.arg("--release");
+    }
+    if let Some(target) = folder.parent() {
+        cargo.arg("--target-dir").arg(target);
+    }
+    let built = cargo.output().expect("cargo");
+    assert!(built.status.success(), "{}", text(&built.stderr));
+}
+
+#[gtest]
+fn a_small_gateway_serves_and_keeps_its_rules_through_troubles() {
+    build();
+    let out = run(&meadow(), &["--seconds", "7"]);
+    let (said, told) = (text(&out.stdout), text(&out.stderr));
+    expect_that!(out.status.code(), some(eq(0)), "{said}{told}");
+    expect_that!(said, contains_substring("verdict: all rules kept"));
+    expect_that!(said, not(contains_substring("no word")));
+}
+
+#[gtest]
+fn without_the_programs_it_says_what_builds_them() {
+    let folder = std::env::temp_dir().join(format!("meadow-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let alone = folder.join("meadow");
+    std::fs::copy(meadow(), &alone).expect("a copy");
+    let out = run(&alone, &[]);
+    std::fs::remove_dir_all(folder).expect("the folder");
+    expect_that!(out.status.code(), some(eq(3)));
+    let told = text(&out.stderr);
+    expect_that!(told, contains_substring("this builds it: cargo build"));
+    expect_that!(told.lines().count(), eq(1));
+}
