A count begins full where nobody can have granted anything before

Change: at the system's first start, and for a tenant that came seconds after the duty was gained, it begins with the burst.

--- a/crates/nectar/src/well.rs
+++ b/crates/nectar/src/well.rs
@@ -62,6 +62,13 @@
         Well { quota, level: 0.0, at: now, lessees: BTreeMap::new() }
     }
 
+    /// The count of a tenant that did not exist before the duty for it was here: nobody has granted anything of it.
+    pub fn full(now: Micros, quota: Quota) -> Well {
+        let mut well = Well::new(now, quota);
+        well.level = well.most();
+        well
+    }
+
     fn most(&self) -> f64 {
         self.quota.burst.max(1.0)
     }
@@ -202,6 +209,7 @@
         expect_that!(draw(100_000, 2.0, 0.0), ok(eq(1.0)));
         expect_that!(draw(100_000, 2.0, 1.0), ok(eq(1.0)), "what came back is there again");
         expect_that!(draw(10_000_000, 9.0, 0.0), ok(eq(5.0)), "no more than the burst");
+        expect_that!(Well::full(0, Quota { rate: 10.0, burst: 5.0 }).level(), eq(5.0));
         well.change(11_200_000, Quota { rate: 10.0, burst: 2.0 });
         expect_that!(well.draw(11_200_000, "n", 0.0, 9.0, 0.0).units, ok(eq(2.0)));
     }
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -86,6 +86,8 @@
     /// By slice: under which fence it was gained, and when.
     gained: BTreeMap<usize, (u64, Micros)>,
     wells: BTreeMap<String, Well>,
+    /// When each tenant came, if that was after this process had the whole configuration.
+    first_seen: BTreeMap<String, Micros>,
     /// When each proxy was last heard; those that are not any more, and since when.
     heard: BTreeMap<String, Micros>,
     missing: BTreeMap<String, Micros>,
@@ -126,6 +128,7 @@
             fence,
             gained: BTreeMap::new(),
             wells: BTreeMap::new(),
+            first_seen: BTreeMap::new(),
             heard: BTreeMap::new(),
             missing: BTreeMap::new(),
             lives: BTreeMap::new(),
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -15,6 +15,11 @@
 /// A count is young for so long after the duty was gained: cut-off proxies may live on shares told by who had it before.
 const YOUNG: Micros = 12_000_000;
 
+/// News that was told before a duty was gained has come by so much later. At the system's first start nobody can have had a
+/// duty and lost it within the time of a promise.
+const NEWS: Micros = 5_000_000;
+const BEGIN: Micros = 850_000;
+
 fn quota(tenant: &Tenant) -> Quota {
     Quota { rate: tenant.rate, burst: tenant.burst }
 }
@@ -29,12 +34,30 @@
             self.fence.tick(now, alive, &mut steps);
         }
         self.steps(now, steps, out);
-        // A count begins with nothing: it has to be there before it is asked.
+        self.counts(now);
+    }
+
+    /// A count begins with nothing, unless its tenant is new: it has to be there before it is asked.
+    fn counts(&mut self, now: Micros) {
+        for tenant in self.table.tenants() {
+            if !self.first_seen.contains_key(&tenant.name) {
+                // What came with the whole configuration may be older than this process.
+                let first = if self.whole { now } else { 0 };
+                self.first_seen.insert(tenant.name.clone(), first);
+            }
+        }
         for tenant in self.table.tenants().iter().filter(|tenant| tenant.rate > 0.0) {
             let holds = self.fence.holds(now, fence::slice(&tenant.name));
             match self.wells.get_mut(&tenant.name) {
                 None if holds => {
-                    self.wells.insert(tenant.name.clone(), Well::new(now, quota(tenant)));
+                    let slice = fence::slice(&tenant.name);
+                    let since = self.gained.get(&slice).map_or(now, |(_, since)| *since);
+                    // A duty that changed hands may have come before the news of a tenant that was there already.
+                    let news = since.saturating_add(NEWS);
+                    let first = self.first_seen.get(&tenant.name).copied().unwrap_or(0);
+                    let is_new = first > news || self.birth.first && since < BEGIN;
+                    let well = if is_new { Well::full } else { Well::new };
+                    self.wells.insert(tenant.name.clone(), well(now, quota(tenant)));
                 }
                 Some(well) if well.quota() != quota(tenant) => well.change(now, quota(tenant)),
                 _ => {}
@@ -107,6 +130,9 @@
     }
 
     pub(super) fn draw(&mut self, now: Micros, node: &str, asks: Vec<Ask>) -> Vec<(String, Grant)> {
+        if asks.iter().any(|ask| !self.wells.contains_key(&ask.tenant)) {
+            self.counts(now);
+        }
         let mut grants = Vec::with_capacity(asks.len());
         for ask in asks {
             let slice = fence::slice(&ask.tenant);
