The exporter: figures of all processes as Prometheus text, and alerts by a checked file

Change: crates/keeper. It visits each process at most once in 2 s, all at once, 500 ms for each, and finds all from one registry's roll. Text by prometheus-client. Labels role, node, zone, status, reason; what is not known is counted. The exporter is in no deploy file.

--- /dev/null
+++ b/crates/keeper/examples/measure.rs
@@ -0,0 +1,131 @@
+//! Measures what a scrape costs: processes that are simulated in one thread, the exporter in another.
+//!
+//! `cargo run --release -p pinerelay-keeper --example measure -- 11 100`
+
+use std::error::Error;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use pinerelay_keeper::run::Keeper;
+use pinerelay_keeper::{figures, rules};
+use pinerelay_propolis::link::{Event, Links};
+use pinerelay_propolis::speech::{Hello, Role, Rolled, Speech};
+use tokio::runtime::{Builder, LocalOptions, LocalRuntime};
+
+/// The first of the internal ports.
+const PORT: u16 = 47_560;
+/// Looks that are measured, one each two seconds.
+const LOOKS: u32 = 5;
+
+fn runtime() -> std::io::Result<LocalRuntime> {
+    Builder::new_current_thread().enable_all().build_local(LocalOptions::default())
+}
+
+/// CPU of this thread in seconds.
+fn cpu() -> f64 {
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    told.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1e9
+}
+
+/// Three machines of the core with two programs each, and proxies.
+fn fleet(processes: usize) -> Vec<Hello> {
+    let hello = |number: usize| {
+        let (role, machine) = match number {
+            0..3 => (Role::Scout, number),
+            3..6 => (Role::Comb, number - 3),
+            _ => (Role::Forager, number),
+        };
+        let ip = Ipv4Addr::new(127, 77, 0, 1 + machine as u8).to_string();
+        Hello { node: format!("node-{machine}"), ip, role, life: 7 }
+    };
+    (0..processes).map(hello).collect()
+}
+
+fn told(role: Role) -> Vec<(String, f64)> {
+    let program = match role {
+        Role::Forager => "forager_",
+        Role::Scout => "scout_",
+        _ => "comb_",
+    };
+    let own = figures::KNOWN.iter().filter(|(name, _)| name.starts_with(program));
+    let mut all: Vec<(String, f64)> = own.map(|(name, _)| (name.to_string(), 1234.5)).collect();
+    all.push((format!("{program}info{{zone=\"a\"}}"), 1.0));
+    let status = |s: u32| (format!("forager_answers_total{{status=\"{s}\"}}"), 9.0);
+    all.extend((role == Role::Forager).then(|| [200, 400, 404, 429, 503].map(status)).into_iter().flatten());
+    all
+}
+
+async fn play(fleet: Vec<Hello>, port: u16, ready: std::sync::mpsc::Sender<()>) -> std::io::Result<()> {
+    let core = fleet[..3].iter().map(|hello| hello.ip.clone()).collect();
+    let rolled = Rolled { linked: fleet.clone(), missing: Vec::new(), core };
+    for me in fleet {
+        let (links, mut events) = Links::new();
+        let program = match me.role {
+            Role::Scout | Role::Visitor => 0,
+            Role::Comb => 1,
+            Role::Forager => 2,
+        };
+        let ip = me.ip.parse().unwrap_or(Ipv4Addr::LOCALHOST);
+        links.listen(SocketAddrV4::new(ip, port + program))?;
+        let (rolled, figures) = (Speech::Rolled(rolled.clone()), Speech::Figures(told(me.role)));
+        tokio::task::spawn_local(async move {
+            while let Some(event) = events.recv().await {
+                match event {
+                    Event::Up(peer, _) => links.say(peer, &Speech::Hello(me.clone())),
+                    Event::Said(peer, Speech::Roll) => links.say(peer, &rolled),
+                    Event::Said(peer, Speech::Ask) => links.say(peer, &figures),
+                    _ => {}
+                }
+            }
+        });
+    }
+    let _ = ready.send(());
+    std::future::pending().await
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let rules = rules::read(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/alerts.toml")))?;
+    println!("processes | CPU ms a look | asked bytes | text bytes | took ms | CPU share");
+    for (turn, processes) in std::env::args().skip(1).enumerate() {
+        let processes: usize = processes.parse()?;
+        let (ready, is_ready) = channel();
+        let port = PORT + 10 * turn as u16;
+        std::thread::spawn(move || runtime()?.block_on(play(fleet(processes), port, ready)));
+        is_ready.recv()?;
+        let keeper = Keeper::new(vec![Ipv4Addr::new(127, 77, 0, 1)], port, rules.clone());
+        let number = |text: &str, name: &str| -> f64 {
+            let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+            line.and_then(|value| value.parse().ok()).unwrap_or(f64::NAN)
+        };
+        let (mut took, mut text) = (0.0, String::new());
+        runtime()?.block_on(async {
+            // The first look learns who is there.
+            text = keeper.scrape().await?;
+            let first = number(&text, "pinerelay_keeper_look_bytes_total");
+            // The kernel books a thread's time when it sleeps, which it has done by the next line that reads it.
+            tokio::time::sleep(Duration::from_millis(2_010)).await;
+            let begun = cpu();
+            for _ in 0..LOOKS {
+                text = keeper.scrape().await?;
+                took += number(&text, "pinerelay_keeper_look_seconds");
+                tokio::time::sleep(Duration::from_millis(2_010)).await;
+            }
+            let spent = cpu() - begun;
+            let asked = number(&text, "pinerelay_keeper_look_bytes_total") - first;
+            let up = text.lines().filter(|l| l.starts_with("pinerelay_up{") && l.ends_with(" 1.0")).count();
+            let looks = f64::from(LOOKS);
+            println!(
+                "{up:9} | {:13.2} | {:11.0} | {:10} | {:7.1} | {:.3}%",
+                spent / looks * 1e3,
+                asked / looks,
+                text.len(),
+                took / looks * 1e3,
+                spent / looks / 2.0 * 100.0
+            );
+            Ok::<(), Box<dyn Error>>(())
+        })?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/keeper/src/main.rs
@@ -0,0 +1,5 @@
+//! Starts the exporter.
+
+fn main() -> std::process::ExitCode {
+    pinerelay_keeper::command::follow()
+}
