--- a/crates/scout/tests/roll.rs
+++ b/crates/scout/tests/roll.rs
@@ -15,7 +15,7 @@
     let bounds = Bounds { period: Duration::from_secs(5), overrun: 0.1, margin: 20.0 };
     let hello = hello("core", Role::Scout);
     let seeds = vec![hello.ip.clone()];
-    Registry::new(0, Birth { hello, first: true, heartbeat: 1_500_000, bounds, seeds })
+    Registry::new(0, Birth { hello, first: true, heartbeat: 1_500_000, bounds, seeds, wall: 0 })
 }
 
 fn said(registry: &mut Registry, peer: u64, speech: Speech) -> Vec<Output> {
