What a registry asked for and another owns by now is given up at once

Cause, found by a line that tells for how many slices a registry acts: at a start each registry is alone for a moment and asks for all duties. When the others came it gave up what it held, and not what it had asked for; that stayed promised to it for 0.9 s, in which nobody counted.

Change: what is asked for is released, too; what was not promised is asked for again after 50 ms. A visitor's news is passed over by registries.

--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -56,6 +56,8 @@
     registries: BTreeMap<Peer, Registry>,
     /// The configuration here is as whole as that of a registry whose own is.
     whole: bool,
+    /// A registry that reaches a majority of the core has been heard: there is somebody who counts.
+    counted: bool,
     placed: (u32, u32),
     /// Of a slice: how often in a row its owner, as seen from here, did not have the duty.
     astray: BTreeMap<usize, usize>,
@@ -76,6 +78,7 @@
             purse: Purse::new(),
             registries: BTreeMap::new(),
             whole: false,
+            counted: false,
             placed: (0, 1),
             astray: BTreeMap::new(),
             agreed: now,
@@ -108,9 +111,10 @@
         wanted
     }
 
-    /// Whether it has a whole configuration.
+    /// Whether it has a whole configuration, and has heard of somebody who counts. Once it has, it stays so: a proxy that is
+    /// cut off lives on its shares.
     pub fn whole(&self) -> bool {
-        self.whole
+        self.whole && self.counted
     }
 
     /// How many proxies share the tenants' rates.
@@ -161,6 +165,7 @@
         let Some(registry) = self.registries.get_mut(&peer) else { return out.push(Output::Cut(peer)) };
         match speech {
             Speech::Standing(standing) => {
+                self.counted |= standing.majority;
                 self.known.extend(standing.scouts.iter().cloned());
                 registry.standing = Some(standing);
                 self.look();
--- a/crates/forager/tests/stage/mod.rs
+++ b/crates/forager/tests/stage/mod.rs
@@ -205,11 +205,8 @@
     }
     let mut got = Vec::new();
     let mut buffer = [0_u8; 4096];
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(n @ 1..) => got.extend_from_slice(&buffer[..n]),
-            _ => break,
-        }
+    while let Ok(n @ 1..) = stream.read(&mut buffer) {
+        got.extend_from_slice(&buffer[..n]);
         if whole(&got) {
             break;
         }
--- a/crates/nectar/src/fence.rs
+++ b/crates/nectar/src/fence.rs
@@ -20,6 +20,8 @@
 const MARGIN: Micros = 100_000;
 /// How often a holder asks anew.
 const RENEW: Micros = 250_000;
+/// And one that was not promised all.
+const SOON: Micros = 50_000;
 
 /// A word between nodes that share duties.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -155,7 +157,8 @@
         let (mut claim, mut release) = (0, 0);
         for slice in 0..SLICES {
             let owns = owner(slice, all.iter().copied()) == Some(&self.me);
-            let held = self.mine[slice].until > 0;
+            // Danger: what was asked for and not yet promised by enough is promised by some all the same.
+            let held = self.mine[slice].until > 0 || self.mine[slice].asked.is_some();
             if owns {
                 claim |= 1 << slice;
             } else if held {
@@ -195,7 +198,15 @@
                 let slices = self.promise(now, from, slices);
                 out.push(Step::Say(from.into(), Word::Promised { turn, slices }));
             }
-            Word::Promised { turn, slices } => self.promises(now, from, turn, slices, out),
+            Word::Promised { turn, slices } => {
+                self.promises(now, from, turn, slices, out);
+                // What another still has is asked for again soon: it may have been released by then.
+                let open =
+                    |mine: &Mine| mine.until <= now && mine.asked.as_ref().is_some_and(|a| a.0 == turn);
+                if self.mine.iter().any(open) {
+                    self.renew_at = self.renew_at.min(now + SOON);
+                }
+            }
             Word::Released { slices } => self.released(from, slices),
         }
     }
@@ -359,6 +370,23 @@
         expect_that!(acting as f64 / moments as f64, gt(0.75));
     }
 
+    #[gtest]
+    fn what_was_asked_for_and_is_another_s_by_now_is_given_up() {
+        let names: Vec<String> = (0..3).map(|n| format!("n{n}")).collect();
+        let mut fence = Fence::new(0, "n0", true);
+        fence.elect(&names);
+        let mut out = Vec::new();
+        // Alone it asks for all, and hears nothing; then the others are there.
+        fence.tick(0, BTreeSet::new(), &mut out);
+        out.clear();
+        fence.tick(10_000, names[1..].iter().cloned().collect(), &mut out);
+        let released = out.iter().find_map(|step| match step {
+            Step::Say(_, Word::Released { slices }) => Some(slices.count_ones()),
+            _ => None,
+        });
+        expect_that!(released, some(gt(5)));
+    }
+
     #[gtest]
     fn with_nothing_wrong_duties_are_spread_and_kept() {
         let names: Vec<String> = (0..3).map(|n| format!("n{n}")).collect();
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -84,6 +84,8 @@
     /// Since when it reaches a majority of the core.
     majority: Option<Micros>,
     fence: Fence,
+    /// For how many slices it acts.
+    acting: usize,
     /// By slice: under which fence it was gained, and when.
     gained: BTreeMap<usize, (u64, Micros)>,
     wells: BTreeMap<String, Well>,
@@ -130,6 +132,7 @@
             held: BTreeSet::new(),
             majority: None,
             fence,
+            acting: 0,
             gained: BTreeMap::new(),
             wells: BTreeMap::new(),
             first_seen: BTreeMap::new(),
@@ -220,6 +223,8 @@
                 self.peers.remove(&peer);
                 self.over(now, &hello.node);
             }
+            // A visitor looks on, and brings nothing.
+            (Role::Visitor, Speech::News(_)) => {}
             (_, Speech::News(items)) => self.merge(peer, &hello, items, out),
             (_, Speech::Digest(digests)) => self.digest(peer, &hello, digests, out),
             (_, Speech::Summary { realm, lines, answer }) => self.summary(peer, realm, &lines, answer, out),
@@ -441,6 +446,8 @@
         }
         if majority && self.majority.is_none() {
             self.majority = Some(now);
+            // The proxies wait for this.
+            self.pulse_at = now;
         }
         self.duties(now, out);
         self.quiet(now);
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -34,6 +34,11 @@
             self.fence.tick(now, alive, &mut steps);
         }
         self.steps(now, steps, out);
+        let held = self.fence.held(now);
+        if held != self.acting {
+            log::info!("acts for {held} of {SLICES} slices of the tenants");
+            self.acting = held;
+        }
         self.counts(now);
     }
 
