An operators' client: lists, and configuration checked, compared and sent

Cause: operators had curl and the exporter's figures alone. Nothing showed which servers a registry knows, what a call would change, or whether an answer was whole.

Ruled out: calls of their own in the registry for lists, as a visitor can ask for all that is shown; HTTP by hand, as hyper's client does it; a check of its own, as the daemon's code is a package; sending to all addresses at once, as a second clear answer tells nothing more.

Change: `crates/waggle`. `nodes`, `servers` and `duties` visit registries as the exporter does, and go on to whom they name. Servers come by an empty summary, beside which all items are news. `config check`, `diff` and `apply` use `cells::call` and `cells::judge`, and point into the body. A call without a clear answer goes unchanged to the next address. Why an answer is partial is told, and is an exit code.

Random configurations: a diff that is made gives what the daemon would have, and what stands differs from itself in nothing; bodies with a random byte: the check says what the daemon says.

--- /dev/null
+++ b/crates/waggle/src/look.rs
@@ -0,0 +1,149 @@
+//! A look at all processes: the registries first, then whom they name.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use pinerelay_cells::Cells;
+use pinerelay_propolis::ports;
+use pinerelay_propolis::speech::Role;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::visit::{visit, Told, VisitError};
+
+/// A process that has not answered by then counts as not reached.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// No more processes are visited.
+const MOST: usize = 2_000;
+
+/// Where a process is: its program and its machine.
+pub type Place = (Role, Ipv4Addr);
+
+/// All that a look brought.
+#[derive(Debug, Default)]
+pub struct Look {
+    /// By place: what was told, or why nothing was.
+    pub seen: BTreeMap<Place, Result<Told, String>>,
+    /// The machines' names, as anybody told them.
+    pub names: BTreeMap<Ipv4Addr, String>,
+    /// Proxies that have gone without a word, by name.
+    pub missing: BTreeSet<String>,
+}
+
+/// How far a look goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Depth {
+    /// The registries, with their servers.
+    Servers,
+    /// The registries.
+    Registries,
+    /// All processes.
+    All,
+}
+
+/// Looks, beginning at the registries of these machines.
+pub async fn look(seeds: &[Ipv4Addr], port: u16, depth: Depth) -> Look {
+    let mut found = Look::default();
+    let mut due: BTreeSet<Place> = seeds.iter().map(|ip| (Role::Scout, *ip)).collect();
+    while !due.is_empty() {
+        let mut visits = JoinSet::new();
+        for place in due.into_iter().take(MOST.saturating_sub(found.seen.len())) {
+            let offset = match place.0 {
+                Role::Forager => ports::FORAGER,
+                Role::Comb => ports::COMB,
+                Role::Scout | Role::Visitor => ports::SCOUT,
+            };
+            let address = SocketAddrV4::new(place.1, port.saturating_add(offset));
+            visits.spawn(async move {
+                let visited = timeout(PATIENCE, visit(address, place.0, depth == Depth::Servers)).await;
+                (place, visited.unwrap_or(Err(VisitError::Late)).map_err(|e| e.to_string()))
+            });
+        }
+        while let Some(visited) = visits.join_next().await {
+            let Ok((place, told)) = visited else { continue };
+            found.take(place, told);
+        }
+        due = found.due(depth);
+        if found.seen.len() >= MOST {
+            break;
+        }
+    }
+    found
+}
+
+impl Look {
+    /// Takes what one visit brought.
+    pub fn take(&mut self, place: Place, told: Result<Told, String>) {
+        if let Ok(told) = &told {
+            self.names.insert(place.1, told.hello.node.clone());
+            for hello in told.rolled.iter().flat_map(|rolled| &rolled.linked) {
+                if let Ok(ip) = hello.ip.parse() {
+                    self.names.entry(ip).or_insert_with(|| hello.node.clone());
+                }
+            }
+            self.missing.extend(told.rolled.iter().flat_map(|rolled| rolled.missing.clone()));
+        }
+        self.seen.insert(place, told);
+    }
+
+    /// Who was named and not yet visited.
+    fn due(&self, depth: Depth) -> BTreeSet<Place> {
+        let rolls = self.told(Role::Scout).filter_map(|(_, told)| told.rolled.as_ref());
+        let mut named = BTreeSet::new();
+        for roll in rolls {
+            let linked = roll.linked.iter().map(|hello| (hello.role, &hello.ip));
+            // Who votes is there even when nobody is linked to it.
+            let core = roll.core.iter().flat_map(|ip| [(Role::Scout, ip), (Role::Comb, ip)]);
+            named.extend(linked.chain(core).filter_map(|(role, ip)| Some((role, ip.parse().ok()?))));
+        }
+        named.retain(|place: &Place| match place.0 {
+            Role::Visitor => false,
+            Role::Scout => !self.seen.contains_key(place),
+            _ => depth == Depth::All && !self.seen.contains_key(place),
+        });
+        named
+    }
+
+    /// The processes of a role that have answered.
+    pub fn told(&self, role: Role) -> impl Iterator<Item = (Ipv4Addr, &Told)> {
+        let seen = self.seen.iter().filter(move |(place, _)| place.0 == role);
+        seen.filter_map(|((_, ip), told)| Some((*ip, told.as_ref().ok()?)))
+    }
+
+    /// The newest of the items that registries told.
+    pub fn items(&self) -> Cells {
+        let mut cells = Cells::default();
+        for (_, told) in self.told(Role::Scout) {
+            cells.merge_all(told.items.iter().cloned());
+        }
+        cells
+    }
+
+    /// Why what the registries said may not be all, one reason each.
+    pub fn partial(&self) -> Vec<String> {
+        let mut all = Vec::new();
+        for ((role, ip), told) in &self.seen {
+            match told {
+                Err(why) if *role == Role::Scout => {
+                    all.push(format!("the registry at {ip} was not reached: {why}"));
+                }
+                Ok(told) if *role == Role::Scout => {
+                    for (figure, why) in [
+                        ("scout_majority", "reaches no majority of the core"),
+                        ("scout_whole", "has not the whole configuration"),
+                    ] {
+                        if told.figures.get(figure) == Some(&0.0) {
+                            all.push(format!("the registry at {ip} {why}"));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        if self.seen.len() >= MOST {
+            all.push(format!("no more than {MOST} processes are asked"));
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/waggle/tests/loopback.rs
@@ -0,0 +1,233 @@
+//! The client's jobs against a played registry on loopback.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use googletest::prelude::*;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use pinerelay_cells::server::{Server, State};
+use pinerelay_cells::{call, judge, Cells};
+use pinerelay_propolis::speech::{self, Hello, Role, Rolled, Speech, GREETING};
+use pinerelay_waggle::command::{From, Job};
+use pinerelay_waggle::run::{carry_out, RunError, DONE, PARTIAL, REFUSED};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+const ME: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+async fn bound() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((ME, 0)).await.expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    (listener, SocketAddrV4::new(ME, port))
+}
+
+/// A registry's end of one link.
+async fn link(mut stream: TcpStream) -> Option<()> {
+    let hello = Hello { node: "core-1".into(), ip: ME.to_string(), role: Role::Scout, life: 1 };
+    stream.write_all(&GREETING).await.ok()?;
+    let mut come = BytesMut::new();
+    while come.len() < GREETING.len() {
+        stream.read_buf(&mut come).await.ok().filter(|more| *more > 0)?;
+    }
+    let _ = come.split_to(GREETING.len());
+    loop {
+        while let Some(heard) = speech::next(&mut come).ok()? {
+            let answer = match heard {
+                Speech::Hello(_) => Speech::Hello(hello.clone()),
+                Speech::Roll => Speech::Rolled(Rolled {
+                    linked: vec![hello.clone()],
+                    missing: vec!["edge-9".into()],
+                    core: vec![ME.to_string()],
+                }),
+                Speech::Summary { realm: 1, lines, answer: false } if lines.is_empty() => {
+                    let server = |port, state| Server {
+                        service: "s1".into(),
+                        address: SocketAddrV4::new(ME, port),
+                        zone: "a".into(),
+                        revision: String::new(),
+                        capacity: 4,
+                        state,
+                        warmup_ms: 0,
+                    };
+                    let ready = server(1, State::Ready).item("i1", 1);
+                    Speech::News(vec![ready, server(2, State::Lost).item("i2", 1), Server::left("i3", 9)])
+                }
+                Speech::Ask => {
+                    let figures =
+                        [("scout_info{zone=\"a\"}", 1.0), ("scout_majority", 1.0), ("scout_duties", 5.0)];
+                    Speech::Figures(figures.map(|(name, value)| (name.to_string(), value)).to_vec())
+                }
+                _ => Speech::Here,
+            };
+            stream.write_all(&speech::write(&answer)).await.ok()?;
+        }
+        stream.read_buf(&mut come).await.ok().filter(|more| *more > 0)?;
+    }
+}
+
+async fn registry() -> From {
+    let (listener, at) = bound().await;
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(link(stream));
+        }
+    });
+    From { at: vec![at], settings: None, internal: Some(at.port()) }
+}
+
+/// A control address over a configuration; gives so many answers 503 to updates that it has taken, first.
+async fn control(cells: Rc<RefCell<Cells>>, unclear: usize) -> SocketAddrV4 {
+    let (listener, at) = bound().await;
+    let unclear = Rc::new(Cell::new(unclear));
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (cells, unclear) = (cells.clone(), unclear.clone());
+            let serve = service_fn(move |request: Request<Incoming>| {
+                let (cells, unclear) = (cells.clone(), unclear.clone());
+                async move {
+                    let update = request.uri().query() == Some("call=config.update");
+                    let body = request.into_body().collect().await.expect("a body").to_bytes();
+                    let mut cells = cells.borrow_mut();
+                    let (status, body) = if !update {
+                        (200, call::write(&cells))
+                    } else {
+                        match call::read(&body).and_then(|items| judge::taken(&cells, &items)) {
+                            Ok(taken) => {
+                                cells.merge_all(taken);
+                                let left = unclear.get();
+                                unclear.set(left.saturating_sub(1));
+                                (if left > 0 { 503 } else { 200 }, "{}".into())
+                            }
+                            Err(unfit) => (400, unfit.to_string()),
+                        }
+                    };
+                    let mut response = Response::new(Full::new(Bytes::from(body)));
+                    *response.status_mut() = hyper::StatusCode::from_u16(status).expect("a status");
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            let connection = hyper::server::conn::http1::Builder::new();
+            tokio::task::spawn_local(connection.serve_connection(TokioIo::new(stream), serve));
+        }
+    });
+    at
+}
+
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> File {
+        let path = std::env::temp_dir().join(format!("waggle-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, text).expect("a file");
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_a_registry_tells_is_listed_and_what_is_missing_said() {
+    let work = async {
+        let from = registry().await;
+        let done = async |job, json| carry_out(job, &from, json).await.expect("a report");
+        let (text, code) = done(Job::Nodes, false).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_regex(r"scout +core-1 +127\.0\.0\.1 +a +yes +majority=1 duties=5"));
+        expect_that!(text, contains_regex(r"comb +core-1 +127\.0\.0\.1 +a +no "));
+        expect_that!(text, contains_regex(r"forager +edge-9 +- +- +no +has gone without a word"));
+        let (text, code) = done(Job::Servers, true).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_substring(r#"[{"service":"s1","ready":1,"draining":0,"lost":1}]"#));
+        expect_that!(
+            text,
+            contains_substring(r#""id":"i2","address":"127.0.0.1:2","zone":"a","state":"lost""#)
+        );
+        expect_that!(text, not(contains_substring("i3")));
+        let (text, code) = done(Job::Duties, false).await;
+        expect_that!((code, text.lines().count()), eq((PARTIAL, 3)));
+        expect_that!(text, contains_substring("partial: the registries that answered hold 5 of"));
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn one_registry_that_is_away_makes_a_list_partial_and_none_an_error() {
+    let work = async {
+        let mut from = registry().await;
+        from.at.push(SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 77), 1));
+        let (text, code) = carry_out(Job::Servers, &from, true).await.expect("a report");
+        expect_that!(code, eq(PARTIAL));
+        expect_that!(text, starts_with(r#"{"partial":true,"missing":["the registry at 127.0.0.77 was not"#));
+        from.at.remove(0);
+        let error = carry_out(Job::Servers, &from, true).await.expect_err("nobody is there");
+        expect_that!(error, matches_pattern!(RunError::Unreached(len(eq(1)))));
+        expect_that!(error.code(), eq(PARTIAL));
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_call_is_compared_sent_again_unchanged_and_told() {
+    let work = async {
+        let cells = Rc::new(RefCell::new(Cells::default()));
+        let (first, second) = (control(cells.clone(), 1).await, control(cells.clone(), 0).await);
+        let from = From { at: vec![first, second], ..From::default() };
+        let body = r#"{"upsert":{"services":{"column_names":["name","revision","max_conns"],"records":[["s1",N,M]]}}}"#;
+        let call = |n: &str, m: &str| File::new(n, &body.replace('N', n).replace('M', m));
+        let done = async |job| carry_out(job, &from, false).await.expect("a report");
+        let file = call("7", "1");
+        let (text, code) = done(Job::Apply(file.0.clone(), true)).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_substring("a dry run, nothing was sent"));
+        expect_that!(cells.borrow().len(), eq(0));
+        let (text, code) = done(Job::Apply(file.0.clone(), false)).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_substring(format!("200 by {second}: taken")));
+        expect_that!(done(Job::Items(None)).await.0, contains_regex("services +s1 +7"));
+        expect_that!(done(Job::Diff(file.0.clone())).await.0, ends_with("effective: 0\n"));
+        let next = call("8", "2");
+        expect_that!(done(Job::Diff(next.0.clone())).await.0, contains_regex("newer +7 +8 +max_conns +1 +2"));
+        let odd = call("9", "-1");
+        let (text, code) = done(Job::Apply(odd.0.clone(), false)).await;
+        expect_that!(code, eq(REFUSED));
+        expect_that!(text, contains_substring("/upsert/services/records/0/2"));
+        let (text, code) = done(Job::Read).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_substring(r#""services":{"column_names":"#));
+        // What was dropped at a higher revision shows once the call was taken, and not before.
+        let drop = File::new("drop", r#"{"remove":{"services":[{"name":"s1","revision":20}]}}"#);
+        let (text, code) = done(Job::Apply(drop.0.clone(), false)).await;
+        expect_that!((code, text.contains("drop")), eq((DONE, true)));
+        let (text, code) = done(Job::Apply(next.0.clone(), false)).await;
+        expect_that!(code, eq(DONE));
+        expect_that!(text, contains_substring("without effect on s1"));
+        // It was taken, and nobody says so.
+        let mute = From { at: vec![control(cells.clone(), 9).await], ..From::default() };
+        let last = call("30", "3");
+        let (text, code) = carry_out(Job::Apply(last.0.clone(), false), &mute, true).await.expect("a report");
+        expect_that!(code, eq(PARTIAL));
+        expect_that!(text, starts_with(r#"{"partial":true"#));
+        expect_that!(text, contains_substring("apply it again unchanged"));
+        // Nobody is there.
+        let away = From { at: vec![SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 77), 1)], ..From::default() };
+        let error = carry_out(Job::Read, &away, false).await.expect_err("nobody is there");
+        expect_that!(error.code(), eq(PARTIAL));
+    };
+    LocalSet::new().run_until(work).await;
+}
