--- a/crates/propolis/src/watch.rs
+++ b/crates/propolis/src/watch.rs
@@ -70,7 +70,8 @@
         assert_that!(*seen.borrow(), elements_are![eq("longer than before")]);
         std::fs::write(&path, text("last")).expect("a file");
         let _ = timeout(LOOK * 3, &mut watch).await;
-        let told = std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
+        let told =
+            std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
         assert_that!(told.is_ok_and(|status| status.success()), eq(true));
         // The signal comes by the machine's clock, and not by the test's.
         for _ in 0..10_000 {
