--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -117,6 +117,11 @@
         self.whole && self.counted
     }
 
+    /// The configuration's items, and all others.
+    pub fn realms(&self) -> &[Cells; 2] {
+        &self.realms
+    }
+
     /// How many proxies share the tenants' rates.
     pub fn nodes(&self) -> usize {
         self.placed.1.max(1) as usize
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -10,7 +10,7 @@
 use pinerelay_cells::routes::Table;
 use pinerelay_cells::server::Server;
 use pinerelay_cells::{Cells, Item, Key, Kind};
-use pinerelay_nectar::fence::Fence;
+use pinerelay_nectar::fence::{Fence, SLICES};
 use pinerelay_nectar::terms::Bounds;
 use pinerelay_nectar::well::Well;
 use pinerelay_nectar::Micros;
@@ -27,6 +27,8 @@
 /// A proxy that says nothing for so long counts as cut off, and for so long at the most.
 const QUIET: Micros = 650_000;
 const MISSED: Micros = 60_000_000;
+/// A registry whose machine's store has not been there for so long goes to another.
+const OWN_STORE: Micros = 1_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
 
@@ -103,6 +105,8 @@
     placed: BTreeMap<Peer, (u32, u32)>,
     last: u64,
     ticked: Micros,
+    /// When the machine's own store was last linked.
+    own_store_at: Micros,
     pulse_at: Micros,
     /// When what it has last agreed with what a store or another registry has.
     agreed: Micros,
@@ -144,6 +148,7 @@
             placed: BTreeMap::new(),
             last: 0,
             ticked: now,
+            own_store_at: now,
             pulse_at: now,
             agreed: now,
             figures: [0; 6],
@@ -156,9 +161,16 @@
         all.filter(|ip| **ip != self.birth.hello.ip).cloned().collect()
     }
 
-    /// Whether a store on its own machine is linked.
-    pub fn has_own_store(&self) -> bool {
-        self.own_store().is_some()
+    /// The processes that it is to keep links to: the other registries, the store of its own machine, and as long as that
+    /// is not there, the others' stores.
+    pub fn wanted(&self) -> BTreeSet<(String, Role)> {
+        let others = self.others();
+        let mut wanted: BTreeSet<_> = others.iter().map(|ip| (ip.clone(), Role::Scout)).collect();
+        wanted.insert((self.birth.hello.ip.clone(), Role::Comb));
+        if self.ticked > self.own_store_at + OWN_STORE {
+            wanted.extend(others.into_iter().map(|ip| (ip, Role::Comb)));
+        }
+        wanted
     }
 
     /// The configuration's items, and all others.
@@ -336,6 +348,11 @@
         }
     }
 
+    /// The slices that it acts for now, one bit each.
+    pub fn acts_for(&self, now: Micros) -> u32 {
+        (0..SLICES).filter(|&slice| self.fence.holds(now, slice)).fold(0, |bits, slice| bits | 1 << slice)
+    }
+
     /// Takes items that are news, and passes them on to those who have not heard them from their source.
     fn merge(&mut self, from: Peer, hello: &Hello, items: Vec<Item>, out: &mut Vec<Output>) {
         let mut news = Vec::new();
@@ -434,6 +451,9 @@
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
         let stood_still = now > self.ticked + STOOD_STILL;
         self.ticked = now;
+        if self.own_store().is_some() {
+            self.own_store_at = now;
+        }
         let scouts = self.scouts();
         let core =
             self.voters.iter().filter(|v| **v == self.birth.hello.ip || scouts.contains_key(*v)).count();
--- a/crates/scout/src/run.rs
+++ b/crates/scout/src/run.rs
@@ -1,7 +1,7 @@
 //! The running registry: its state machine, its links, and the calls from outside.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::error::Error;
 use std::io;
@@ -116,8 +116,7 @@
     log::info!("takes calls at {control}");
     tokio::task::spawn_local(watch::settings(path, |_| log::info!("the settings file has changed")));
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut wanted: BTreeMap<(String, u16), Wanted> = BTreeMap::new();
-    let mut own_store_since = Instant::now();
+    let mut wanted: BTreeMap<(String, Role), Wanted> = BTreeMap::new();
     let mut tick_at = Instant::now();
     loop {
         tokio::select! {
@@ -127,20 +126,12 @@
             () = sleep_until(tick_at) => {
                 tick_at = Instant::now() + TICK;
                 scout.with(|registry, now, out| registry.tick(now, out));
-                let mut reach: BTreeSet<(String, u16)> = BTreeSet::new();
-                let others = scout.registry.borrow().others();
-                reach.extend(others.iter().map(|ip| (ip.clone(), ports::SCOUT)));
-                reach.insert((me.clone(), ports::COMB));
-                if scout.registry.borrow().has_own_store() {
-                    own_store_since = Instant::now();
-                } else if own_store_since.elapsed() > Duration::from_secs(1) {
-                    // Its own machine's store is not there: calls go to another.
-                    reach.extend(others.into_iter().map(|ip| (ip, ports::COMB)));
-                }
+                let reach = scout.registry.borrow().wanted();
                 wanted.retain(|link, _| reach.contains(link));
                 for link in reach {
                     let Ok(machine) = link.0.parse() else { continue };
-                    let address = ports::at(&settings, machine, link.1);
+                    let port = if link.1 == Role::Comb { ports::COMB } else { ports::SCOUT };
+                    let address = ports::at(&settings, machine, port);
                     wanted.entry(link).or_insert_with(|| links.want(address));
                 }
             }
