A block of units lives from its own ask, not from a later one

Cause: a proxy that has had no answer for 120 ms asks anew, and took the next answer for that of the last ask. On a link that a cut holds up for two seconds the first grants are old by then; their lives were counted from an ask made just before they came, so they ran long after they were counted.

Ruled out: a number in each ask, which changes what is said; answers come in the order of the asks on a connection, so the proxy keeps the times at which it asked there. A share that counts from the ask, too: the count hears the proxy after it, and takes out of the rate only what is spent after that.

Purse::granted is told when the answered ask was made. An answer to an earlier ask is used as long as it lives, where it was thrown away.

--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -1,6 +1,6 @@
 //! What the proxy hears from the registries, and what it asks of them: a state machine without clock or sockets.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use pinerelay_cells::hash::rendezvous;
@@ -43,6 +43,8 @@
     standing: Option<Standing>,
     /// What its configuration's items came to, as it said last.
     digest: Option<u64>,
+    /// When units were asked for there, of asks without an answer: answers come in the same order.
+    draws: VecDeque<Micros>,
 }
 
 /// What is heard.
@@ -163,7 +165,8 @@
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
-            self.registries.insert(peer, Registry { hello, standing: None, digest: None });
+            let registry = Registry { hello, standing: None, digest: None, draws: VecDeque::new() };
+            self.registries.insert(peer, registry);
             out.push(Output::Say(peer, Speech::Digest(self.digests())));
             return;
         }
@@ -210,6 +213,7 @@
                 }
             }
             Speech::Drawn(grants) => {
+                let Some(asked) = registry.draws.pop_front() else { return out.push(Output::Cut(peer)) };
                 for (tenant, grant) in grants {
                     let slice = slice(&tenant);
                     match grant {
@@ -218,7 +222,7 @@
                             self.astray.remove(&slice);
                         }
                     }
-                    let ended = self.purse.granted(now, &tenant, grant);
+                    let ended = self.purse.granted(now, asked, &tenant, grant);
                     out.extend(ended.into_iter().map(|(id, admission)| Output::Admitted(id, admission)));
                 }
                 self.ask(now, out);
@@ -286,7 +290,12 @@
                 None => self.purse.unasked(now, &ask.tenant),
             }
         }
-        out.extend(by_peer.into_iter().map(|(peer, asks)| Output::Say(peer, Speech::Draw(asks))));
+        for (peer, asks) in by_peer {
+            if let Some(registry) = self.registries.get_mut(&peer) {
+                registry.draws.push_back(now);
+            }
+            out.push(Output::Say(peer, Speech::Draw(asks)));
+        }
     }
 
     /// Time has passed.
--- a/crates/nectar/src/purse.rs
+++ b/crates/nectar/src/purse.rs
@@ -142,6 +142,8 @@
         true
     }
 
+    /// The share counts from now, however old the answer is: the count has heard this proxy since it was asked, and takes
+    /// out of the rate what is spent after that alone.
     fn heard(&mut self, now: Micros, share: f64) {
         (self.failing, self.living) = (None, None);
         (self.share, self.told) = (share, now);
@@ -264,14 +266,25 @@
         asks
     }
 
-    /// An ask has been answered; tells what becomes of the requests that waited for it.
-    pub fn granted(&mut self, now: Micros, tenant: &str, grant: Grant) -> Vec<(u64, Admission)> {
+    /// What was asked for at the time `asked` has been answered; tells what becomes of the requests that waited for it.
+    ///
+    /// Danger: the answer may be to an ask that has been made anew since. Were its life counted from the later one, what
+    /// a link had held up could be spent long after it was counted.
+    pub fn granted(
+        &mut self,
+        now: Micros,
+        asked: Micros,
+        tenant: &str,
+        grant: Grant,
+    ) -> Vec<(u64, Admission)> {
         let nodes = self.nodes;
         let Some(pouch) = self.tenants.get_mut(tenant) else { return Vec::new() };
-        let Some(asked) = pouch.asked.take() else { return Vec::new() };
+        if pouch.asked.is_some_and(|last| last <= asked) {
+            pouch.asked = None;
+        }
         match grant {
             Grant::Block { units, life, fence, share } => {
-                // The life counts from before it was asked for: what the way took is the proxy's loss.
+                // The life counts from when it was asked for: what the way took is the proxy's loss.
                 if asked + life > now && units >= 1.0 {
                     pouch.blocks.push_back((asked + life, units));
                 }
@@ -384,7 +397,7 @@
         let mut frozen: Vec<Micros> = vec![0; nodes];
         let (mut down, mut fence) = (0, 1);
         let name: Vec<String> = (0..nodes).map(|n| n.to_string()).collect();
-        type Way = Vec<(Micros, usize, Grant)>;
+        type Way = Vec<(Micros, usize, Micros, Grant)>;
         let (mut way, mut runs, mut arrivals): (Way, Vec<Micros>, u64) = Default::default();
         for now in (3_000_000..33_000_000_u64).step_by(1_000) {
             // One trouble at a time: a new count does not know who is cut off.
@@ -409,9 +422,9 @@
             let due: Way = way.iter().filter(|w| w.0 <= now).cloned().collect();
             way.retain(|w| w.0 > now);
             let mut ended = Vec::new();
-            for (_, node, grant) in due {
+            for (_, node, asked, grant) in due {
                 if now >= cut[node] && now >= frozen[node] {
-                    ended.extend(purses[node].granted(now, "t", grant));
+                    ended.extend(purses[node].granted(now, asked, "t", grant));
                 }
             }
             for node in 0..nodes {
@@ -444,7 +457,7 @@
                             Err(wait) => Grant::Dry { wait, share },
                         };
                         if ask.want >= 1.0 {
-                            way.push((now + 1_000 + dice(3_000.0) as Micros, node, grant));
+                            way.push((now + 1_000 + dice(3_000.0) as Micros, node, now, grant));
                         }
                     }
                 }
@@ -475,6 +488,25 @@
         }
     }
 
+    #[gtest]
+    fn an_answer_that_was_held_up_lives_no_longer_for_an_ask_made_since() {
+        let mut purse = Purse::new();
+        let block = |units| Grant::Block { units, life: 500_000, fence: 1, share: 0.1 };
+        expect_that!(purse.arrive(0, "t", QUOTA, 1), eq(Admission::Wait));
+        expect_that!(purse.asks(0).len(), eq(1));
+        purse.tick(150_000);
+        expect_that!(purse.asks(150_000).len(), eq(1), "made anew");
+        // The first answer comes when its block has died; the second one in time.
+        expect_that!(
+            purse.granted(600_000, 0, "t", block(5.0)),
+            elements_are![(eq(&1), not(eq(&Admission::Go)))]
+        );
+        expect_that!(purse.asks(610_000).len(), eq(0), "one is out");
+        purse.granted(640_000, 150_000, "t", block(2.0));
+        expect_that!(purse.arrive(641_000, "t", QUOTA, 2), eq(Admission::Go));
+        expect_that!(purse.arrive(651_000, "t", QUOTA, 3), not(eq(Admission::Go)));
+    }
+
     #[gtest]
     fn a_quota_that_all_ask_for_is_used_and_one_that_few_ask_for_refuses_nobody() {
         let (runs, _) = play(1, 11, 500.0, false);
@@ -496,7 +528,7 @@
         purse.shared_by(10);
         expect_that!(purse.arrive(0, "t", Quota { rate: 50.0, burst: 25.0 }, 1), eq(Admission::Wait));
         expect_that!(purse.asks(0).len(), eq(1));
-        let ended = purse.granted(1_000, "t", Grant::Dry { wait: 400_000, share: 0.1 });
+        let ended = purse.granted(1_000, 0, "t", Grant::Dry { wait: 400_000, share: 0.1 });
         // x is one request over the configured rate over the nodes, 5 a second; the burst lasts 0.5 s: two fit.
         expect_that!(ended, elements_are![eq(&(1, Admission::Later(200_000)))]);
         let mut arrive = |now| purse.arrive(now, "t", Quota { rate: 50.0, burst: 25.0 }, 2);
