A simulator of a whole gateway, which runs the real state machines under faults

Cause: stores, registries and proxies were each tested alone, with a made-up other side. What goes wrong between them, such as a share granted twice or a list that a whole core forgets, no test could see.

Ruled out: real processes under faults, which take minutes a play and cannot be replayed; models of the state machines, which prove the model.

crates/smoker drives comb::desk::Desk, scout::Registry and forager::Hearing with one virtual clock: links that delay, break and are cut one way or both, disks that stall and lose what is not synced, machines that lose power or disk right after an acknowledgement, frozen and killed processes, two operators, servers that drain, leave and crash, and tenants beyond their quotas. `smoker` prints figures, and of a breach its seed and the faults before it.

--- /dev/null
+++ b/crates/smoker/src/check.rs
@@ -0,0 +1,267 @@
+//! What must hold, checked while a play runs. The first breach ends it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use pinerelay_cells::{call, judge, Cells, Item, Key};
+use thiserror::Error;
+
+use crate::figures::Figures;
+use crate::plan::{Micros, SECOND};
+use crate::process::Proc;
+
+/// A change that was acknowledged is in force after this at who is in touch; a server that leaves gets no more.
+pub const APPLY: Micros = 2_500_000;
+/// In touch is who has had no trouble for so long.
+pub const CONTACT: Micros = 3_000_000;
+/// While the core is not settled it may take so much longer.
+pub const STRETCH: Micros = 8_000_000;
+/// Within this after all faults all copies are the same.
+pub const HEALED: Micros = 8_000_000;
+
+/// An invariant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// What was acknowledged stands on a read at any core.
+    Stands,
+    /// What stands together is valid, and nothing refused is in force.
+    Valid,
+    /// In one life no proxy goes back.
+    NeverBack,
+    /// What was acknowledged is in force at who is in touch.
+    Applied,
+    /// Nobody in touch uses a server that has left.
+    Drained,
+    /// No tenant runs more than its quota in any window.
+    Quota,
+    /// Two never act for one duty.
+    OneDuty,
+    /// After the faults all copies are the same, and every proxy is ready.
+    Heals,
+}
+
+/// What was broken, and when.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("seed {seed} at {:.3} s: {invariant:?}: {what}", *at as f64 / 1e6)]
+pub struct Breach {
+    /// The play's.
+    pub seed: u64,
+    /// When.
+    pub at: Micros,
+    /// Which invariant.
+    pub invariant: Invariant,
+    /// What was seen.
+    pub what: String,
+    /// The faults before it: when, what, and the number of whose process or machine.
+    pub trail: Vec<(Micros, &'static str, usize)>,
+}
+
+/// Something acknowledged that proxies have yet to follow.
+struct Due<T> {
+    at: Micros,
+    what: T,
+    waits: BTreeSet<Proc>,
+}
+
+/// What is known to who looks on from outside.
+#[derive(Default)]
+pub struct Ledger {
+    /// The first breach.
+    pub breach: Option<(Invariant, String)>,
+    /// Of each item the newest version that was acknowledged.
+    pub newest: BTreeMap<Key, u64>,
+    /// Of each item the newest drop that was called for.
+    drops: BTreeMap<Key, u64>,
+    refused: BTreeSet<(Key, u64)>,
+    changes: Vec<Due<Vec<(Key, u64)>>>,
+    leaving: Vec<Due<String>>,
+    /// What each proxy has had in force in this life.
+    seen: BTreeMap<Proc, BTreeMap<Key, u64>>,
+    /// The servers that each proxy uses.
+    usable: BTreeMap<Proc, BTreeSet<String>>,
+    runs: BTreeMap<String, VecDeque<Micros>>,
+}
+
+impl Ledger {
+    /// Notes a breach, if it is the first.
+    pub fn broken(&mut self, invariant: Invariant, what: String) {
+        self.breach.get_or_insert((invariant, what));
+    }
+
+    /// These are called for.
+    pub fn called(&mut self, items: &[Item]) {
+        for item in items.iter().filter(|item| item.value.is_none()) {
+            let newest = self.drops.entry(item.key.clone()).or_default();
+            *newest = (*newest).max(item.version.0);
+        }
+    }
+
+    /// These are acknowledged; these proxies run.
+    pub fn acknowledged(
+        &mut self,
+        now: Micros,
+        items: &[Item],
+        proxies: &BTreeMap<Proc, (Micros, &Cells)>,
+        figures: &mut Figures,
+    ) {
+        for item in items {
+            let newest = self.newest.entry(item.key.clone()).or_default();
+            *newest = (*newest).max(item.version.0);
+        }
+        let what: Vec<(Key, u64)> = items.iter().map(|i| (i.key.clone(), i.version.0)).collect();
+        let (early, waits): (Vec<_>, Vec<_>) = proxies.iter().partition(|(_, (_, cells))| has(cells, &what));
+        figures.news.extend(early.iter().map(|_| 0));
+        let waits = waits.into_iter().map(|(&proc, _)| proc).collect();
+        self.changes.push(Due { at: now, what, waits });
+    }
+
+    /// These are refused for good.
+    pub fn refused(&mut self, items: &[Item]) {
+        self.refused.extend(items.iter().map(|i| (i.key.clone(), i.version.0)));
+    }
+
+    /// A read has been answered; `floor` had been acknowledged before it.
+    pub fn read(&mut self, floor: &BTreeMap<Key, u64>, text: &str) {
+        let Ok(stands) = call::read(format!("{{\"upsert\":{text}}}").as_bytes()) else {
+            return self.broken(Invariant::Stands, "a read can't be read".into());
+        };
+        let mut all = Cells::default();
+        all.merge_all(stands);
+        if let Err(unfit) = judge::together(&all) {
+            self.broken(Invariant::Valid, format!("a read: {unfit}"));
+        }
+        self.in_force("a read", &all);
+        for (key, newest) in floor {
+            let there = all.get(key).map(|item| item.version.0);
+            let dropped = self.drops.get(key).copied();
+            let stands = there.map_or(dropped >= Some(*newest), |version| version >= *newest);
+            if !stands {
+                self.broken(
+                    Invariant::Stands,
+                    format!("{key:?} at {newest} was acknowledged, a read has {there:?}"),
+                );
+            }
+        }
+    }
+
+    fn in_force(&mut self, whose: &str, cells: &Cells) {
+        let bad = cells.all().find(|i| self.refused.contains(&(i.key.clone(), i.version.0)));
+        if let Some(key) = bad.map(|item| item.key.clone()) {
+            self.broken(Invariant::Valid, format!("{whose}: {key:?} was refused and is in force"));
+        }
+    }
+
+    /// A proxy begins a life.
+    pub fn begins(&mut self, proc: Proc) {
+        self.seen.remove(&proc);
+    }
+
+    /// What a proxy has had in force.
+    pub fn remembered(&self, proc: Proc) -> BTreeMap<Key, u64> {
+        self.seen.get(&proc).cloned().unwrap_or_default()
+    }
+
+    /// A proxy's life counts as the one before, in which it had this in force.
+    pub fn remember(&mut self, proc: Proc, seen: BTreeMap<Key, u64>) {
+        self.seen.insert(proc, seen);
+    }
+
+    /// A proxy has ended.
+    pub fn ends(&mut self, proc: Proc) {
+        self.usable.remove(&proc);
+    }
+
+    /// A proxy has put this in force.
+    pub fn configured(&mut self, now: Micros, proc: Proc, cells: &Cells, figures: &mut Figures) {
+        let seen = self.seen.entry(proc).or_default();
+        let back =
+            seen.iter().find(|(key, version)| cells.get(key).is_none_or(|item| item.version.0 < **version));
+        let back = back.map(|(key, version)| format!("proxy {proc} had {key:?} at {version}"));
+        seen.extend(cells.all().map(|item| (item.key.clone(), item.version.0)));
+        if let Some(what) = back {
+            self.broken(Invariant::NeverBack, what);
+        }
+        self.in_force("a proxy", cells);
+        for due in &mut self.changes {
+            if due.waits.contains(&proc) && has(cells, &due.what) {
+                due.waits.remove(&proc);
+                figures.news.push(now - due.at);
+            }
+        }
+    }
+
+    /// A proxy uses a server, or does not any more.
+    pub fn server(&mut self, proc: Proc, id: String, usable: bool) {
+        let servers = self.usable.entry(proc).or_default();
+        if usable {
+            servers.insert(id);
+        } else {
+            servers.remove(&id);
+        }
+    }
+
+    /// How many servers a proxy uses.
+    pub fn servers(&self, proc: Proc) -> usize {
+        self.usable.get(&proc).map_or(0, BTreeSet::len)
+    }
+
+    /// A server's leaving is acknowledged.
+    pub fn leaves(&mut self, now: Micros, id: &str) {
+        self.leaving.push(Due { at: now, what: id.into(), waits: BTreeSet::new() });
+    }
+
+    /// A request of a tenant has drawn its unit.
+    pub fn ran(&mut self, now: Micros, tenant: &str, rate: f64, burst: f64) {
+        if !self.runs.contains_key(tenant) {
+            self.runs.insert(tenant.into(), VecDeque::new());
+        }
+        let Some(runs) = self.runs.get_mut(tenant) else { return };
+        runs.push_back(now);
+        while runs.front().is_some_and(|at| at + 5 * SECOND <= now) {
+            runs.pop_front();
+        }
+        let (ran, bound) = (runs.len() as f64, (rate * 5.0 + burst) * 1.1 + 20.0);
+        if ran > bound {
+            self.broken(Invariant::Quota, format!("{tenant}: {ran} in five seconds, {bound:.0} allowed"));
+        }
+    }
+
+    /// Looks at what is overdue. A proxy's trouble and the core's: when the last one ends or ended;
+    /// `halted`: until when half of the core or more did not run.
+    pub fn look(
+        &mut self,
+        now: Micros,
+        proxies: &BTreeMap<Proc, (Micros, &Cells)>,
+        core: Micros,
+        halted: Micros,
+    ) {
+        let late = |at: Micros, trouble: Micros| {
+            let calm = |since: Micros| now >= since + CONTACT;
+            calm(trouble) && (calm(core) && now > at + APPLY || now > at.max(halted) + APPLY + STRETCH)
+        };
+        let mut broken = Vec::new();
+        for due in &mut self.changes {
+            due.waits.retain(|proc| proxies.contains_key(proc));
+            for (proc, (trouble, cells)) in proxies {
+                if late(due.at, *trouble) && !has(cells, &due.what) {
+                    broken.push((Invariant::Applied, format!("proxy {proc} lacks {:?}", due.what.first())));
+                }
+            }
+        }
+        for due in &self.leaving {
+            for (proc, (trouble, _)) in proxies {
+                let uses = self.usable.get(proc).is_some_and(|servers| servers.contains(&due.what));
+                if uses && late(due.at, *trouble) {
+                    broken.push((Invariant::Drained, format!("proxy {proc} still uses {}", due.what)));
+                }
+            }
+        }
+        let old = APPLY + STRETCH + 2 * CONTACT;
+        self.changes.retain(|due| now < due.at + old);
+        self.leaving.retain(|due| now < due.at + old);
+        broken.into_iter().for_each(|(invariant, what)| self.broken(invariant, what));
+    }
+}
+
+fn has(cells: &Cells, what: &[(Key, u64)]) -> bool {
+    what.iter().all(|(key, version)| cells.get(key).is_some_and(|item| item.version.0 >= *version))
+}
--- /dev/null
+++ b/crates/smoker/src/lib.rs
@@ -0,0 +1,13 @@
+//! A whole gateway in one process: the real state machines under simulated time, network, disks and faults.
+//!
+//! A beekeeper's smoker calms a hive so that one can look inside. A [`plan::Plan`] names a seed and a size;
+//! [`world::play`] plays it, checks the invariants all the while, and tells the figures or what was broken, and when.
+
+pub mod check;
+pub mod faults;
+pub mod figures;
+pub mod net;
+pub mod outside;
+pub mod plan;
+pub mod process;
+pub mod world;
--- /dev/null
+++ b/crates/smoker/src/net.rs
@@ -0,0 +1,111 @@
+//! Machines and the ways between them: what is cut, delayed and lost, and the connections that go over them.
+
+use crate::plan::{Lot, Micros};
+use crate::process::{Peer, Proc};
+
+/// A connection on which nothing was heard for so long is closed, as `propolis::link` does.
+pub const SILENCE: Micros = 2_000_000;
+/// An attempt to connect that nobody answers is given up after this.
+pub const CONNECT: Micros = 500_000;
+/// What was lost is sent again after this at the least.
+const RESENT: Micros = 200_000;
+
+/// A machine's troubles; each lasts until the moment that it holds.
+#[derive(Debug, Clone, Default)]
+pub struct Machine {
+    /// Nothing of it reaches other machines.
+    pub mute: Micros,
+    /// Nothing from other machines reaches it.
+    pub deaf: Micros,
+    /// And callers from outside do not reach it either.
+    pub outside: bool,
+    /// One in so many messages from and to it is sent again; 0: none.
+    pub lossy: (u64, Micros),
+    /// Without power.
+    pub off: bool,
+    /// When its last trouble ends or ended.
+    pub trouble: Micros,
+}
+
+/// A connection between two processes. End 0 is the one that made it.
+#[derive(Debug)]
+pub struct Connection {
+    /// Its processes, their lives, and how they call it.
+    pub ends: [(Proc, u64, Peer); 2],
+    /// Which ends are closed.
+    pub closed: [bool; 2],
+    /// When each end last heard something.
+    pub heard: [Micros; 2],
+    /// What each end says arrives no sooner: in order.
+    pub next: [Micros; 2],
+    /// What each end says is held up by a cut until then.
+    pub held: [Micros; 2],
+}
+
+/// Machines and connections.
+#[derive(Debug)]
+pub struct Net {
+    /// The machines, those of the core first.
+    pub machines: Vec<Machine>,
+    /// All connections that ever were.
+    pub connections: Vec<Connection>,
+}
+
+impl Net {
+    /// Machines without trouble.
+    pub fn new(machines: usize) -> Net {
+        Net { machines: vec![Machine::default(); machines], connections: Vec::new() }
+    }
+
+    /// Until when nothing gets from one machine to another.
+    pub fn blocked(&self, from: usize, to: usize) -> Micros {
+        if from == to {
+            return 0;
+        }
+        self.machines[from].mute.max(self.machines[to].deaf)
+    }
+
+    /// Whether a caller from outside reaches a machine, or is reached by it.
+    pub fn outside(&self, now: Micros, machine: usize, answer: bool) -> bool {
+        let m = &self.machines[machine];
+        let until = if answer { m.mute } else { m.deaf };
+        !(m.off || m.outside && now < until)
+    }
+
+    /// How long a message takes.
+    pub fn way(&self, now: Micros, lot: &mut Lot, from: usize, to: usize) -> Micros {
+        if from == to {
+            return 50 + lot.upto(100);
+        }
+        let resent = [from, to].into_iter().any(|m| {
+            let (one_in, until) = self.machines[m].lossy;
+            now < until && lot.chance(one_in)
+        });
+        1_000 + lot.upto(1_500) + if resent { RESENT + lot.upto(400_000) } else { 0 }
+    }
+
+    /// When something that one end says now arrives.
+    pub fn send(
+        &mut self,
+        now: Micros,
+        lot: &mut Lot,
+        connection: usize,
+        end: usize,
+        way: [usize; 2],
+    ) -> Micros {
+        let after = now + self.way(now, lot, way[0], way[1]);
+        let line = &mut self.connections[connection];
+        line.next[end] = line.next[end].max(after).max(line.held[end]);
+        line.next[end]
+    }
+
+    /// Whether what one end said and arrives now is held up, and until when.
+    pub fn held(&mut self, now: Micros, connection: usize, from: usize, way: [usize; 2]) -> Option<Micros> {
+        let blocked = self.blocked(way[0], way[1]);
+        let line = &mut self.connections[connection];
+        if now < blocked {
+            line.held[from] = line.held[from].max(blocked + RESENT);
+        }
+        (now < line.held[from]).then_some(line.held[from])
+    }
+}
--- /dev/null
+++ b/crates/smoker/src/plan.rs
@@ -0,0 +1,86 @@
+//! What is played: a seed, a size, and what of the gateway's behaviour is broken on purpose.
+
+use pinerelay_cells::hash::mix;
+
+/// Microseconds.
+pub type Micros = u64;
+/// A second.
+pub const SECOND: Micros = 1_000_000;
+
+/// Seeded lots.
+#[derive(Debug, Clone)]
+pub struct Lot(pub u64);
+
+impl Lot {
+    /// One of 0 to `most` - 1.
+    pub fn upto(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.0) % most.max(1)
+    }
+
+    /// One in so many times.
+    pub fn chance(&mut self, one_in: u64) -> bool {
+        self.upto(one_in) == 0
+    }
+
+    /// One of `from` to `to` - 1.
+    pub fn within(&mut self, from: u64, to: u64) -> u64 {
+        from + self.upto(to - from)
+    }
+}
+
+/// A behaviour that is left out on purpose: the invariant that needs it has to break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// A disk tells that a change is safe before it is.
+    Sync,
+    /// A store whose disk came back empty votes at once.
+    Wiped,
+    /// Each store is its own majority.
+    Quorum,
+    /// Nothing is told to the proxies but that they lack it.
+    News,
+    /// Nobody says what it has: what was missed stays missed.
+    Digests,
+    /// Nobody hands its copy to a store that has lost its disk.
+    Copies,
+    /// A leaving is acknowledged although no other registry holds it.
+    Hold,
+    /// A proxy forgets all, within one life.
+    Memory,
+    /// A block holds twice the units that were counted.
+    Units,
+    /// A duty is taken without the others' promise.
+    Fence,
+}
+
+/// A play.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Of all lots.
+    pub seed: u64,
+    /// Machines of the core: a store and a registry on each.
+    pub cores: usize,
+    /// Proxies.
+    pub proxies: usize,
+    /// App servers.
+    pub servers: usize,
+    /// How long it lasts; the last ten are without faults and changes.
+    pub seconds: u64,
+    /// Whether there are faults.
+    pub faults: bool,
+    /// What is broken on purpose.
+    pub broken: Option<Broken>,
+}
+
+impl Plan {
+    /// A small gateway with faults.
+    pub fn small(seed: u64) -> Plan {
+        Plan { seed, cores: 3, proxies: 6, servers: 8, seconds: 30, faults: true, broken: None }
+    }
+
+    /// When faults and changes end.
+    pub fn calm_from(&self) -> Micros {
+        self.seconds.saturating_sub(10) * SECOND
+    }
+}
--- /dev/null
+++ b/crates/smoker/src/process.rs
@@ -0,0 +1,339 @@
+//! The processes: a real state machine each, and what its program would hold around it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use pinerelay_cells::routes::Table;
+use pinerelay_comb::desk::{self, Desk};
+use pinerelay_dance::store::Birth as StoreBirth;
+use pinerelay_dance::voter::{Change, Kept};
+use pinerelay_forager::hearing::{self, Hearing};
+use pinerelay_nectar::terms::Bounds;
+use pinerelay_propolis::speech::{Hello, Role, Speech};
+use pinerelay_scout::registry::{self, Registry};
+
+use crate::plan::{Broken, Micros, Plan, SECOND};
+
+/// A process's number: two for each machine of the core, then one for each proxy.
+pub type Proc = usize;
+/// A connection as its process calls it.
+pub type Peer = pinerelay_propolis::link::Peer;
+
+/// How often servers tell of themselves.
+pub const HEARTBEAT: Micros = 1_500_000;
+
+/// Which process is where.
+#[derive(Debug, Clone, Copy)]
+pub struct Places {
+    /// Machines of the core.
+    pub cores: usize,
+    /// Proxies.
+    pub proxies: usize,
+}
+
+impl Places {
+    /// How many processes there are.
+    pub fn processes(self) -> usize {
+        2 * self.cores + self.proxies
+    }
+
+    /// A core's store.
+    pub fn store(self, core: usize) -> Proc {
+        2 * core
+    }
+
+    /// A core's registry.
+    pub fn scout(self, core: usize) -> Proc {
+        2 * core + 1
+    }
+
+    /// A proxy.
+    pub fn proxy(self, n: usize) -> Proc {
+        2 * self.cores + n
+    }
+
+    /// The machine that a process runs on.
+    pub fn machine(self, proc: Proc) -> usize {
+        if proc < 2 * self.cores {
+            proc / 2
+        } else {
+            proc - self.cores
+        }
+    }
+
+    /// What it runs.
+    pub fn role(self, proc: Proc) -> Role {
+        match proc {
+            p if p >= 2 * self.cores => Role::Forager,
+            p if p % 2 == 0 => Role::Comb,
+            _ => Role::Scout,
+        }
+    }
+
+    /// A machine's address.
+    pub fn ip(self, machine: usize) -> String {
+        format!("10.{}.{}.{}", u8::from(machine >= self.cores), machine / 250, machine % 250)
+    }
+
+    /// The process of a role at an address.
+    pub fn at(self, ip: &str, role: Role) -> Option<Proc> {
+        let core = (0..self.cores).find(|&core| self.ip(core) == ip)?;
+        Some(if role == Role::Comb { self.store(core) } else { self.scout(core) })
+    }
+}
+
+/// The time of day, in seconds.
+pub fn wall(now: Micros) -> u64 {
+    1_700_000_000 + now / SECOND
+}
+
+/// A state machine.
+pub enum Body {
+    /// Of a store.
+    Store(Box<Desk>),
+    /// Of a registry.
+    Scout(Box<Registry>),
+    /// Of a proxy.
+    Proxy(Box<Hearing>),
+}
+
+/// What any of them wants done.
+pub enum Output {
+    /// Say this on these connections.
+    Say(Vec<Peer>, Speech),
+    /// Cut a connection.
+    Cut(Peer),
+    /// Write this.
+    Write(u64, Change),
+    /// Answer a call from outside.
+    Answer(u64, u16, String),
+    /// Of a proxy.
+    Proxy(hearing::Output),
+}
+
+/// What a link, a disk or the clock tells a process.
+pub enum Input {
+    /// A connection has come up.
+    Up(Peer),
+    /// Something was said.
+    Said(Peer, Speech),
+    /// A connection has gone.
+    Down(Peer),
+    /// A change is on disk.
+    Written(u64),
+    /// Time has passed.
+    Tick,
+}
+
+impl Body {
+    /// The state machine of a process that begins: its life, and the time of day in seconds.
+    pub fn begin(
+        plan: &Plan,
+        places: Places,
+        proc: Proc,
+        (life, wall): (u64, u64),
+        first: bool,
+        kept: Option<Kept>,
+        out: &mut Vec<Output>,
+    ) -> Body {
+        let machine = places.machine(proc);
+        let ip = places.ip(machine);
+        let role = places.role(proc);
+        let hello = Hello { node: format!("{role:?}-{machine}"), ip: ip.clone(), role, life };
+        let seeds: Vec<String> = (0..places.cores.min(3)).map(|core| places.ip(core)).collect();
+        match role {
+            Role::Comb => {
+                let alone = plan.broken == Some(Broken::Quorum);
+                let birth = StoreBirth {
+                    me: ip.clone(),
+                    life,
+                    losses: usize::from(!alone),
+                    first: first || plan.broken == Some(Broken::Wiped),
+                    seeds: if alone { vec![ip] } else { seeds },
+                };
+                let mut first = Vec::new();
+                let body = Body::Store(Box::new(Desk::new(wall, hello, birth, kept, &mut first)));
+                out.extend(first.into_iter().map(Output::from));
+                body
+            }
+            Role::Scout => Body::Scout(Box::new(Registry::new(
+                0,
+                registry::Birth {
+                    hello,
+                    first,
+                    wall,
+                    heartbeat: HEARTBEAT,
+                    bounds: Bounds::default(),
+                    seeds,
+                },
+            ))),
+            _ => Body::Proxy(Box::new(Hearing::new(wall * SECOND, hello, seeds))),
+        }
+    }
+
+    /// Takes one input.
+    pub fn on(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match self {
+            Body::Store(desk) => {
+                let mut wants = Vec::new();
+                match input {
+                    Input::Up(peer) => desk.up(peer, &mut wants),
+                    Input::Said(peer, speech) => desk.said(now, peer, speech, &mut wants),
+                    Input::Down(peer) => desk.down(peer),
+                    Input::Written(number) => desk.written(now, number, &mut wants),
+                    Input::Tick => desk.tick(now, &mut wants),
+                }
+                out.extend(wants.into_iter().map(Output::from));
+            }
+            Body::Scout(registry) => {
+                let mut wants = Vec::new();
+                match input {
+                    Input::Up(peer) => registry.up(peer, &mut wants),
+                    Input::Said(peer, speech) => registry.said(now, peer, speech, &mut wants),
+                    Input::Down(peer) => registry.down(now, peer, &mut wants),
+                    Input::Tick => registry.tick(now, &mut wants),
+                    Input::Written(_) => {}
+                }
+                out.extend(wants.into_iter().map(Output::from));
+            }
+            Body::Proxy(hearing) => {
+                let mut wants = Vec::new();
+                match input {
+                    Input::Up(peer) => hearing.up(peer, &mut wants),
+                    Input::Said(peer, speech) => hearing.said(now, peer, speech, &mut wants),
+                    Input::Down(peer) => hearing.down(peer),
+                    Input::Tick => hearing.tick(now, &mut wants),
+                    Input::Written(_) => {}
+                }
+                out.extend(wants.into_iter().map(Output::from));
+            }
+        }
+    }
+
+    /// The processes that it wants links to.
+    pub fn wanted(&self, places: Places) -> BTreeSet<Proc> {
+        let all: Vec<Option<Proc>> = match self {
+            Body::Store(desk) => desk.store().others().iter().map(|ip| places.at(ip, Role::Comb)).collect(),
+            Body::Scout(registry) => {
+                registry.wanted().iter().map(|(ip, role)| places.at(ip, *role)).collect()
+            }
+            Body::Proxy(hearing) => hearing.wanted().iter().map(|ip| places.at(ip, Role::Scout)).collect(),
+        };
+        all.into_iter().flatten().collect()
+    }
+
+    /// How long its program waits between two ticks.
+    pub fn pause(&self) -> Micros {
+        match self {
+            Body::Store(desk) if desk.busy() => 25_000,
+            Body::Store(_) => 150_000,
+            Body::Scout(_) => 100_000,
+            Body::Proxy(hearing) if hearing.purse.waiting() > 0 => 25_000,
+            Body::Proxy(_) => 75_000,
+        }
+    }
+}
+
+impl From<desk::Output> for Output {
+    fn from(output: desk::Output) -> Output {
+        match output {
+            desk::Output::Say(peer, speech) => Output::Say(vec![peer], speech),
+            desk::Output::SayAll(peers, speech) => Output::Say(peers, speech),
+            desk::Output::Cut(peer) => Output::Cut(peer),
+            desk::Output::Write(number, change) => Output::Write(number, change),
+        }
+    }
+}
+
+impl From<registry::Output> for Output {
+    fn from(output: registry::Output) -> Output {
+        match output {
+            registry::Output::Say(peer, speech) => Output::Say(vec![peer], speech),
+            registry::Output::SayAll(peers, speech) => Output::Say(peers, speech),
+            registry::Output::Cut(peer) => Output::Cut(peer),
+            registry::Output::Answer(call, answered) => Output::Answer(call, answered.status, answered.body),
+        }
+    }
+}
+
+impl From<hearing::Output> for Output {
+    fn from(output: hearing::Output) -> Output {
+        match output {
+            hearing::Output::Say(peer, speech) => Output::Say(vec![peer], speech),
+            hearing::Output::Cut(peer) => Output::Cut(peer),
+            other => Output::Proxy(other),
+        }
+    }
+}
+
+/// An attempt to reach another process, or the connection that came of it.
+#[derive(Debug, Default)]
+pub struct Dial {
+    /// The next pause.
+    pub pause: Micros,
+    /// An attempt is on its way, or a connection stands.
+    pub busy: bool,
+}
+
+/// A process, or where one was.
+#[derive(Default)]
+pub struct Process {
+    /// Its state machine, while it runs.
+    pub body: Option<Body>,
+    /// Rises with each start.
+    pub life: u64,
+    /// When this life began.
+    pub begun: Micros,
+    /// It stands still until then.
+    pub frozen: Micros,
+    /// Its last connection.
+    pub last_peer: Peer,
+    /// Its connections: which, and which end of it.
+    pub lines: BTreeMap<Peer, (usize, usize)>,
+    /// Whom it reaches for.
+    pub dials: BTreeMap<Proc, Dial>,
+    /// The table in force, of a proxy.
+    pub table: Option<Arc<Table>>,
+    /// Its last call from outside.
+    pub last_call: u64,
+}
+
+impl Process {
+    /// Its own clock: a proxy's is the time of day at its begin, and all go on steadily.
+    pub fn clock(&self, now: Micros) -> Micros {
+        let from = if matches!(self.body, Some(Body::Proxy(_))) { wall(self.begun) * SECOND } else { 0 };
+        from + now - self.begun
+    }
+}
+
+/// A store's disk.
+#[derive(Default)]
+pub struct Disk {
+    /// What is safe.
+    pub kept: Option<Kept>,
+    /// What was given to it and is not safe yet.
+    pub unwritten: Vec<(u64, Change)>,
+    /// It stalls or refuses until then.
+    pub stalled: Micros,
+    /// A sync is under way.
+    pub syncing: bool,
+}
+
+impl Disk {
+    /// Makes the first `n` changes that wait safe, and tells their numbers.
+    pub fn sync(&mut self, n: usize) -> Vec<u64> {
+        let kept = self.kept.get_or_insert_default();
+        let mut numbers = Vec::new();
+        for (number, change) in self.unwritten.drain(..n) {
+            kept.voters = change.voters.unwrap_or(std::mem::take(&mut kept.voters));
+            if let Some((at, pending)) = change.put {
+                (kept.at, kept.pending) = (at, pending);
+            }
+            let mut cells = pinerelay_cells::Cells::default();
+            cells.merge_all(std::mem::take(&mut kept.cells).into_iter().chain(change.settled));
+            kept.cells = cells.all().cloned().collect();
+            numbers.push(number);
+        }
+        numbers
+    }
+}
