A count takes out what a proxy spends of its share, told with each ask

Ruled out: no share for a proxy that is heard (it cannot know that it is); a list of all proxies told to all (each restart would be told to each proxy).

Change: an ask tells the share that the proxy holds and what it has spent of it, in all and since its asks failed. The count takes that out; what it had taken out while the proxy was missing is set against it, and what is left comes back.

Random play of nectar now has deaf proxies, too.

--- a/crates/nectar/src/purse.rs
+++ b/crates/nectar/src/purse.rs
@@ -7,6 +7,7 @@
 use mountbend::schedule::Schedule;
 
 use crate::terms::Quota;
+use crate::well::Call;
 use crate::Micros;
 
 /// What clients ask here is smoothed over this.
@@ -49,10 +50,24 @@
     pub want: f64,
     /// Handed back unspent, of a block granted under this fence.
     pub back: f64,
+    /// The share that the proxy holds, what it has spent of that in all, and since asks have failed.
+    pub holds: f64,
+    /// In all.
+    pub spent: f64,
+    /// Since asks have failed.
+    pub lately: f64,
     /// The fence.
     pub fence: u64,
 }
 
+impl Ask {
+    /// As the count takes it.
+    pub fn call(&self) -> Call {
+        let Ask { want, back, holds, spent, lately, .. } = *self;
+        Call { want, back, holds, spent, lately }
+    }
+}
+
 /// What comes of it.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum Grant {
@@ -104,6 +119,9 @@
     failing: Option<Micros>,
     /// What there is of the share meanwhile.
     living: Option<Bucket>,
+    /// What has been spent of it in all, and since asks have failed.
+    spent: f64,
+    lately: f64,
 }
 
 impl Pouch {
@@ -138,6 +156,8 @@
             return false;
         }
         living.store -= 1.0;
+        self.spent += 1.0;
+        self.lately += 1.0;
         self.drawn.add(now, 1.0, SPAN);
         true
     }
@@ -145,7 +165,7 @@
     /// The share counts from now, however old the answer is: the count has heard this proxy since it was asked, and takes
     /// out of the rate what is spent after that alone.
     fn heard(&mut self, now: Micros, share: f64) {
-        (self.failing, self.living) = (None, None);
+        (self.failing, self.living, self.lately) = (None, None, 0.0);
         (self.share, self.told) = (share, now);
     }
 
@@ -261,7 +281,15 @@
                 pouch.asked = Some(now);
             }
             let back = std::mem::take(&mut pouch.back);
-            asks.push(Ask { tenant: tenant.clone(), want: want.max(0.0), back, fence: pouch.fence });
+            asks.push(Ask {
+                tenant: tenant.clone(),
+                want: want.max(0.0),
+                back,
+                fence: pouch.fence,
+                holds: pouch.share,
+                spent: pouch.spent,
+                lately: pouch.lately,
+            });
         }
         asks
     }
@@ -395,6 +423,8 @@
         let mut cut: Vec<Micros> = vec![0; nodes];
         let mut heard: Vec<Micros> = vec![0; nodes];
         let mut frozen: Vec<Micros> = vec![0; nodes];
+        // Answers to these are lost, while their asks come.
+        let mut deaf: Vec<Micros> = vec![0; nodes];
         let (mut down, mut fence) = (0, 1);
         let name: Vec<String> = (0..nodes).map(|n| n.to_string()).collect();
         type Way = Vec<(Micros, usize, Micros, Grant)>;
@@ -407,6 +437,9 @@
             if troubles && dice(1.0) < 0.0005 {
                 frozen[dice(nodes as f64) as usize] = now + dice(2e6) as Micros;
             }
+            if troubles && dice(1.0) < 0.0003 {
+                deaf[dice(nodes as f64) as usize] = now + dice(4e6) as Micros;
+            }
             if troubles && dice(1.0) < 0.0003 {
                 let node = dice(nodes as f64) as usize;
                 purses[node] = Purse::new();
@@ -423,7 +456,7 @@
             way.retain(|w| w.0 > now);
             let mut ended = Vec::new();
             for (_, node, asked, grant) in due {
-                if now >= cut[node] && now >= frozen[node] {
+                if now >= cut[node] && now >= frozen[node] && now >= deaf[node] {
                     ended.extend(purses[node].granted(now, asked, "t", grant));
                 }
             }
@@ -450,7 +483,7 @@
                     if linked {
                         heard[node] = now;
                         let back = if ask.fence == fence { ask.back } else { 0.0 };
-                        let drawn = well.draw(now, &name[node], 0.0, ask.want, back);
+                        let drawn = well.draw(now, &name[node], 0.0, &Call { back, ..ask.call() });
                         let share = drawn.share;
                         let grant = match drawn.units {
                             Ok(units) => Grant::Block { units, life: bounds.life(QUOTA), fence, share },
--- a/crates/nectar/src/well.rs
+++ b/crates/nectar/src/well.rs
@@ -25,6 +25,25 @@
     before: f64,
     /// It has not been heard since it was last told, and lives on its share.
     missing: bool,
+    /// What it has spent of its share in all, as far as has been taken out here.
+    spent: f64,
+    /// What was taken out for it while it was missing, before it could tell what it had spent.
+    charged: f64,
+}
+
+/// What a proxy asks, and what it tells with it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Call {
+    /// Units that it wants.
+    pub want: f64,
+    /// Units that it hands back unspent.
+    pub back: f64,
+    /// The share that it holds by now: what was told later has not come.
+    pub holds: f64,
+    /// What it has spent of its share in all, and since its asks have failed.
+    pub spent: f64,
+    /// The part of that since its asks have failed.
+    pub lately: f64,
 }
 
 impl Lessee {
@@ -78,7 +97,12 @@
     fn fill(&mut self, now: Micros, reserved: f64) {
         let seconds = now.saturating_sub(self.at) as f64 / 1e6;
         self.at = self.at.max(now);
-        let missing: f64 = self.lessees.values().filter(|l| l.missing).map(Lessee::holds).sum();
+        let full = self.quota.rate;
+        let mut missing = 0.0;
+        for lessee in self.lessees.values_mut().filter(|lessee| lessee.missing) {
+            missing += lessee.holds();
+            lessee.charged += lessee.holds() * full * seconds;
+        }
         let rate = self.quota.rate * (1.0 - reserved - missing).clamp(0.0, 1.0);
         self.level = (self.level + rate * seconds).min(self.most());
     }
@@ -96,7 +120,9 @@
         let rate = self.quota.rate;
         if let Some(lessee) = self.lessees.get_mut(node).filter(|lessee| !lessee.missing) {
             lessee.missing = true;
-            self.level -= lessee.holds() * rate * now.saturating_sub(since) as f64 / 1e6;
+            let spent = lessee.holds() * rate * now.saturating_sub(since) as f64 / 1e6;
+            lessee.charged += spent;
+            self.level -= spent;
         }
     }
 
@@ -116,10 +142,26 @@
         }
     }
 
-    /// Leases up to `want` whole units to a proxy, `back` having been handed back unspent (the negative add).
-    pub fn draw(&mut self, now: Micros, node: &str, reserved: f64, want: f64, back: f64) -> Drawn {
+    /// Takes out what a proxy has spent of its share. What was taken out while it was missing is set against that.
+    fn settle(&mut self, node: &str, call: &Call) {
+        let known = self.lessees.contains_key(node);
+        if !known {
+            self.lessees.insert(node.into(), Lessee { spent: call.spent - call.lately, ..Lessee::default() });
+        }
+        let Some(lessee) = self.lessees.get_mut(node) else { return };
+        // What it was told later than what it holds counts as well: that may have come by now.
+        lessee.before = call.holds.clamp(0.0, 1.0);
+        let spent = (call.spent - lessee.spent).max(0.0);
+        lessee.spent = lessee.spent.max(call.spent);
+        self.level += std::mem::take(&mut lessee.charged) - spent;
+    }
+
+    /// Leases up to as many whole units to a proxy as it wants, after those that it hands back unspent (the negative add).
+    pub fn draw(&mut self, now: Micros, node: &str, reserved: f64, call: &Call) -> Drawn {
         self.fill(now, reserved);
-        self.level = (self.level + back.max(0.0)).min(self.most());
+        self.settle(node, call);
+        let want = call.want;
+        self.level = (self.level + call.back.max(0.0)).min(self.most());
         let granted = want.max(0.0).min(self.level.max(0.0)).floor();
         self.level -= granted;
         let share = self.share(now, node, granted);
@@ -134,13 +176,8 @@
     /// into what is free.
     fn share(&mut self, now: Micros, node: &str, granted: f64) -> f64 {
         self.lessees.retain(|_, lessee| lessee.missing || now < lessee.drawn.at + FORGET);
-        if !self.lessees.contains_key(node) {
-            self.lessees.insert(node.into(), Lessee::default());
-        }
         if let Some(lessee) = self.lessees.get_mut(node) {
             lessee.drawn.add(now, granted, SPAN);
-            // It has heard what it was told last, or it would not ask.
-            lessee.before = 0.0;
         }
         let weigh = |lessee: &Lessee| lessee.drawn.get(now, SPAN) + IDLE;
         let (mut all, mut others) = (0.0, 0.0);
@@ -150,7 +187,7 @@
         }
         let Some(lessee) = self.lessees.get_mut(node) else { return 0.0 };
         let share = (weigh(lessee) / all * SHARED).min((SHARED - others).max(0.0));
-        (lessee.before, lessee.told) = (lessee.told, share);
+        lessee.told = share;
         share
     }
 
@@ -176,6 +213,10 @@
 
     use super::*;
 
+    fn call(want: f64, back: f64) -> Call {
+        Call { want, back, ..Call::default() }
+    }
+
     #[gtest]
     fn no_more_than_rate_and_burst_is_granted_in_any_time() {
         let quota = Quota { rate: 50.0, burst: 30.0 };
@@ -186,7 +227,7 @@
         for _ in 0..5_000 {
             now += (mountbend::measure::lot(&mut lot) * 20_000.0) as Micros;
             let want = (mountbend::measure::lot(&mut lot) * 8.0).floor();
-            if let Ok(units) = well.draw(now, "n", 0.0, want, 0.0).units {
+            if let Ok(units) = well.draw(now, "n", 0.0, &call(want, 0.0)).units {
                 granted.push((now, units));
             }
         }
@@ -204,26 +245,29 @@
     #[gtest]
     fn a_new_one_has_nothing_and_tells_when_it_will() {
         let mut well = Well::new(0, Quota { rate: 10.0, burst: 5.0 });
-        let mut draw = |now, want, back| well.draw(now, "n", 0.0, want, back).units;
+        let mut draw = |now, want, back| well.draw(now, "n", 0.0, &call(want, back)).units;
         expect_that!(draw(0, 2.0, 0.0), err(eq(100_000)));
         expect_that!(draw(100_000, 2.0, 0.0), ok(eq(1.0)));
         expect_that!(draw(100_000, 2.0, 1.0), ok(eq(1.0)), "what came back is there again");
         expect_that!(draw(10_000_000, 9.0, 0.0), ok(eq(5.0)), "no more than the burst");
         expect_that!(Well::full(0, Quota { rate: 10.0, burst: 5.0 }).level(), eq(5.0));
         well.change(11_200_000, Quota { rate: 10.0, burst: 2.0 });
-        expect_that!(well.draw(11_200_000, "n", 0.0, 9.0, 0.0).units, ok(eq(2.0)));
+        expect_that!(well.draw(11_200_000, "n", 0.0, &call(9.0, 0.0)).units, ok(eq(2.0)));
     }
 
     #[gtest]
     fn shares_follow_what_is_drawn_and_never_sum_up_to_more_than_the_rate() {
         let mut well = Well::new(0, Quota { rate: 100.0, burst: 100.0 });
         let mut lot = 4;
+        let mut holds = [0.0; 10];
         for step in 1..2_000_u64 {
             let node = (mountbend::measure::lot(&mut lot) * 10.0) as usize;
             // Whose clients are many changes on the way.
             let busy = if step < 1_000 { 2 } else { 7 };
             let want = if node == busy { 8.0 } else { 1.0 };
-            let share = well.draw(step * 20_000, &format!("n{node}"), 0.0, want, 0.0).share;
+            let told = Call { holds: holds[node], ..call(want, 0.0) };
+            let share = well.draw(step * 20_000, &format!("n{node}"), 0.0, &told).share;
+            holds[node] = share;
             let held: f64 = well.lessees.values().map(Lessee::holds).sum();
             // What was told before counts until the next word: it may stand beside what has been given on since.
             expect_that!(held, le(1.0 + 1e-9), "at step {step}");
@@ -242,8 +286,8 @@
         let mut share = 0.0;
         for _ in 0..400 {
             now += 20_000;
-            share = well.draw(now, "a", 0.0, 1.0, 0.0).share;
-            well.draw(now, "b", 0.0, 1.0, 0.0);
+            share = well.draw(now, "a", 0.0, &Call { holds: share, ..call(1.0, 0.0) }).share;
+            well.draw(now, "b", 0.0, &Call { holds: 0.475, ..call(1.0, 0.0) });
         }
         expect_that!(share, near(0.475, 0.02));
         // It was last heard half a second ago: by now it may have spent half of its share of a second.
@@ -252,10 +296,28 @@
         let mut granted = 0.0;
         for _ in 0..500 {
             now += 20_000;
-            granted += well.draw(now, "b", 0.0, 9.0, 0.0).units.unwrap_or(0.0);
+            let b = Call { holds: 0.475, ..call(9.0, 0.0) };
+            granted += well.draw(now, "b", 0.0, &b).units.unwrap_or(0.0);
         }
         expect_that!(granted, all!(gt(450.0), lt(540.0)));
         well.returned(now, "a");
-        expect_that!(well.draw(now + 100_000, "a", 0.0, 9.0, 0.0).units, ok(ge(8.0)));
+        // It has spent 300 of the 500 that were kept back for it: the others are there again, up to the burst.
+        let a = Call { holds: share, spent: 300.0, lately: 300.0, ..call(9.0, 0.0) };
+        expect_that!(well.draw(now + 100_000, "a", 0.0, &a).units, ok(ge(8.0)));
+    }
+
+    #[gtest]
+    fn what_a_deaf_one_spends_of_its_share_is_taken_out_with_each_ask() {
+        let mut well = Well::full(0, Quota { rate: 10.0, burst: 50.0 });
+        well.draw(0, "a", 0.0, &call(0.0, 0.0));
+        // Its asks come, the answers are lost: by its third it has spent 20 of its share.
+        for spent in [0.0, 8.0, 20.0] {
+            well.draw(0, "a", 0.0, &Call { spent, lately: spent, ..call(0.0, 0.0) });
+        }
+        expect_that!(well.level(), eq(30.0));
+        // A count that has just been taken over takes out what was spent since asks have failed, and nothing older.
+        let mut next = Well::new(0, Quota { rate: 10.0, burst: 50.0 });
+        next.draw(0, "a", 0.0, &Call { spent: 90.0, lately: 4.0, ..call(0.0, 0.0) });
+        expect_that!(next.level(), eq(-4.0));
     }
 }
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -6,7 +6,7 @@
 use pinerelay_nectar::fence::{self, Step, SLICES};
 use pinerelay_nectar::purse::{Ask, Grant};
 use pinerelay_nectar::terms::Quota;
-use pinerelay_nectar::well::Well;
+use pinerelay_nectar::well::{Call, Well};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::speech::Speech;
 
@@ -20,6 +20,9 @@
 const NEWS: Micros = 5_000_000;
 const BEGIN: Micros = 850_000;
 
+/// What a process that began lately keeps back for proxies that nobody knows of any more.
+const BLIND: f64 = 0.3;
+
 fn quota(tenant: &Tenant) -> Quota {
     Quota { rate: tenant.rate, burst: tenant.burst }
 }
@@ -131,7 +134,10 @@
         let unknown =
             self.missing.keys().filter(|node| self.wells.get(tenant).is_none_or(|well| !well.knows(node)));
         let elsewhere = self.foragers().saturating_sub(self.linked() + self.missing.len());
-        (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64
+        let known = (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64;
+        // Danger: where the whole core has lost its memory nobody knows who was cut off before.
+        let blind = !self.birth.first && now < YOUNG;
+        known.max(if blind { BLIND } else { 0.0 })
     }
 
     pub(super) fn draw(&mut self, now: Micros, node: &str, asks: Vec<Ask>) -> Vec<(String, Grant)> {
@@ -149,7 +155,7 @@
                     let well = self.wells.entry(ask.tenant.clone()).or_insert_with(|| Well::new(now, quota));
                     let (fence, _) = self.gained.get(&slice).copied().unwrap_or_default();
                     let back = if ask.fence == fence { ask.back } else { 0.0 };
-                    let drawn = well.draw(now, node, reserved, ask.want, back);
+                    let drawn = well.draw(now, node, reserved, &Call { back, ..ask.call() });
                     let share = drawn.share;
                     match drawn.units {
                         Ok(units) => {
