Stores keep the list of proxies; a new count takes out only what was spent since it began

Change: the machine's store keeps the list of proxies and tells it to a registry that begins; those that it does not hear are kept back, and no more. What a proxy spent of its share is taken out as far as it may have been spent since the count began: before that nobody else had the rate.

--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use pinerelay_cells::server::Server;
-use pinerelay_cells::{call, Cells, Item};
+use pinerelay_cells::{call, Cells, Item, Key, Kind};
 use pinerelay_dance::store::{Birth, Micros};
 use pinerelay_dance::voter::{Change, Kept};
 use pinerelay_dance::{Input, Output as Wants, Reply, Request, Store};
@@ -30,6 +30,8 @@
     /// for.
     hive: Cells,
     unkept: Vec<Item>,
+    /// The proxies that the machine's registry has told of, and how often that has changed.
+    proxies: (u64, Vec<String>),
     hello: Hello,
     /// The time of day at the process's begin, in seconds.
     wall: u64,
@@ -44,21 +46,31 @@
     ending: bool,
 }
 
+/// The name of the one item that holds the proxies.
+const PROXIES: &str = "proxies";
+
 impl Desk {
     /// A store with what it found on its disk. `wall` is the time of day now, in seconds; all other times count from now.
     pub fn new(wall: u64, hello: Hello, birth: Birth, mut kept: Option<Kept>, out: &mut Vec<Output>) -> Desk {
         let (mut first, mut hive) = (Vec::new(), Cells::default());
+        let mut proxies = (0, Vec::new());
         if let Some(kept) = &mut kept {
             let (config, others) =
                 std::mem::take(&mut kept.cells).into_iter().partition(|i| i.key.kind.is_config());
             kept.cells = config;
             hive.merge_all(others);
+            if let Some(item) = hive.get(&Key::new(Kind::Node, PROXIES)).cloned() {
+                let text = String::from_utf8(item.value.unwrap_or_default()).unwrap_or_default();
+                proxies = (item.version.0, text.lines().map(String::from).collect());
+                hive.forget(&item.key);
+            }
             hive.forget_if(|item| Server::past(item, wall));
         }
         let mut desk = Desk {
             store: Store::new(birth, kept, &mut first),
             hive,
             unkept: Vec::new(),
+            proxies,
             hello,
             wall,
             peers: BTreeMap::new(),
@@ -134,6 +146,9 @@
         if let Speech::Hello(hello) = speech {
             if hello.role == Role::Scout {
                 self.stood = None;
+                if hello.ip == self.hello.ip {
+                    out.push(Output::Say(peer, Speech::Proxies(self.proxies.1.clone())));
+                }
             }
             self.peers.insert(peer, hello);
         } else {
@@ -202,6 +217,14 @@
                 let from = hello.ip.clone();
                 self.give(now, Input::Heard(from, word), out);
             }
+            Speech::Proxies(names) if hello.role == Role::Scout && hello.ip == self.hello.ip => {
+                if names != self.proxies.1 {
+                    self.proxies = (self.proxies.0 + 1, names);
+                    let text = self.proxies.1.join("\n").into_bytes();
+                    let key = Key::new(Kind::Node, PROXIES);
+                    self.unkept.push(Item::sourced(key, self.proxies.0, Some(text)));
+                }
+            }
             Speech::Summary { realm, lines, answer } if hello.role == Role::Scout => {
                 let cells = if realm == 0 { self.store.cells() } else { &self.hive };
                 let (newer, behind) = cells.beside(&lines);
--- a/crates/comb/src/disk.rs
+++ b/crates/comb/src/disk.rs
@@ -32,7 +32,7 @@
 }
 
 /// Kinds by the number that they have on disk.
-const KINDS: [Kind; 5] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server];
+const KINDS: [Kind; 6] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server, Kind::Node];
 
 /// The database.
 struct Database(Connection);
--- a/crates/nectar/src/well.rs
+++ b/crates/nectar/src/well.rs
@@ -71,6 +71,8 @@
     quota: Quota,
     level: f64,
     at: Micros,
+    /// When it began.
+    born: Micros,
     lessees: BTreeMap<String, Lessee>,
 }
 
@@ -78,7 +80,7 @@
     /// The count of a tenant whose duty has just been taken over, or that is new. It begins with nothing: what was there
     /// may have been granted by who had the duty before.
     pub fn new(now: Micros, quota: Quota) -> Well {
-        Well { quota, level: 0.0, at: now, lessees: BTreeMap::new() }
+        Well { quota, level: 0.0, at: now, born: now, lessees: BTreeMap::new() }
     }
 
     /// The count of a tenant that did not exist before the duty for it was here: nobody has granted anything of it.
@@ -143,10 +145,13 @@
     }
 
     /// Takes out what a proxy has spent of its share. What was taken out while it was missing is set against that.
-    fn settle(&mut self, node: &str, call: &Call) {
+    fn settle(&mut self, now: Micros, node: &str, call: &Call) {
         let known = self.lessees.contains_key(node);
         if !known {
-            self.lessees.insert(node.into(), Lessee { spent: call.spent - call.lately, ..Lessee::default() });
+            // What it spent before this count began came from a rate that nobody else had then.
+            let since = now.saturating_sub(self.born) as f64 / 1e6;
+            let here = call.lately.min(call.holds * self.quota.rate * since);
+            self.lessees.insert(node.into(), Lessee { spent: call.spent - here, ..Lessee::default() });
         }
         let Some(lessee) = self.lessees.get_mut(node) else { return };
         // What it was told later than what it holds counts as well: that may have come by now.
@@ -159,7 +164,7 @@
     /// Leases up to as many whole units to a proxy as it wants, after those that it hands back unspent (the negative add).
     pub fn draw(&mut self, now: Micros, node: &str, reserved: f64, call: &Call) -> Drawn {
         self.fill(now, reserved);
-        self.settle(node, call);
+        self.settle(now, node, call);
         let want = call.want;
         self.level = (self.level + call.back.max(0.0)).min(self.most());
         let granted = want.max(0.0).min(self.level.max(0.0)).floor();
@@ -315,9 +320,10 @@
             well.draw(0, "a", 0.0, &Call { spent, lately: spent, ..call(0.0, 0.0) });
         }
         expect_that!(well.level(), eq(30.0));
-        // A count that has just been taken over takes out what was spent since asks have failed, and nothing older.
+        // A count that has been taken over takes out what was spent since it began, and nothing older.
         let mut next = Well::new(0, Quota { rate: 10.0, burst: 50.0 });
-        next.draw(0, "a", 0.0, &Call { spent: 90.0, lately: 4.0, ..call(0.0, 0.0) });
-        expect_that!(next.level(), eq(-4.0));
+        let told = Call { spent: 90.0, lately: 40.0, holds: 0.5, ..call(0.0, 0.0) };
+        next.draw(1_000_000, "a", 0.0, &told);
+        expect_that!(next.level(), eq(10.0 - 5.0));
     }
 }
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -154,6 +154,9 @@
     Roll,
     /// What it knows of them.
     Rolled(Rolled),
+    /// The proxies that there are, as a registry knows them, for its machine's store to keep; and the store's word of them to
+    /// a registry that begins.
+    Proxies(Vec<String>),
 }
 
 /// Why bytes are no message.
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -95,6 +95,8 @@
     first_seen: BTreeMap<String, Micros>,
     /// When each proxy was last heard; those that are not any more, and since when.
     heard: BTreeMap<String, Micros>,
+    /// The proxies that the machine's store was told of, once it has told what it had kept.
+    kept: Option<Vec<String>>,
     missing: BTreeMap<String, Micros>,
     /// The process of each proxy and registry, by its node.
     lives: BTreeMap<(Role, String), u64>,
@@ -141,6 +143,7 @@
             wells: BTreeMap::new(),
             first_seen: BTreeMap::new(),
             heard: BTreeMap::new(),
+            kept: None,
             missing: BTreeMap::new(),
             lives: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -260,6 +263,13 @@
                 let grants = self.draw(now, &hello.node, asks);
                 out.push(Output::Say(peer, Speech::Drawn(grants)));
             }
+            (Role::Comb, Speech::Proxies(names)) if hello.ip == self.birth.hello.ip => {
+                // Those that are not heard yet may be cut off, and live on what a registry told them that has ended since.
+                let unheard = names.into_iter().filter(|node| !self.heard.contains_key(node));
+                let unheard: Vec<String> = unheard.filter(|_| self.kept.is_none()).collect();
+                self.missing.extend(unheard.into_iter().map(|node| (node, now)));
+                self.kept.get_or_insert_default();
+            }
             (Role::Comb, Speech::StoreStands { voters, whole }) => {
                 self.stores.insert(peer, whole);
                 self.look();
@@ -326,6 +336,13 @@
         let linked: BTreeMap<Peer, String> = linked.map(|(&peer, h)| (peer, h.node.clone())).collect();
         let nodes: BTreeSet<&String> = linked.values().chain(self.missing.keys()).collect();
         self.placed.retain(|peer, _| linked.contains_key(peer));
+        if let (Some(store), Some(kept)) = (self.own_store(), &self.kept) {
+            let names: Vec<String> = nodes.iter().map(|node| node.to_string()).collect();
+            if *kept != names {
+                out.push(Output::Say(store, Speech::Proxies(names.clone())));
+                self.kept = Some(names);
+            }
+        }
         let all = self.foragers().max(nodes.len()) as u32;
         for (&peer, node) in &linked {
             let me = nodes.iter().position(|other| *other == node).unwrap_or(0) as u32;
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -20,9 +20,6 @@
 const NEWS: Micros = 5_000_000;
 const BEGIN: Micros = 850_000;
 
-/// What a process that began lately keeps back for proxies that nobody knows of any more.
-const BLIND: f64 = 0.3;
-
 fn quota(tenant: &Tenant) -> Quota {
     Quota { rate: tenant.rate, burst: tenant.burst }
 }
@@ -134,10 +131,7 @@
         let unknown =
             self.missing.keys().filter(|node| self.wells.get(tenant).is_none_or(|well| !well.knows(node)));
         let elsewhere = self.foragers().saturating_sub(self.linked() + self.missing.len());
-        let known = (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64;
-        // Danger: where the whole core has lost its memory nobody knows who was cut off before.
-        let blind = !self.birth.first && now < YOUNG;
-        known.max(if blind { BLIND } else { 0.0 })
+        (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64
     }
 
     pub(super) fn draw(&mut self, now: Micros, node: &str, asks: Vec<Ask>) -> Vec<(String, Grant)> {
