--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -217,13 +217,13 @@
                 let from = hello.ip.clone();
                 self.give(now, Input::Heard(from, word), out);
             }
-            Speech::Proxies(names) if hello.role == Role::Scout && hello.ip == self.hello.ip => {
-                if names != self.proxies.1 {
-                    self.proxies = (self.proxies.0 + 1, names);
-                    let text = self.proxies.1.join("\n").into_bytes();
-                    let key = Key::new(Kind::Node, PROXIES);
-                    self.unkept.push(Item::sourced(key, self.proxies.0, Some(text)));
-                }
+            Speech::Proxies(names)
+                if hello.role == Role::Scout && hello.ip == self.hello.ip && names != self.proxies.1 =>
+            {
+                self.proxies = (self.proxies.0 + 1, names);
+                let text = self.proxies.1.join("\n").into_bytes();
+                let key = Key::new(Kind::Node, PROXIES);
+                self.unkept.push(Item::sourced(key, self.proxies.0, Some(text)));
             }
             Speech::Summary { realm, lines, answer } if hello.role == Role::Scout => {
                 let cells = if realm == 0 { self.store.cells() } else { &self.hive };
