One pool of servers' connections for the edge node and the proxy

Cause: reading the change once more. The proxy's outlet had its own copy of the edge node's idle connections, generations, sweeping, bodies for an attempt, time of an attempt, and the guard of a client that waits.

Ruled out: one attempt loop for both (what their servers' answers mean differs, and each step would be a hook).

Nothing that either program does is changed.

--- a/crates/forager/src/flow.rs
+++ b/crates/forager/src/flow.rs
@@ -10,7 +10,6 @@
 use mountbend::interface::{Micros, Outcome};
 use pinerelay_cells::verdict::Verdict;
 use pinerelay_traffic::long::Download;
-use pinerelay_traffic::node::STOP_BEFORE;
 use pinerelay_traffic::ports::{Payload, Traffic};
 
 use crate::request::{NOT_EXECUTED, REQUEST_ID, SEAL};
@@ -54,12 +53,8 @@
     type Whole = Response<Bytes>;
     type Long = (Parts, Download);
 
-    /// A long body's time counts from its last byte, and the attempt looks to it.
     fn stop(forward: &Forward, due: Micros) -> Micros {
-        match forward.body {
-            Payload::Whole(_) => due.saturating_sub(STOP_BEFORE),
-            Payload::Long(_) => Micros::MAX,
-        }
+        forward.body.stop(due)
     }
 
     /// Attempts that reach no server are not counted by the operator's limit; these are so many.
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -22,7 +22,7 @@
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::front::{last, Handler};
 use pinerelay_traffic::long::{take, Download, Outgoing, Taken, Upload};
-use pinerelay_traffic::node::{Node, FAIL_BEFORE};
+use pinerelay_traffic::node::FAIL_BEFORE;
 use pinerelay_traffic::ports::{Answer, Payload};
 use pinerelay_traffic::room::Room;
 use pinerelay_traffic::wire::Wire;
@@ -246,7 +246,7 @@
         };
         let answer = service.node.take(new, forward).map_err(|_| bad("id in use\n"))?;
         // When the client goes away, this future is dropped with its connection.
-        let gone = Gone { node: &service.node, id: &id };
+        let waited = service.node.waited(id);
         let overdue = async {
             match &upload {
                 None => sleep_until(service.node.last_call(due)).await,
@@ -258,7 +258,7 @@
             answer = answer => answer.unwrap_or(Answer::Failed(Reason::TimedOut)),
             _ = overdue => Answer::Failed(Reason::TimedOut),
         };
-        drop((gone, drained));
+        drop((waited, drained));
         self.answered(answer, &fate)
     }
 
@@ -388,18 +388,6 @@
     }
 }
 
-/// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
-struct Gone<'a> {
-    node: &'a Rc<Node<Flow>>,
-    id: &'a RequestId,
-}
-
-impl Drop for Gone<'_> {
-    fn drop(&mut self) {
-        self.node.gone(self.id);
-    }
-}
-
 /// A request that may wait for a unit; dropped, it does not any more.
 struct Waits<'a> {
     inlet: &'a Inlet,
--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -19,11 +18,11 @@
 use pinerelay_traffic::http::{framed, Broken, Connection, Sent};
 use pinerelay_traffic::long::{take, Download, End, Taken};
 use pinerelay_traffic::node::STOP_BEFORE;
-use pinerelay_traffic::ports::{Ends, Payload, Upstream};
-use pinerelay_traffic::reuse::Reuse;
+use pinerelay_traffic::pool::{Pool, Reach};
+use pinerelay_traffic::ports::{Ends, Upstream};
 use pinerelay_traffic::Common;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::flow::{means, Flow, Forward, Means};
 use crate::request::{DEADLINE, EXPECT_SERVER, KEEP_ALIVE};
@@ -42,21 +41,11 @@
 /// An attempt is given up so long before its client gives up.
 const STOP: Duration = Duration::from_micros(STOP_BEFORE);
 
-struct Kept {
-    connection: Connection,
-    since: Instant,
-    keep: Duration,
-}
-
-struct Host {
+/// What is known of a server beside its address.
+struct Known {
     name: HeaderValue,
-    address: SocketAddr,
-    up: bool,
-    /// Another with each address: connections of an earlier one are not kept.
-    generation: u64,
-    idle: Vec<Kept>,
-    distrusted: Option<Instant>,
     service: String,
+    distrusted: Option<Instant>,
     /// Open connections.
     open: Rc<Cell<usize>>,
 }
@@ -87,10 +76,8 @@
 
 /// Where all servers are, and the connections kept to them.
 pub struct Hosts {
-    hosts: RefCell<BTreeMap<ServerId, Host>>,
-    generation: Cell<u64>,
+    pool: Rc<Pool<Known>>,
     common: Common,
-    reuse: Reuse,
     /// What may be sent to a second server.
     pub tries: RefCell<Tries>,
     /// Among how many nodes that is shared, and what servers accept.
@@ -114,39 +101,16 @@
 impl Hosts {
     /// None yet.
     pub fn new(common: Common, tries: Tries) -> Rc<Hosts> {
-        let hosts = Rc::new(Hosts {
-            hosts: RefCell::default(),
-            generation: Cell::new(0),
+        Rc::new(Hosts {
+            pool: Pool::new(common.budget.clone()),
             common,
-            reuse: Reuse::new(),
             tries: RefCell::new(tries),
             nodes: Cell::new(1),
             most: RefCell::default(),
             opened: Cell::new(0),
             sent: Cell::new(0),
             spoilt: Cell::new(0),
-        });
-        let weak = Rc::downgrade(&hosts);
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(Duration::from_secs(1)).await;
-                let Some(hosts) = weak.upgrade() else { return };
-                hosts.sweep();
-            }
-        });
-        hosts
-    }
-
-    fn sweep(&self) {
-        self.reuse.fade();
-        for host in self.hosts.borrow_mut().values_mut() {
-            host.idle.retain(|kept| self.usable(kept));
-        }
-    }
-
-    fn usable(&self, kept: &Kept) -> bool {
-        let idle = kept.since.elapsed();
-        idle < kept.keep && self.reuse.allows(idle) && kept.connection.usable()
+        })
     }
 
     /// Connections opened, requests sent, and answers that belonged to no request.
@@ -161,52 +125,21 @@
 
     /// Closes the connection that has been idle for longest, to free its descriptor.
     pub fn close_an_idle(&self) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty()).min_by_key(|h| h.idle[0].since);
-        oldest.map(|host| host.idle.remove(0)).is_some()
+        self.pool.close_an_idle()
     }
 
     /// What is known of a server; none: it has left.
     pub fn set(&self, number: ServerId, id: &str, server: Option<&Server>) {
-        let mut hosts = self.hosts.borrow_mut();
-        let Some(server) = server else {
-            hosts.remove(&number);
-            return;
-        };
-        let address = SocketAddr::V4(server.address);
-        let next = self.generation.get() + 1;
-        self.generation.set(next);
-        // Danger: a new server may stand where one that has gone stood. Connections lead to the old one.
-        let same = hosts.iter_mut().filter(|(&other, host)| other != number && host.address == address);
-        same.for_each(|(_, old)| {
-            old.generation = next;
-            old.idle.clear();
-        });
-        let name = HeaderValue::from_str(id).unwrap_or(HeaderValue::from_static("-"));
-        let host = hosts.entry(number).or_insert_with(|| Host {
-            name: name.clone(),
-            address,
-            up: true,
-            generation: next,
-            idle: Vec::new(),
-            distrusted: None,
+        let Some(server) = server else { return self.pool.remove(number) };
+        let first = |_| Known {
+            // Ids are what registries have taken: what is no header's value names no server.
+            name: HeaderValue::from_str(id).unwrap_or(HeaderValue::from_static("-")),
             service: server.service.clone(),
+            distrusted: None,
             open: Rc::default(),
-        });
-        if host.address != address {
-            (host.address, host.generation) = (address, next);
-            host.idle.clear();
-        }
-        host.name = name;
-        host.up = server.state == State::Ready;
-        if !host.up {
-            host.idle.clear();
-        }
-    }
-
-    /// Whether a server takes something new, and still is the one of this generation.
-    fn stands(&self, server: ServerId, generation: u64) -> bool {
-        self.hosts.borrow().get(&server).is_some_and(|h| h.up && h.generation == generation)
+        };
+        let up = server.state == State::Ready;
+        self.pool.set(number, Some(server.address.into()), up, first, |_, _| false);
     }
 
     /// This node's part of the connections that a server of a service accepts.
@@ -217,28 +150,20 @@
 
     /// A kept connection or a new one.
     async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
-        let (address, generation, name, place) = {
-            let mut hosts = self.hosts.borrow_mut();
-            let host = hosts.get_mut(&server).filter(|host| host.up).ok_or(NoLine::Failed)?;
-            let trusted = host.distrusted.is_none_or(|since| since.elapsed() > DISTRUST);
-            while let Some(kept) = host.idle.pop().filter(|_| !fresh_only && trusted) {
-                if self.usable(&kept) {
-                    let (generation, idle) = (host.generation, Some(kept.since.elapsed()));
-                    let name = host.name.clone();
-                    return Ok(Line { connection: kept.connection, generation, name, idle });
-                }
-            }
-            if host.open.get() >= self.part(&host.service) {
-                return Err(NoLine::Full);
-            }
-            (host.address, host.generation, host.name.clone(), Place::take(&host.open))
-        };
-        let budget = &self.common.budget;
-        let connect = async {
-            let close_one = || self.close_an_idle() || budget.close_an_idle_client();
-            let slot = budget.room(|| budget.for_server(), close_one).await;
-            Connection::open(address, (slot, place), None).await
+        let trusted = |known: &Known| known.distrusted.is_none_or(|since| since.elapsed() > DISTRUST);
+        let more = |known: &Known| (known.name.clone(), known.open.clone(), self.part(&known.service));
+        let reach = self.pool.reach(server, |known| !fresh_only && trusted(known), more);
+        let Some(Reach { address, generation, kept, more: (name, open, part) }) = reach else {
+            return Err(NoLine::Failed);
         };
+        if let Some((connection, idle)) = kept {
+            return Ok(Line { connection, generation, name, idle: Some(idle) });
+        }
+        if open.get() >= part {
+            return Err(NoLine::Full);
+        }
+        let place = Place::take(&open);
+        let connect = async { Connection::open(address, (self.pool.slot().await, place), None).await };
         // Danger: a machine that has vanished must not take the time in which another could still be asked.
         let patience = CONNECT.min((left / 4).max(CONNECT_LEAST));
         let connection = match timeout(patience, connect).await {
@@ -247,25 +172,16 @@
         };
         self.opened.set(self.opened.get() + 1);
         // What is known of it may have changed while the connection came up.
-        self.stands(server, generation)
+        self.pool
+            .stands(server, generation)
             .then_some(Line { connection, generation, name, idle: None })
             .ok_or(NoLine::Failed)
     }
 
-    fn give_back(&self, server: ServerId, connection: Connection, generation: u64, keep: Duration) {
-        let mut hosts = self.hosts.borrow_mut();
-        if let Some(host) = hosts.get_mut(&server).filter(|h| h.up && h.generation == generation) {
-            host.idle.push(Kept { connection, since: Instant::now(), keep });
-            self.common.budget.ease();
-        }
-    }
-
     fn distrust(&self, server: ServerId) {
         self.spoilt.set(self.spoilt.get() + 1);
-        if let Some(host) = self.hosts.borrow_mut().get_mut(&server) {
-            host.distrusted = Some(Instant::now());
-            host.idle.clear();
-        }
+        self.pool.more(server, |known| known.distrusted = Some(Instant::now()));
+        self.pool.drop_idle(server);
     }
 }
 
@@ -319,13 +235,8 @@
         stop: Micros,
     ) -> (Outcome, Option<Response<Bytes>>) {
         let hosts = &self.hosts;
-        let upload = match &forward.body {
-            Payload::Whole(_) => None,
-            Payload::Long(upload) => Some(upload),
-        };
-        // The time of a long body counts from its last byte; until then its own pace bounds it.
-        let begun = Instant::now();
-        let until = upload.map_or_else(|| self.clock.instant(stop), |upload| begun + upload.wait);
+        let upload = forward.body.long();
+        let until = forward.body.connect_by(self.clock.instant(stop));
         let (mut fresh_only, mut again) = (false, None);
         loop {
             let line = match timeout_at(until, hosts.line(server, fresh_only, until - Instant::now())).await {
@@ -337,7 +248,7 @@
             if hosts.common.vigil.behind() {
                 // Danger: what forbids this server may lie unread.
                 hosts.common.vigil.caught_up().await;
-                if !hosts.stands(server, line.generation) {
+                if !hosts.pool.stands(server, line.generation) {
                     return (Outcome::ConnectFailed, None);
                 }
             }
@@ -346,22 +257,12 @@
                 Some(message) => message,
                 None => {
                     if !self.may_send(forward) {
-                        hosts.give_back(server, connection, generation, KEEP_UNTOLD);
+                        hosts.pool.give_back(server, connection, generation, KEEP_UNTOLD);
                         return (Outcome::Ignored, None);
                     }
-                    let (core, id) = (self.core.clone(), id.clone());
-                    let goes = move |whole| {
-                        if let Some(core) = core.upgrade() {
-                            core.upload_goes(&id, number, whole);
-                        }
-                    };
-                    let body: Sent = match &forward.body {
-                        Payload::Whole(body) => body.clone().into(),
-                        Payload::Long(upload) => match upload.body(goes) {
-                            Some(body) => Sent::Long(body),
-                            // An earlier attempt has taken of the body: this one can't be made.
-                            None => return (Outcome::Ignored, None),
-                        },
+                    // An earlier attempt has taken of the body: this one can't be made.
+                    let Some(body) = forward.body.body(&self.core, id, number) else {
+                        return (Outcome::Ignored, None);
                     };
                     let left = match upload {
                         None => stop.saturating_sub(self.clock.now()) / 1_000,
@@ -374,17 +275,11 @@
             let before = fate.verdict.get();
             fate.verdict.set(before.and(Verdict::MayHaveRun));
             let heard = connection.heard();
-            let overdue = async {
-                match upload {
-                    None => sleep_until(until).await,
-                    Some(upload) => sleep_until(upload.ended().await + upload.wait - STOP).await,
-                }
-            };
             let answer = tokio::select! {
                 biased;
                 answer = self.exchange(&mut connection, message, forward) => answer,
                 // Danger: whether the last byte went out is not known here, so it may have run.
-                _ = overdue => {
+                () = forward.body.time_up(until, STOP) => {
                     fate.arrived.set(fate.arrived.get() + 1);
                     return (Outcome::TimedOut, None);
                 }
@@ -395,7 +290,7 @@
             } else {
                 fate.arrived.set(fate.arrived.get() + 1);
                 hosts.sent.set(hosts.sent.get() + 1);
-                hosts.reuse.ended(idle, matches!(answer, Err(Broken::Doubtful)) && !heard.begun());
+                hosts.pool.reuse.ended(idle, matches!(answer, Err(Broken::Doubtful)) && !heard.begun());
             }
             if upload.is_some_and(|upload| upload.broken()) {
                 // The client broke it off: the server has done nothing wrong.
@@ -408,7 +303,7 @@
                     // Danger: an answer that came before the request was whole leaves the rest of it on the line.
                     let sound = means != Means::Spoilt && upload.is_none_or(|upload| upload.whole());
                     match keep.filter(|_| sound) {
-                        Some(keep) => hosts.give_back(server, connection, generation, keep),
+                        Some(keep) => hosts.pool.give_back(server, connection, generation, keep),
                         None if means == Means::Spoilt => hosts.distrust(server),
                         None => {}
                     }
@@ -432,7 +327,7 @@
                     }
                     return match ended.await {
                         Ok(End::Whole) => {
-                            hosts.give_back(server, connection, generation, keep);
+                            hosts.pool.give_back(server, connection, generation, keep);
                             (Outcome::Ok, None)
                         }
                         Ok(End::Broken) => (Outcome::Reset, None),
--- a/crates/node/src/net/clients.rs
+++ b/crates/node/src/net/clients.rs
@@ -11,7 +11,7 @@
 use hyper::header::{HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use mountbend::interface::{Micros, NewRequest, Reason, RequestId};
+use mountbend::interface::{Micros, NewRequest, Reason};
 use pinerelay_protocol::request::{Malformed, Rules, BODY_MOST, CLASS, IDEMPOTENCY_KEY, REQUEST_ID};
 use pinerelay_traffic::front::{last, Handler};
 use pinerelay_traffic::wire::Wire;
@@ -173,7 +173,7 @@
         let answer =
             self.node.take(new, forward).map_err(|_| Rejected(StatusCode::CONFLICT, "id in use\n"))?;
         // When the client goes away, this future is dropped with its connection.
-        let _gone = Gone { node: &self.node, id: &id };
+        let _waited = self.node.waited(id);
         let overdue = async {
             match &upload {
                 None => sleep_until(last_call).await,
@@ -253,18 +253,6 @@
     class.as_ref().and_then(|c| c.to_str().ok()).unwrap_or_default()
 }
 
-/// Tells the node that a request's client waits no longer, when dropped; once it is answered that is nothing.
-struct Gone<'a> {
-    node: &'a Rc<Node>,
-    id: &'a RequestId,
-}
-
-impl Drop for Gone<'_> {
-    fn drop(&mut self) {
-        self.node.gone(self.id);
-    }
-}
-
 /// An answer to what is no proper request, or had no answer in time.
 struct Rejected(StatusCode, &'static str);
 
--- a/crates/node/src/net/ports.rs
+++ b/crates/node/src/net/ports.rs
@@ -7,7 +7,6 @@
 use hyper::{Method, Uri};
 use mountbend::interface::{Micros, ServerId};
 use pinerelay_traffic::long::Download;
-use pinerelay_traffic::node::STOP_BEFORE;
 use pinerelay_traffic::ports;
 
 pub use pinerelay_traffic::ports::{Core, Ends, MemberSource, Payload, QuotaStore, Traffic, Upstream};
@@ -20,12 +19,8 @@
     type Whole = Bytes;
     type Long = Download;
 
-    /// A long body's time counts from its last byte, and the attempt looks to it.
     fn stop(forward: &Forward, due: Micros) -> Micros {
-        match forward.body {
-            Payload::Whole(_) => due.saturating_sub(STOP_BEFORE),
-            Payload::Long(_) => Micros::MAX,
-        }
+        forward.body.stop(due)
     }
 
     fn tries(_: &Forward) -> Option<usize> {
--- a/crates/node/src/net/servers.rs
+++ b/crates/node/src/net/servers.rs
@@ -4,8 +4,6 @@
 pub mod discovery;
 pub mod members;
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -18,19 +16,19 @@
 use pinerelay_protocol::outcome::{outcome, BodyEnd};
 use pinerelay_protocol::request::{BODY_MOST, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::net::body::BadBody;
-use crate::net::budget::{Budget, Slot};
+use crate::net::budget::Budget;
 use crate::net::clock::Clock;
 use crate::net::long::{take, Download, End, Taken};
 use crate::net::node::STOP_BEFORE;
-use crate::net::ports::{Boxes, Ends, Forward, Payload, Register, Upstream};
+use crate::net::ports::{Boxes, Ends, Forward, Register, Upstream};
 use crate::net::room::Room;
 use crate::net::vigil::Vigil;
 use crate::net::Common;
 use pinerelay_traffic::http::{framed, Broken, Connection, OnWritten, Sent};
-use pinerelay_traffic::reuse::Reuse;
+use pinerelay_traffic::pool::Pool;
 
 /// How long an answer that has begun may stand still. Danger: one that says it is longer than it is never ends. It does
 /// harm where app servers pause for longer within a short answer.
@@ -46,30 +44,18 @@
 /// How long before the client gives up an attempt is given up.
 const STOP: Duration = Duration::from_micros(STOP_BEFORE);
 
-struct Kept {
-    connection: Connection,
-    since: Instant,
-}
-
-struct Host {
-    address: SocketAddr,
+/// What is known of an app server beside its address.
+struct Named {
     host: HeaderValue,
     since_ms: u64,
-    up: bool,
-    /// Another with each address and start, never given twice: connections of an earlier one are not kept.
-    generation: u64,
-    idle: Vec<Kept>,
 }
 
 /// All app servers that discovery has named.
 pub struct Servers {
-    hosts: RefCell<BTreeMap<ServerId, Host>>,
-    /// The last generation given.
-    generation: Cell<u64>,
+    pool: Rc<Pool<Named>>,
     budget: Rc<Budget>,
     connect_timeout: Duration,
     keep: Duration,
-    reuse: Reuse,
     on_written: OnWritten,
     clock: Rc<Clock>,
     core: Weak<dyn Ends<Boxes>>,
@@ -113,53 +99,29 @@
         core: Weak<dyn Ends<Boxes>>,
     ) -> Rc<Self> {
         let or = |value: Micros, default| if value > 0 { value } else { default };
-        let servers = Rc::new_cyclic(|me: &Weak<Servers>| Servers {
-            hosts: RefCell::default(),
-            generation: Cell::default(),
+        let pool = Pool::new(budget.clone());
+        Rc::new_cyclic(|me: &Weak<Servers>| Servers {
+            pool,
             budget,
             connect_timeout: Duration::from_micros(or(connect_timeout, 250_000)),
             keep: Duration::from_micros(or(conn_idle, 10_000_000) / 2),
-            reuse: Reuse::new(),
             on_written,
             clock,
             core,
             room,
             vigil,
             me: me.clone(),
-        });
-        let weak = Rc::downgrade(&servers);
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(Duration::from_secs(1)).await;
-                let Some(servers) = weak.upgrade() else { return };
-                servers.sweep();
-            }
-        });
-        servers
-    }
-
-    fn sweep(&self) {
-        self.reuse.fade();
-        for host in self.hosts.borrow_mut().values_mut() {
-            host.idle.retain(|k| self.usable(k));
-        }
-    }
-
-    fn usable(&self, kept: &Kept) -> bool {
-        let idle = kept.since.elapsed();
-        idle < self.keep && self.reuse.allows(idle) && kept.connection.usable()
+        })
     }
 
     /// How many connections stand idle.
     pub fn idle(&self) -> usize {
-        self.hosts.borrow().values().map(|h| h.idle.len()).sum()
+        self.pool.idle()
     }
 
     /// Closes the connection that has been idle for longest, to free its descriptor.
     pub fn close_an_idle(&self) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty()).min_by_key(|h| h.idle[0].since);
-        oldest.map(|h| h.idle.remove(0)).is_some()
+        self.pool.close_an_idle()
     }
 
     /// Makes one attempt and tells how it ended, as the protocol's table has it. With the body, if served.
@@ -170,13 +132,8 @@
         forward: &Forward,
         stop: Micros,
     ) -> (Outcome, Option<Bytes>) {
-        let upload = match &forward.body {
-            Payload::Whole(_) => None,
-            Payload::Long(upload) => Some(upload),
-        };
-        // The time of a long body counts from its last byte; until then its own pace bounds it.
-        let begun = Instant::now();
-        let until = upload.map_or_else(|| self.clock.instant(stop), |upload| begun + upload.wait);
+        let upload = forward.body.long();
+        let until = forward.body.connect_by(self.clock.instant(stop));
         let mut fresh_only = false;
         let mut request = None;
         loop {
@@ -189,7 +146,7 @@
             if self.vigil.behind() {
                 // Danger: what forbids this app server may lie unread.
                 self.vigil.caught_up().await;
-                if !self.stands(server, line.generation) {
+                if !self.pool.stands(server, line.generation) {
                     return (Outcome::ConnectFailed, None);
                 }
             }
@@ -197,36 +154,26 @@
                 None => stop.saturating_sub(self.clock.now()) / 1000,
                 Some(upload) => upload.wait.as_millis() as u64,
             };
-            let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
+            let Some(host) = self.pool.more(server, |named| named.host.clone()) else {
                 return (Outcome::ConnectFailed, None);
             };
             let message = match request.take() {
                 Some(message) => message,
                 None => {
-                    let (core, id) = (self.core.clone(), id.clone());
-                    let goes = move |whole| {
-                        if let Some(core) = core.upgrade() {
-                            core.upload_goes(&id, number, whole);
-                        }
-                    };
                     // An earlier attempt has taken of the body: this one can't be made.
-                    let Some(body) = body_of(forward, goes) else { return (Outcome::Ignored, None) };
+                    let Some(body) = forward.body.body(&self.core, id, number) else {
+                        return (Outcome::Ignored, None);
+                    };
                     build(forward, body, host, left)
                 }
             };
             let Line { mut connection, generation, idle } = line;
             let heard = connection.heard();
-            let overdue = async {
-                match upload {
-                    None => sleep_until(until).await,
-                    Some(upload) => sleep_until(upload.ended().await + upload.wait - STOP).await,
-                }
-            };
             let answer = tokio::select! {
                 biased;
                 answer = self.exchange(&mut connection, message) => answer,
                 // Danger: whether the last byte went out is not known here, so it may have run.
-                _ = overdue => return (Outcome::TimedOut, None),
+                () = forward.body.time_up(until, STOP) => return (Outcome::TimedOut, None),
                 _ = heard.stalled(STALL) => Err(Broken::Spoilt),
             };
             if upload.is_some_and(|upload| upload.broken()) {
@@ -234,13 +181,13 @@
                 return (Outcome::Ignored, None);
             }
             if !matches!(answer, Err(Broken::Unwritten(_))) {
-                self.reuse.ended(idle, matches!(answer, Err(Broken::Doubtful)) && !heard.begun());
+                self.pool.reuse.ended(idle, matches!(answer, Err(Broken::Doubtful)) && !heard.begun());
             }
             match answer {
                 Ok(Exchanged::Whole(outcome, body, reusable)) => {
                     // Danger: an answer that came before the request was whole leaves the rest of it on the line.
                     if reusable && upload.is_none_or(|upload| upload.whole()) {
-                        self.give_back(server, connection, generation);
+                        self.pool.give_back(server, connection, generation, self.keep);
                     }
                     return (outcome, body);
                 }
@@ -251,7 +198,7 @@
                     }
                     return match ended.await {
                         Ok(End::Whole) => {
-                            self.give_back(server, connection, generation);
+                            self.pool.give_back(server, connection, generation, self.keep);
                             (Outcome::Ok, None)
                         }
                         Ok(End::Broken) => (Outcome::Reset, None),
@@ -313,34 +260,25 @@
         Ok(Exchanged::Whole(outcome, body.filter(|_| outcome == Outcome::Ok), end == BodyEnd::Whole))
     }
 
-    /// Whether an app server wants something new, and still is the one of this generation.
-    fn stands(&self, server: ServerId, generation: u64) -> bool {
-        self.hosts.borrow().get(&server).is_some_and(|h| h.up && h.generation == generation)
-    }
-
     /// A kept connection or a new one.
     async fn line(&self, server: ServerId, fresh_only: bool, left: Duration) -> Result<Line, NoLine> {
         // Danger: a machine that has vanished must not take the time in which another could still be asked.
         let patience = self.connect_timeout.min((left / 4).max(CONNECT_LEAST));
-        let (address, generation) = {
-            let mut hosts = self.hosts.borrow_mut();
-            let Some(host) = hosts.get_mut(&server).filter(|h| h.up) else { return Err(NoLine::Failed) };
-            while let Some(kept) = host.idle.pop().filter(|_| !fresh_only) {
-                if self.usable(&kept) {
-                    let (generation, idle) = (host.generation, Some(kept.since.elapsed()));
-                    return Ok(Line { connection: kept.connection, generation, idle });
-                }
-            }
-            (host.address, host.generation)
-        };
+        let reach = self.pool.reach(server, |_| !fresh_only, |_| ()).ok_or(NoLine::Failed)?;
+        let (address, generation) = (reach.address, reach.generation);
+        if let Some((connection, idle)) = reach.kept {
+            return Ok(Line { connection, generation, idle: Some(idle) });
+        }
         let connect = async {
-            let slot = self.slot().await;
+            // What finds no place within the connect time-out is shed.
+            let slot = self.pool.slot().await;
             Connection::open(address, slot, self.on_written.clone()).await.map_err(|e| is_descriptors(&e))
         };
         match timeout(patience, connect).await {
             Ok(Ok(connection)) => {
                 // Danger: the list may have changed while the connection came up.
-                self.stands(server, generation)
+                self.pool
+                    .stands(server, generation)
                     .then_some(Line { connection, generation, idle: None })
                     .ok_or(NoLine::Failed)
             }
@@ -350,23 +288,8 @@
         }
     }
 
-    /// A place for one more connection. Guard: with none free, idle ones are closed first; what finds none
-    /// within the connect time-out is shed.
-    async fn slot(&self) -> Slot {
-        let close_one = || self.close_an_idle() || self.budget.close_an_idle_client();
-        self.budget.room(|| self.budget.for_server(), close_one).await
-    }
-
-    fn give_back(&self, server: ServerId, connection: Connection, generation: u64) {
-        let mut hosts = self.hosts.borrow_mut();
-        if let Some(host) = hosts.get_mut(&server).filter(|h| h.up && h.generation == generation) {
-            host.idle.push(Kept { connection, since: Instant::now() });
-            self.budget.ease();
-        }
-    }
-
     async fn probed(&self, server: ServerId) -> Outcome {
-        let Some(host) = self.hosts.borrow().get(&server).map(|h| h.host.clone()) else {
+        let Some(host) = self.pool.more(server, |named| named.host.clone()) else {
             return Outcome::ConnectFailed;
         };
         let Ok(Line { mut connection, generation, .. }) = self.line(server, false, PROBE_WAIT).await else {
@@ -379,7 +302,7 @@
             Ok(Ok(Exchanged::Long(..))) => Outcome::Error,
             Ok(Ok(Exchanged::Whole(outcome, _, reusable))) => {
                 if reusable {
-                    self.give_back(server, connection, generation);
+                    self.pool.give_back(server, connection, generation, self.keep);
                 }
                 outcome
             }
@@ -425,42 +348,20 @@
 
 impl Register for Servers {
     fn set(&self, id: ServerId, address: Option<SocketAddr>, since_ms: u64, up: bool) -> bool {
-        let mut hosts = self.hosts.borrow_mut();
-        let Some(address) = address.or_else(|| hosts.get(&id).map(|h| h.address)) else { return false };
-        let next = self.generation.get() + 1;
-        self.generation.set(next);
-        // Danger: a new app server may stand where one that has gone stood. Connections lead to the old one.
-        let same = hosts.iter_mut().filter(|(&other, h)| other != id && h.address == address);
-        same.for_each(|(_, old)| {
-            old.generation = next;
-            old.idle.clear();
-        });
-        let host = hosts.entry(id).or_insert_with(|| Host {
-            address,
-            host: host_header(address),
-            since_ms,
-            up,
-            generation: next,
-            idle: Vec::new(),
-        });
-        if host.address != address || host.since_ms != since_ms {
-            (host.address, host.host, host.since_ms) = (address, host_header(address), since_ms);
-            host.generation = next;
-            host.idle.clear();
-        }
-        host.up = up;
-        if !up {
-            host.idle.clear();
-        }
-        true
+        let first = |address| Named { host: host_header(address), since_ms };
+        self.pool.set(id, address, up, first, |named, address| {
+            let another = named.since_ms != since_ms;
+            *named = Named { host: host_header(address), since_ms };
+            another
+        })
     }
 
     fn keep_only(&self, listed: &[ServerId]) {
-        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
+        self.pool.retain(|id| listed.contains(&id));
     }
 
     fn remove(&self, id: ServerId) {
-        self.hosts.borrow_mut().remove(&id);
+        self.pool.remove(id);
     }
 }
 
@@ -475,14 +376,6 @@
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
-/// A request's body for one attempt; none if it can't be sent again.
-fn body_of(forward: &Forward, goes: impl Fn(bool) + 'static) -> Option<Sent> {
-    match &forward.body {
-        Payload::Whole(body) => Some(body.clone().into()),
-        Payload::Long(upload) => upload.body(goes).map(Sent::Long),
-    }
-}
-
 fn build(forward: &Forward, body: Sent, host: HeaderValue, left_ms: u64) -> Request<Sent> {
     let mut request = Request::new(body);
     *request.method_mut() = forward.method.clone();
--- a/crates/traffic/src/node.rs
+++ b/crates/traffic/src/node.rs
@@ -65,6 +65,18 @@
 /// A request under an id that is still in work.
 pub struct Duplicate;
 
+/// A client that waits for a request's answer.
+pub struct Waited<T: Traffic> {
+    node: Rc<Node<T>>,
+    id: RequestId,
+}
+
+impl<T: Traffic> Drop for Waited<T> {
+    fn drop(&mut self) {
+        self.node.gone(&self.id);
+    }
+}
+
 impl<T: Traffic> Node<T> {
     /// A node that knows nothing yet, joined to the peers that `join` makes. They may tell it things only once
     /// this has returned.
@@ -181,6 +193,11 @@
         }
     }
 
+    /// A client waits for this request's answer; dropped, it waits no longer. Once it is answered that is nothing.
+    pub fn waited(self: &Rc<Self>, id: RequestId) -> Waited<T> {
+        Waited { node: self.clone(), id }
+    }
+
     fn finish(&self, id: &RequestId, answer: Answer<T>) {
         if let Some(sender) = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take()) {
             // A client that has just gone is told of by its connection.
--- a/crates/traffic/src/ports.rs
+++ b/crates/traffic/src/ports.rs
@@ -5,10 +5,14 @@
 
 use bytes::Bytes;
 use mountbend::interface::{CountName, Event, Micros, Outcome, Reason, RequestId, ServerId};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, Instant};
 
+use crate::http::Sent;
 use crate::long::Upload;
+use crate::node::STOP_BEFORE;
 
 /// What peers tell the node. It takes each thing in at once; what follows from it may call the peer again
 /// before this returns, so nothing may be borrowed meanwhile.
@@ -96,3 +100,50 @@
     /// It is passed on as it comes, once.
     Long(Rc<Upload>),
 }
+
+impl Payload {
+    /// One that is passed on as it comes.
+    pub fn long(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Whole(_) => None,
+            Payload::Long(upload) => Some(upload),
+        }
+    }
+
+    /// When attempts at a request with it that is due at this time are given up: a long one's time counts from its last
+    /// byte, and the attempt looks to it.
+    pub fn stop(&self, due: Micros) -> Micros {
+        match self {
+            Payload::Whole(_) => due.saturating_sub(STOP_BEFORE),
+            Payload::Long(_) => Micros::MAX,
+        }
+    }
+
+    /// Until when a connection is waited for by an attempt that begins now: a long one's own pace bounds it else.
+    pub fn connect_by(&self, stop: Instant) -> Instant {
+        self.long().map_or(stop, |upload| Instant::now() + upload.wait)
+    }
+
+    /// Comes back when `before` is left of the time of a request with it, which is up at `until` if it is a whole one.
+    pub async fn time_up(&self, until: Instant, before: Duration) {
+        match self.long() {
+            None => sleep_until(until).await,
+            Some(upload) => sleep_until(upload.ended().await + upload.wait - before).await,
+        }
+    }
+
+    /// For an attempt; none if an earlier one has taken of it. `core` is told how far a long one goes.
+    pub fn body<T: Traffic>(&self, core: &Weak<dyn Ends<T>>, id: &RequestId, number: usize) -> Option<Sent> {
+        let upload = match self {
+            Payload::Whole(body) => return Some(body.clone().into()),
+            Payload::Long(upload) => upload,
+        };
+        let (core, id) = (core.clone(), id.clone());
+        let goes = move |whole| {
+            if let Some(core) = core.upgrade() {
+                core.upload_goes(&id, number, whole);
+            }
+        };
+        upload.body(goes).map(Sent::Long)
+    }
+}
