A request cancelled on its way has reached its server: it counts as a try

Cause: the attempt's task is dropped at a cancel, and the count of servers reached was raised after the answer. So a request given up on at a silent server went on to others without end: past its route's limit, and past the budget that all proxies share. Seen by a new test: three servers reached where the route lets it go to one. Change: counted before it is sent, and taken back where not a byte was written.

--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -273,22 +273,21 @@
             };
             let fate = &forward.fate;
             let before = fate.verdict.get();
+            // Danger: one that is cancelled on the way is dropped here, and has reached its server all the same.
             fate.verdict.set(before.and(Verdict::MayHaveRun));
+            fate.arrived.set(fate.arrived.get() + 1);
             let heard = connection.heard();
             let answer = tokio::select! {
                 biased;
                 answer = self.exchange(&mut connection, message, forward) => answer,
                 // Danger: whether the last byte went out is not known here, so it may have run.
-                () = forward.body.time_up(until, STOP) => {
-                    fate.arrived.set(fate.arrived.get() + 1);
-                    return (Outcome::TimedOut, None);
-                }
+                () = forward.body.time_up(until, STOP) => return (Outcome::TimedOut, None),
             };
             let unwritten = matches!(answer, Err(Broken::Unwritten(_)));
             if unwritten {
                 fate.verdict.set(before);
+                fate.arrived.set(fate.arrived.get() - 1);
             } else {
-                fate.arrived.set(fate.arrived.get() + 1);
                 hosts.sent.set(hosts.sent.get() + 1);
                 hosts.pool.reuse.ended(idle, matches!(answer, Err(Broken::Doubtful)) && !heard.begun());
             }
--- a/crates/forager/tests/proxy.rs
+++ b/crates/forager/tests/proxy.rs
@@ -135,6 +135,18 @@
     expect_that!(stage.ask(POST), all!(starts_with("HTTP/1.1 500"), ends_with("why")));
 }
 
+#[gtest]
+fn a_request_given_up_on_at_a_silent_server_has_reached_it_all_the_same() {
+    let stage = Stage::with(vec![Does::Mute, Does::Mute]);
+    // Its route lets it go to one server, and silence is no reason to send it to a second.
+    let got = stage.ask(&GET.replace("/safe/", "/first/"));
+    expect_that!(status(&got), any!(eq("502"), eq("504")));
+    expect_that!(stage.seen().len(), eq(1));
+    // The other's lets it go to three: the second hears of it once the first has been silent for long.
+    expect_that!(status(&stage.ask(GET)), any!(eq("502"), eq("504")));
+    expect_that!(stage.seen().len(), gt(2));
+}
+
 #[gtest]
 fn long_bodies_pass_both_ways_in_little_memory() {
     let stage = Stage::with(vec![Does::Long(24 << 20)]);
--- a/crates/forager/tests/stage/mod.rs
+++ b/crates/forager/tests/stage/mod.rs
@@ -25,6 +25,8 @@
     Reset,
     /// Reads it and closes.
     Close,
+    /// Reads it and says nothing.
+    Mute,
     /// Does not listen.
     Refuse,
 }
@@ -41,7 +43,8 @@
     "target","retries","public","service"],"records":[
     ["r1",1,"a.example","/safe/","safe","4s","400ms",3,false,"s1"],
     ["r2",1,"a.example","/once/","unsafe","4s","400ms",2,false,"s1"],
-    ["r3",1,"a.example","/open/","safe","4s","400ms",2,true,"s1"]]},
+    ["r3",1,"a.example","/open/","safe","4s","400ms",2,true,"s1"],
+    ["r4",1,"a.example","/first/","safe","4s","400ms",1,false,"s1"]]},
     "tenants":{"column_names":["name","revision","api_keys"],"records":[["t1",1,["key"]]]},
     "services":{"column_names":["name","revision"],"records":[["s1",1]]}}}"#;
 
@@ -332,6 +335,7 @@
                     return;
                 }
             }
+            Does::Mute => {}
             Does::Reset => {
                 // Bytes that lie unread make a close a reset.
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
