Processes' talk, settings errors and command lines stand once; routes are not copied

Cause: reading the change once more. Exporter and client each had the visit to a process, its errors and the roles' names; links and visits each took the greeting off; three state machines answered a summary alike; two programs had the settings file's errors and the command line's again; three built the same runtime. Each request copied its route and its tenant with all keys, each ask searched all tenants, and what was said in one go was copied once for each message.

Change: propolis::visit, speech::Incoming, speech::mend, Role::name, FileError, one CommandError, command::follow runs the program. Routes and tenants are shared, tenants found by name; keys by the newest tenant in one pass. Stores' sign of life is Here. The loopback play prints addresses for curl without a scheme.

--- a/crates/cells/src/routes.rs
+++ b/crates/cells/src/routes.rs
@@ -1,12 +1,14 @@
 //! The configuration as traffic needs it: which route a request takes, whose key it carries, and what limits hold.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 use crate::call::{Unfit, LIMITS};
-use crate::item::{Cells, Key, Kind, Version};
+use crate::item::{Cells, Key, Kind};
 use crate::span;
 
 /// How much longer than its route's time-out an aim must not be.
@@ -261,10 +263,11 @@
 #[derive(Debug, Default)]
 pub struct Table {
     /// By host, the longest prefix first.
-    routes: HashMap<String, Vec<Route>>,
-    tenants: Vec<Tenant>,
+    routes: HashMap<String, Vec<Arc<Route>>>,
+    /// In the order of their names.
+    tenants: Vec<Arc<Tenant>>,
     /// Which tenant a key is of.
-    keys: HashMap<String, usize>,
+    keys: HashMap<String, Arc<Tenant>>,
     /// By name.
     pub services: BTreeMap<String, Service>,
     /// What clients may send.
@@ -276,30 +279,23 @@
     pub fn of(cells: &Cells) -> Table {
         let mut table = Table::default();
         for route in cells.standing(Kind::Route).filter_map(|(name, text)| Route::read(name, text).ok()) {
-            table.routes.entry(route.host.clone()).or_default().push(route);
+            table.routes.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in table.routes.values_mut() {
             routes.sort_by(|a, b| (b.prefix.len(), &a.name).cmp(&(a.prefix.len(), &b.name)));
         }
-        let mut newest: HashMap<String, Version> = HashMap::new();
-        for tenant in cells.standing(Kind::Tenant).filter_map(|(name, text)| Tenant::read(name, text).ok()) {
-            let item = cells.get(&Key::new(Kind::Tenant, tenant.name.as_str()));
-            let version = item.map(|item| item.version).unwrap_or_default();
-            // A key that has moved while the tenant that gave it up is still known as it was: the newer word holds.
-            for key in tenant.keys.iter().filter(|key| newest.get(*key).is_none_or(|v| *v < version)) {
-                table.keys.insert(key.clone(), table.tenants.len());
+        let version = |tenant: &Tenant| {
+            cells.get(&Key::new(Kind::Tenant, tenant.name.as_str())).map(|item| item.version)
+        };
+        let tenants = cells.standing(Kind::Tenant).filter_map(|(name, text)| Tenant::read(name, text).ok());
+        table.tenants = tenants.map(Arc::new).collect();
+        // A key that has moved while the tenant that gave it up is still known as it was: the newer word holds.
+        let mut by_age: Vec<&Arc<Tenant>> = table.tenants.iter().collect();
+        by_age.sort_by_key(|tenant| Reverse(version(tenant)));
+        for tenant in by_age {
+            for key in &tenant.keys {
+                table.keys.entry(key.clone()).or_insert_with(|| tenant.clone());
             }
-            newest.extend(
-                tenant
-                    .keys
-                    .iter()
-                    .map(|key| {
-                        let known = newest.get(key).copied().unwrap_or_default();
-                        (key.clone(), known.max(version))
-                    })
-                    .collect::<Vec<_>>(),
-            );
-            table.tenants.push(tenant);
         }
         for service in cells.standing(Kind::Service).filter_map(|(name, text)| Service::read(name, text).ok())
         {
@@ -311,7 +307,7 @@
     }
 
     /// The route of a host and path: the one with the longest prefix.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
         let name = name.map_or(host, |(name, _)| name);
         let routes = self.routes.get(name).or_else(|| self.routes.get(&name.to_ascii_lowercase()))?;
@@ -319,12 +315,18 @@
     }
 
     /// The tenant that a key is of.
-    pub fn tenant(&self, key: &str) -> Option<&Tenant> {
-        self.keys.get(key).map(|&n| &self.tenants[n])
+    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.keys.get(key)
+    }
+
+    /// The tenant of a name.
+    pub fn named(&self, name: &str) -> Option<&Arc<Tenant>> {
+        let found = self.tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name));
+        found.ok().map(|n| &self.tenants[n])
     }
 
     /// All tenants, in the order of their names.
-    pub fn tenants(&self) -> &[Tenant] {
+    pub fn tenants(&self) -> &[Arc<Tenant>] {
         &self.tenants
     }
 
@@ -334,7 +336,7 @@
     }
 
     /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
 }
--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -8,7 +8,7 @@
 use pinerelay_dance::voter::{Change, Kept};
 use pinerelay_dance::{Input, Output as Wants, Reply, Request, Store};
 use pinerelay_propolis::link::{Peer, PULSE};
-use pinerelay_propolis::speech::{Answered, Hello, Passed, Role, Speech};
+use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech};
 
 /// What the store wants done.
 #[derive(Debug, PartialEq)]
@@ -187,7 +187,7 @@
         out.push(Output::SayAll(scouts.clone(), speech));
         out.push(Output::SayAll(scouts, Speech::Digest([self.store.cells().digest(), self.hive.digest()])));
         if pulse {
-            out.push(Output::SayAll(self.of(Role::Comb), Speech::Digest([0, 0])));
+            out.push(Output::SayAll(self.of(Role::Comb), Speech::Here));
         }
     }
 
@@ -227,15 +227,8 @@
             }
             Speech::Summary { realm, lines, answer } if hello.role == Role::Scout => {
                 let cells = if realm == 0 { self.store.cells() } else { &self.hive };
-                let (newer, behind) = cells.beside(&lines);
-                if !newer.is_empty() {
-                    out.push(Output::Say(peer, Speech::News(newer)));
-                }
                 // What a registry has settled items of, this store may have missed.
-                if behind && answer {
-                    let lines = cells.summary();
-                    out.push(Output::Say(peer, Speech::Summary { realm, lines, answer: false }));
-                }
+                out.extend(mend(cells, realm, &lines, answer).map(|speech| Output::Say(peer, speech)));
             }
             Speech::News(items) if hello.role == Role::Scout => {
                 let from = hello.ip.clone();
--- a/crates/comb/src/run.rs
+++ b/crates/comb/src/run.rs
@@ -14,7 +14,6 @@
 use pinerelay_propolis::settings::Settings;
 use pinerelay_propolis::speech::{Hello, Role, Speech};
 use pinerelay_propolis::watch;
-use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{sleep_until, Instant};
 
@@ -27,13 +26,6 @@
 /// At a planned end calls under way have so long.
 const LAST: Duration = Duration::from_millis(600);
 
-/// Runs a store until it is told to stop.
-pub fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
-    runtime.block_on(serve(path, settings))
-}
-
 /// The store with what it is joined to.
 struct Comb {
     desk: Desk,
@@ -44,7 +36,8 @@
     begun: Instant,
 }
 
-async fn serve(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
+/// Runs a store until it is told to stop.
+pub async fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
     let folder = settings.data_dir.clone().ok_or("data_dir: a folder is wanted: this role keeps files")?;
     let (disk, kept, mut written) = Disk::open(&folder)?;
     log::info!(
--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -164,7 +164,7 @@
                 let promise = Promise { life, at, pending, cells, put: false };
                 turn.promises.entry(from.into()).or_insert(promise);
                 if turn.batch.is_none() && turn.promises.len() >= self.quorum {
-                    self.decide(now, own, out);
+                    self.decide(own, out);
                 }
                 self.put(out);
             }
@@ -193,7 +193,7 @@
     }
 
     /// Enough have promised: what stands is known, and what of the calls fits it.
-    fn decide(&mut self, _now: Micros, own: &Cells, out: &mut Vec<Step>) {
+    fn decide(&mut self, own: &Cells, out: &mut Vec<Step>) {
         let Some(turn) = self.turn.as_mut() else { return };
         let mut base = own.clone();
         for cells in turn.promises.values().filter_map(|p| p.cells.as_ref()) {
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -12,7 +12,7 @@
 use pinerelay_nectar::purse::{Admission, Grant, Purse};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{Hello, Role, Speech, Standing};
+use pinerelay_propolis::speech::{mend, Hello, Role, Speech, Standing};
 
 /// How often it says what it has, and that it is there: the counts keep back the share of one that is not heard.
 const PULSE: Micros = 600_000;
@@ -203,14 +203,7 @@
             }
             Speech::Summary { realm, lines, answer } => {
                 let Some(cells) = self.realms.get(usize::from(realm)) else { return };
-                let (newer, behind) = cells.beside(&lines);
-                if !newer.is_empty() {
-                    out.push(Output::Say(peer, Speech::News(newer)));
-                }
-                if behind && answer {
-                    let lines = cells.summary();
-                    out.push(Output::Say(peer, Speech::Summary { realm, lines, answer: false }));
-                }
+                out.extend(mend(cells, realm, &lines, answer).map(|speech| Output::Say(peer, speech)));
             }
             Speech::Drawn(grants) => {
                 let Some(asked) = registry.draws.pop_front() else { return out.push(Output::Cut(peer)) };
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -91,8 +91,8 @@
 /// What was found for a request before its body is read.
 struct Found {
     head: Head,
-    route: Route,
-    tenant: Option<Tenant>,
+    route: Arc<Route>,
+    tenant: Option<Arc<Tenant>>,
 }
 
 impl Inlet {
--- a/crates/forager/src/run.rs
+++ b/crates/forager/src/run.rs
@@ -32,7 +32,6 @@
 use pinerelay_traffic::vigil::Vigil;
 use pinerelay_traffic::wire::Wire;
 use pinerelay_traffic::Common;
-use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -55,13 +54,6 @@
 /// The process ends so long before it would be killed.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
 
-/// Runs a proxy until it is told to stop.
-pub fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
-    runtime.block_on(serve(path, settings))
-}
-
 /// The proxy's parts.
 struct Forager {
     hearing: RefCell<Hearing>,
@@ -75,7 +67,8 @@
     ending: Cell<bool>,
 }
 
-async fn serve(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
+/// Runs a proxy until it is told to stop.
+pub async fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
     let public = Settings::listens(&path, "public_http", settings.listen.public_http)?;
     let readiness = Settings::listens(&path, "readiness", settings.listen.readiness)?;
     let allowed = rlimit::increase_nofile_limit(settings.limits.file_limit as u64)?;
--- a/crates/keeper/src/alerts.rs
+++ b/crates/keeper/src/alerts.rs
@@ -5,7 +5,7 @@
 use pinerelay_propolis::speech::Role;
 
 use crate::rules::{Compare, Group, Reads, Rule, Severity};
-use crate::watch::{role_name, Micros};
+use crate::watch::Micros;
 
 /// After a gap between two looks that is longer, what was seen before it counts for no time that has passed.
 const GAP: Micros = 7_000_000;
@@ -103,7 +103,7 @@
         Group::All => "all".into(),
         Group::Zone if seen.zone.is_empty() => "unknown".into(),
         Group::Zone => seen.zone.clone(),
-        Group::Role => role_name(seen.role).into(),
+        Group::Role => seen.role.name().into(),
         Group::Node => seen.node.clone(),
     }
 }
@@ -133,7 +133,7 @@
     fn tell(&mut self, now: Micros, rule: &Rule, stood_still: bool, changes: &mut Vec<Change>) {
         let mut over: BTreeMap<&str, Vec<String>> = BTreeMap::new();
         for ((role, node), member) in self.members.iter().filter(|(_, member)| member.over) {
-            over.entry(&member.group).or_default().push(format!("{} {node}", role_name(*role)));
+            over.entry(&member.group).or_default().push(format!("{} {node}", role.name()));
         }
         for (group, alert) in &mut self.alerts {
             let trouble = over.get(group.as_str());
--- a/crates/keeper/src/command.rs
+++ b/crates/keeper/src/command.rs
@@ -5,12 +5,12 @@
 use std::process::ExitCode;
 
 use getopts::Options;
+use pinerelay_propolis::command::{level, CommandError};
 use pinerelay_propolis::logs::{self, Level};
 use pinerelay_propolis::ports;
-use pinerelay_propolis::settings::{Settings, SettingsError};
-use thiserror::Error;
+use pinerelay_propolis::settings::{FileError, Settings};
 
-use crate::rules::{self, Rule, RulesError};
+use crate::rules::{self, Rule};
 use crate::run;
 
 /// What the exporter was called for.
@@ -42,23 +42,6 @@
     At(Vec<SocketAddrV4>),
 }
 
-/// Why a command line can't be followed.
-#[derive(Debug, Error)]
-pub enum CommandError {
-    /// It has what is not known, or lacks a value.
-    #[error("{0}")]
-    Odd(#[from] getopts::Fail),
-    /// It has what the exporter does not take.
-    #[error("{0:?} is no option; --help tells them all")]
-    Free(String),
-    /// An option's value is none.
-    #[error("--{0}: {1} is wanted, not {2:?}")]
-    Unfit(&'static str, &'static str, String),
-    /// An option is missing.
-    #[error("{0}")]
-    Missing(&'static str),
-}
-
 /// Reads a command line without the program's name.
 pub fn read(args: impl IntoIterator<Item = String>) -> Result<Command, CommandError> {
     let mut options = Options::new();
@@ -85,12 +68,7 @@
     if let Some(path) = found.opt_str("c") {
         return Ok(Command::Check(path.into()));
     }
-    let level = match found.opt_str("l") {
-        None => Level::Info,
-        Some(text) => {
-            Level::parse(&text).ok_or(CommandError::Unfit("log", "error, warn, info or debug", text))?
-        }
-    };
+    let level = level(&found)?;
     let listen = found.opt_str("listen").ok_or(CommandError::Missing("--listen ADDRESS is wanted"))?;
     let listen =
         listen.parse().map_err(|_| CommandError::Unfit("listen", "an address and port", listen.clone()))?;
@@ -111,7 +89,7 @@
 }
 
 /// The registries that are asked first, and the first of the internal ports.
-fn seeds(from: From) -> Result<(Vec<Ipv4Addr>, u16), SettingsError> {
+fn seeds(from: From) -> Result<(Vec<Ipv4Addr>, u16), FileError> {
     Ok(match from {
         From::At(at) => {
             let first = at.first().map_or(0, |address| address.port());
@@ -148,7 +126,7 @@
         }
         Err(error) => return fail(&error, 2),
     };
-    let rules: Result<Vec<Rule>, RulesError> = file.as_deref().map_or(Ok(Vec::new()), rules::read);
+    let rules: Result<Vec<Rule>, FileError> = file.as_deref().map_or(Ok(Vec::new()), rules::read);
     let rules = match rules {
         Ok(rules) => rules,
         Err(error) => return fail(&error, 1),
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod page;
 pub mod rules;
 pub mod run;
-pub mod visit;
 pub mod watch;
--- a/crates/keeper/src/page.rs
+++ b/crates/keeper/src/page.rs
@@ -12,7 +12,7 @@
 
 use crate::alerts::Alerts;
 use crate::figures::{counts, KNOWN};
-use crate::watch::{role_name, Watch};
+use crate::watch::Watch;
 
 /// The text's type.
 pub const TYPE: &str = prometheus_text::CONTENT_TYPE;
@@ -82,7 +82,7 @@
     for (role, node, process) in watch.named() {
         let mut add = |name, label, value| {
             let mut labels: Labels =
-                vec![("role", role_name(role).into()), ("node", node.into()), ("zone", process.zone.clone())];
+                vec![("role", role.name().into()), ("node", node.into()), ("zone", process.zone.clone())];
             labels.extend(label);
             families.entry(name).or_default().push((labels, value));
         };
--- a/crates/keeper/src/rules.rs
+++ b/crates/keeper/src/rules.rs
@@ -1,13 +1,13 @@
 //! The file of alert rules (TOML), read strictly.
 
 use std::collections::BTreeSet;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use pinerelay_cells::span;
+use pinerelay_propolis::settings::FileError;
 use serde::de::{Error as _, Unexpected, Visitor};
 use serde::{Deserialize, Deserializer};
-use thiserror::Error;
 use toml::Value;
 
 use crate::figures;
@@ -19,29 +19,6 @@
 /// No file has more rules.
 const RULES_MOST: usize = 200;
 
-/// Why a file of rules can't be used.
-#[derive(Debug, Error)]
-pub enum RulesError {
-    /// It can't be read.
-    #[error("{path}: {error}")]
-    Unread {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        error: std::io::Error,
-    },
-    /// A key has no value that can be used.
-    #[error("{path}: {key}: {why}")]
-    Unfit {
-        /// The file.
-        path: PathBuf,
-        /// The key, with those that it stands in; `.` for the file as a whole.
-        key: String,
-        /// What is wrong, and what is wanted.
-        why: String,
-    },
-}
-
 /// What of a figure is compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reads {
@@ -238,15 +215,15 @@
 }
 
 /// Reads a file.
-pub fn read(path: &Path) -> Result<Vec<Rule>, RulesError> {
+pub fn read(path: &Path) -> Result<Vec<Rule>, FileError> {
     let text =
-        std::fs::read_to_string(path).map_err(|error| RulesError::Unread { path: path.into(), error })?;
+        std::fs::read_to_string(path).map_err(|error| FileError::Unread { path: path.into(), error })?;
     parse(path, &text)
 }
 
 /// Reads the text of a file.
-pub fn parse(path: &Path, text: &str) -> Result<Vec<Rule>, RulesError> {
-    let unfit = |key: String, why: String| RulesError::Unfit { path: path.into(), key, why };
+pub fn parse(path: &Path, text: &str) -> Result<Vec<Rule>, FileError> {
+    let unfit = |key: String, why: String| FileError::Unfit { path: path.into(), key, why };
     let parsed = toml::Deserializer::parse(text).map_err(|e| unfit(".".into(), e.message().into()))?;
     let file: File = serde_path_to_error::deserialize(parsed)
         .map_err(|e| unfit(e.path().to_string(), e.inner().message().into()))?;
--- a/crates/keeper/src/run.rs
+++ b/crates/keeper/src/run.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use pinerelay_propolis::ports;
 use pinerelay_propolis::speech::{Hello, Role};
+use pinerelay_propolis::visit::{visit, Told, VisitError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
@@ -27,11 +28,12 @@
 use crate::alerts::{Alerts, Change};
 use crate::page::{self, Own};
 use crate::rules::{Rule, Severity};
-use crate::visit::{visit, VisitError};
-use crate::watch::{role_name, Micros, Place, Told, Watch, EACH};
+use crate::watch::{Micros, Place, Watch, EACH};
 
 /// A process that has not answered by then counts as down.
 const PATIENCE: Duration = Duration::from_millis(500);
+/// No answer to a visit is longer, in bytes: a registry says more than was asked for, but no process so much.
+const MOST: u64 = 4 << 20;
 /// With rules, all processes are looked at so often.
 const LOOK: Duration = Duration::from_micros(EACH);
 /// Connections of those who read the figures, and how long one may last.
@@ -205,7 +207,7 @@
         for place in due {
             let (address, me) = (self.address(place), self.me.clone());
             visits.spawn_local(async move {
-                let patience = timeout(PATIENCE, visit(address, &me, place.0)).await;
+                let patience = timeout(PATIENCE, visit(address, &me, place.0, false, MOST)).await;
                 (place, patience.unwrap_or(Err(VisitError::Unanswered)))
             });
         }
@@ -215,17 +217,17 @@
         }
     }
 
-    fn come(&self, now: Micros, place: Place, come: Result<(Told, u64), VisitError>) {
+    fn come(&self, now: Micros, place: Place, come: Result<Told, VisitError>) {
         let mut own = self.own.get();
         own.asked += 1;
         match come {
-            Ok((told, bytes)) => {
-                own.bytes += bytes;
+            Ok(told) => {
+                own.bytes += told.bytes;
                 self.watch.borrow_mut().told(now, place, told);
             }
             Err(error) => {
                 own.silent += 1;
-                log::debug!("the {} at {} has not answered: {error}", role_name(place.0), place.1);
+                log::debug!("the {} at {} has not answered: {error}", place.0.name(), place.1);
                 self.watch.borrow_mut().silent(place);
             }
         }
--- a/crates/keeper/src/watch.rs
+++ b/crates/keeper/src/watch.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use pinerelay_propolis::speech::{Hello, Role, Rolled};
+use pinerelay_propolis::speech::{Role, Rolled};
+use pinerelay_propolis::visit::Told;
 
 use crate::alerts::Seen;
 use crate::figures::{self, Label};
@@ -25,17 +26,6 @@
 /// A figure as a process told it.
 pub type Figure = (&'static str, Option<Label>, f64);
 
-/// What a process has told when it was asked.
-#[derive(Debug)]
-pub struct Told {
-    /// Who it is.
-    pub hello: Hello,
-    /// Its figures, as it writes them.
-    pub figures: Vec<(String, f64)>,
-    /// Of a registry: which processes it knows of.
-    pub rolled: Option<Rolled>,
-}
-
 /// What is known of one process.
 #[derive(Debug, Default)]
 pub struct Process {
@@ -64,16 +54,6 @@
     odd: u64,
 }
 
-/// A program's name.
-pub fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Forager => "forager",
-        Role::Scout => "scout",
-        Role::Comb => "comb",
-        Role::Visitor => "visitor",
-    }
-}
-
 impl Watch {
     /// One that has been told of these registries.
     pub fn new(seeds: impl IntoIterator<Item = Ipv4Addr>) -> Watch {
--- a/crates/keeper/tests/watch.rs
+++ b/crates/keeper/tests/watch.rs
@@ -5,8 +5,9 @@
 use googletest::prelude::*;
 use pinerelay_keeper::alerts::Alerts;
 use pinerelay_keeper::page::{self, Own};
-use pinerelay_keeper::watch::{Told, Watch, EACH};
+use pinerelay_keeper::watch::{Watch, EACH};
 use pinerelay_propolis::speech::{Hello, Role, Rolled};
+use pinerelay_propolis::visit::Told;
 
 const CORE: Ipv4Addr = Ipv4Addr::new(127, 0, 1, 1);
 const EDGE: Ipv4Addr = Ipv4Addr::new(127, 0, 2, 1);
@@ -21,7 +22,13 @@
     linked.extend(proxies.then(|| hello(Role::Forager, EDGE, 1)));
     let missing = if missing { vec!["edge-1".to_string()] } else { Vec::new() };
     let rolled = Rolled { linked, missing, core: vec![CORE.to_string()] };
-    Told { hello: hello(Role::Scout, CORE, 1), figures: Vec::new(), rolled: Some(rolled) }
+    Told {
+        hello: hello(Role::Scout, CORE, 1),
+        figures: Vec::new(),
+        rolled: Some(rolled),
+        items: Vec::new(),
+        bytes: 0,
+    }
 }
 
 fn proxy(life: u64) -> Told {
@@ -33,7 +40,7 @@
         ("forager_ready", f64::NAN),
     ];
     let figures = figures.map(|(name, value)| (name.to_string(), value)).to_vec();
-    Told { hello: hello(Role::Forager, EDGE, life), figures, rolled: None }
+    Told { hello: hello(Role::Forager, EDGE, life), figures, rolled: None, items: Vec::new(), bytes: 0 }
 }
 
 fn names(watch: &Watch) -> Vec<(Role, bool)> {
--- a/crates/meadow/src/play.rs
+++ b/crates/meadow/src/play.rs
@@ -237,9 +237,9 @@
         let (proxy, ready, control) = (&proxies[0], self.site.readiness(0), &controls[0]);
         format!(
             "proxies   {}\ncontrols  {}\nfolder    {}\n\n\
-             curl -i -H 'Host: hill.example' -H 'X-Request-Id: 1' -H 'X-Credential: key-of-bee' http://{proxy}/bell/try\n\
-             curl -i http://{ready}/-/ready\n\
-             curl -i -X POST 'http://{control}/-/rpc?call=config.read'\n",
+             curl -i -H 'Host: hill.example' -H 'X-Request-Id: 1' -H 'X-Credential: key-of-bee' {proxy}/bell/try\n\
+             curl -i {ready}/-/ready\n\
+             curl -i -X POST '{control}/-/rpc?call=config.read'\n",
             proxies.join(" "),
             controls.join(" "),
             self.site.folder().display(),
--- a/crates/propolis/src/command.rs
+++ b/crates/propolis/src/command.rs
@@ -2,8 +2,9 @@
 
 use std::path::PathBuf;
 
-use getopts::Options;
+use getopts::{Matches, Options};
 use thiserror::Error;
+use tokio::runtime::LocalOptions;
 
 use crate::logs::Level;
 use crate::settings::{Settings, SettingsError};
@@ -31,10 +32,16 @@
     /// It has what no program takes.
     #[error("{0:?} is no option; --help tells them all")]
     Free(String),
-    /// The level is none.
-    #[error("--log: error, warn, info or debug is wanted, not {0:?}")]
-    Level(String),
-    /// No settings file is named.
+    /// A word is none of those that are wanted there.
+    #[error("{0:?}: {1} is wanted")]
+    Word(String, &'static str),
+    /// An option's value is none.
+    #[error("--{0}: {1} is wanted, not {2:?}")]
+    Unfit(&'static str, &'static str, String),
+    /// Something is missing.
+    #[error("{0}")]
+    Missing(&'static str),
+    /// The settings file can't be used, or none is named.
     #[error(transparent)]
     Settings(#[from] SettingsError),
 }
@@ -62,20 +69,23 @@
     if let Some(free) = found.free.first() {
         return Err(CommandError::Free(free.clone()));
     }
-    let level = match found.opt_str("l") {
-        None => Level::Info,
-        Some(text) => Level::parse(&text).ok_or(CommandError::Level(text))?,
-    };
+    let level = level(&found)?;
     let path = found.opt_str("s").map(PathBuf::from).or(boot).ok_or(SettingsError::Unnamed)?;
     Ok(if found.opt_present("c") { Command::Check(path) } else { Command::Run(path, level) })
 }
 
+/// What is logged, by the option `log` of all programs that log.
+pub fn level(found: &Matches) -> Result<Level, CommandError> {
+    let Some(text) = found.opt_str("log") else { return Ok(Level::Info) };
+    Level::parse(&text).ok_or(CommandError::Unfit("log", "error, warn, info or debug", text))
+}
+
 /// Follows the process's own command line: runs with the settings, or ends. Exit codes: 0 for a planned end, 1 for
 /// settings that can't be used or an address that is taken, 2 for a command line that can't be followed.
 pub fn follow(
     program: &'static str,
     job: &str,
-    run: impl FnOnce(PathBuf, Settings) -> Result<(), Box<dyn std::error::Error>>,
+    run: impl AsyncFnOnce(PathBuf, Settings) -> Result<(), Box<dyn std::error::Error>>,
 ) -> std::process::ExitCode {
     let boot = std::env::var_os(BOOT).map(PathBuf::from);
     let (path, level) = match read(program, job, std::env::args().skip(1), boot) {
@@ -102,7 +112,11 @@
         return 0.into();
     };
     crate::logs::begin(level);
-    match run(path, settings) {
+    // Everything a program has stands on one thread.
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().build_local(LocalOptions::default());
+    let ended = runtime.map_err(Into::into).and_then(|runtime| runtime.block_on(run(path, settings)));
+    match ended {
         Ok(()) => 0.into(),
         Err(error) => {
             eprintln!("{program}: {error}");
--- a/crates/propolis/src/lib.rs
+++ b/crates/propolis/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod ports;
 pub mod settings;
 pub mod speech;
+pub mod visit;
 pub mod watch;
--- a/crates/propolis/src/link.rs
+++ b/crates/propolis/src/link.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::speech::{self, Garbled, Speech, GREETING};
+use crate::speech::{self, Garbled, Incoming, Speech, GREETING};
 
 /// A connection of this process, never given twice.
 pub type Peer = u64;
@@ -32,8 +32,6 @@
 const AGAIN_MOST: Duration = Duration::from_millis(800);
 /// What waits for a peer that reads nothing; with more, the link is cut.
 const QUEUE_MOST: usize = 32 << 20;
-/// What is read at once.
-const READ: usize = 16 * 1024;
 /// Pause of the listener when accepting fails.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections that others may have to this process at once.
@@ -218,13 +216,18 @@
         let write = async {
             to.write_all(&GREETING).await?;
             while let Some(first) = queued.recv().await {
-                let mut bytes = first;
                 // What was said in one go goes out in one.
-                while let Ok(more) = queued.try_recv() {
-                    let mut joined = BytesMut::from(&bytes[..]);
-                    joined.extend_from_slice(&more);
-                    bytes = joined.freeze();
-                }
+                let bytes = match queued.try_recv() {
+                    Err(_) => first,
+                    Ok(second) => {
+                        let mut all = BytesMut::from(&first[..]);
+                        all.extend_from_slice(&second);
+                        while let Ok(more) = queued.try_recv() {
+                            all.extend_from_slice(&more);
+                        }
+                        all.freeze()
+                    }
+                };
                 held.set(held.get().saturating_sub(bytes.len()));
                 to.write_all(&bytes).await?;
             }
@@ -233,29 +236,18 @@
         let tell = self.tell.clone();
         let told = &mut listed.told;
         let read = async {
-            let mut come = BytesMut::new();
+            let mut come = Incoming::default();
             loop {
-                come.reserve(READ.min(4096));
-                match timeout(SILENCE, from.read_buf(&mut come)).await {
+                match timeout(SILENCE, from.read_buf(come.room())).await {
                     Ok(Ok(some @ 1..)) => self.come.set(self.come.get() + some as u64),
-                    _ => return Ok(()),
+                    _ => return Ok::<(), Garbled>(()),
                 }
-                if !*told {
-                    if come.len() < GREETING.len() {
-                        continue;
-                    }
-                    if come.split_to(GREETING.len()) != GREETING[..] {
-                        return Err(Garbled::Greeting);
-                    }
-                    *told = true;
+                if come.greeted()? && !std::mem::replace(told, true) {
                     let _ = tell.send(Event::Up(peer, other));
                 }
-                while let Some(speech) = speech::next(&mut come)? {
+                while let Some(speech) = come.take()? {
                     let _ = tell.send(Event::Said(peer, speech));
                 }
-                if come.is_empty() && come.capacity() > READ {
-                    come = BytesMut::new();
-                }
             }
         };
         tokio::select! {
--- a/crates/propolis/src/settings.rs
+++ b/crates/propolis/src/settings.rs
@@ -10,12 +10,9 @@
 use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 
-/// Why a settings file can't be used.
+/// Why a file can't be used.
 #[derive(Debug, Error)]
-pub enum SettingsError {
-    /// Nobody names it.
-    #[error("no settings file: name it with --settings or in the variable PINERELAY_BOOT")]
-    Unnamed,
+pub enum FileError {
     /// It can't be read.
     #[error("{path}: {error}")]
     Unread {
@@ -36,6 +33,17 @@
     },
 }
 
+/// Why a settings file can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// Nobody names it.
+    #[error("no settings file: name it with --settings or in the variable PINERELAY_BOOT")]
+    Unnamed,
+    /// It is at fault itself.
+    #[error(transparent)]
+    File(#[from] FileError),
+}
+
 /// A time of the file, such as `1500ms` or `2.5s`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Duration);
@@ -185,15 +193,15 @@
 
 impl Settings {
     /// Reads a file.
-    pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| SettingsError::Unread { path: path.into(), error })?;
+    pub fn read(path: &Path) -> Result<Settings, FileError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|error| FileError::Unread { path: path.into(), error })?;
         Settings::parse(path, &text)
     }
 
     /// Reads the text of a file.
-    pub fn parse(path: &Path, text: &str) -> Result<Settings, SettingsError> {
-        let unfit = |key: String, why: String| SettingsError::Unfit { path: path.into(), key, why };
+    pub fn parse(path: &Path, text: &str) -> Result<Settings, FileError> {
+        let unfit = |key: String, why: String| FileError::Unfit { path: path.into(), key, why };
         let parsed = toml::Deserializer::parse(text).map_err(|e| unfit(".".into(), e.message().into()))?;
         let settings: Settings = serde_path_to_error::deserialize(parsed)
             .map_err(|e| unfit(e.path().to_string(), e.inner().message().into()))?;
@@ -206,13 +214,9 @@
     }
 
     /// One of the addresses that this role has to have.
-    pub fn listens(
-        path: &Path,
-        key: &str,
-        address: Option<SocketAddrV4>,
-    ) -> Result<SocketAddrV4, SettingsError> {
+    pub fn listens(path: &Path, key: &str, address: Option<SocketAddrV4>) -> Result<SocketAddrV4, FileError> {
         let why = "an address and port are wanted for what this role serves";
-        address.ok_or_else(|| SettingsError::Unfit {
+        address.ok_or_else(|| FileError::Unfit {
             path: path.into(),
             key: format!("listen.{key}"),
             why: why.into(),
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -4,7 +4,7 @@
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use pinerelay_cells::item::Line;
-use pinerelay_cells::Item;
+use pinerelay_cells::{Cells, Item};
 use pinerelay_dance::Word;
 use pinerelay_nectar::fence;
 use pinerelay_nectar::purse::{Ask, Grant};
@@ -12,6 +12,9 @@
 
 /// No message is longer, in bytes.
 pub const LONGEST: usize = 16 << 20;
+/// So much is read at once, and so much of a buffer is kept, in bytes.
+const ROOM: usize = 4 * 1024;
+const KEPT: usize = 16 * 1024;
 /// What each connection begins with: the protocol's name and its version.
 pub const GREETING: [u8; 4] = *b"hiv1";
 
@@ -28,6 +31,18 @@
     Visitor,
 }
 
+impl Role {
+    /// The program's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Forager => "forager",
+            Role::Scout => "scout",
+            Role::Comb => "comb",
+            Role::Visitor => "visitor",
+        }
+    }
+}
+
 /// Who speaks.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Hello {
@@ -186,6 +201,55 @@
     out.freeze()
 }
 
+/// What is said to one whose summary this is: the items that are newer here, and this side's summary, if it is wanted and the
+/// other has any that are newer.
+pub fn mend(cells: &Cells, realm: u8, theirs: &[Line], answer: bool) -> impl Iterator<Item = Speech> + use<> {
+    let (newer, behind) = cells.beside(theirs);
+    let news = (!newer.is_empty()).then_some(Speech::News(newer));
+    let lines = (behind && answer).then(|| cells.summary());
+    let summary = lines.map(|lines| Speech::Summary { realm, lines, answer: false });
+    news.into_iter().chain(summary)
+}
+
+/// What has come on a connection, taken apart: a greeting, then messages.
+#[derive(Debug, Default)]
+pub struct Incoming {
+    come: BytesMut,
+    greeted: bool,
+}
+
+impl Incoming {
+    /// Where what comes is put.
+    pub fn room(&mut self) -> &mut BytesMut {
+        // What a long message took is not held for short ones.
+        if self.come.is_empty() && self.come.capacity() > KEPT {
+            self.come = BytesMut::new();
+        }
+        self.come.reserve(ROOM);
+        &mut self.come
+    }
+
+    /// Whether the greeting has come.
+    pub fn greeted(&mut self) -> Result<bool, Garbled> {
+        if !self.greeted && self.come.len() >= GREETING.len() {
+            if self.come.split_to(GREETING.len()) != GREETING[..] {
+                return Err(Garbled::Greeting);
+            }
+            self.greeted = true;
+        }
+        Ok(self.greeted)
+    }
+
+    /// The next whole message, if there is one.
+    pub fn take(&mut self) -> Result<Option<Speech>, Garbled> {
+        if self.greeted()? {
+            next(&mut self.come)
+        } else {
+            Ok(None)
+        }
+    }
+}
+
 /// Takes the next whole message off what has come, if there is one.
 pub fn next(come: &mut BytesMut) -> Result<Option<Speech>, Garbled> {
     if come.len() < 4 {
--- a/crates/waggle/src/visit.rs
+++ b/crates/propolis/src/visit.rs
@@ -1,18 +1,15 @@
 //! One visit to a process: says who looks on, asks, takes the answers, and goes.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddrV4;
 
 use bytes::BytesMut;
 use pinerelay_cells::Item;
-use pinerelay_propolis::speech::{self, Garbled, Hello, Role, Rolled, Speech, GREETING};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// No answer to a visit is longer, in bytes.
-const MOST: usize = 32 << 20;
+use crate::speech::{self, Garbled, Hello, Incoming, Role, Rolled, Speech, GREETING};
 
 /// Why a visit has brought nothing.
 #[derive(Debug, Error)]
@@ -26,9 +23,6 @@
     /// The process ended the connection, or said too much.
     #[error("no answer came")]
     Unanswered,
-    /// Another program is there.
-    #[error("a {0:?} is there")]
-    Other(Role),
     /// It took too long.
     #[error("no answer came in time")]
     Late,
@@ -39,23 +33,37 @@
 pub struct Told {
     /// Who it is.
     pub hello: Hello,
-    /// Its figures.
-    pub figures: BTreeMap<String, f64>,
-    /// Of a registry: the processes that it knows of.
+    /// Its figures, as it writes them.
+    pub figures: Vec<(String, f64)>,
+    /// Of a registry: which processes it knows of.
     pub rolled: Option<Rolled>,
-    /// Of a registry: the items that are no configuration.
+    /// Of a registry, if it was asked for them: the items that are no configuration.
     pub items: Vec<Item>,
+    /// Bytes that went, both ways.
+    pub bytes: u64,
 }
 
-/// Visits the process of this role at an address. A registry is asked for its servers, too, if they are wanted.
-pub async fn visit(address: SocketAddrV4, role: Role, servers: bool) -> Result<Told, VisitError> {
+impl Told {
+    /// One of its figures.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        self.figures.iter().find(|(known, _)| known == name).map(|(_, value)| *value)
+    }
+}
+
+/// Visits the process at an address, where a program of this role is expected. A registry is asked for its items of servers,
+/// too, if they are wanted. No more bytes than `most` go both ways.
+pub async fn visit(
+    address: SocketAddrV4,
+    me: &Hello,
+    role: Role,
+    servers: bool,
+    most: u64,
+) -> Result<Told, VisitError> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let life = u64::from(std::process::id());
-    let me = Hello { node: "waggle".into(), ip: String::new(), role: Role::Visitor, life };
     let mut said = BytesMut::from(&GREETING[..]);
     let mut say = |speech| said.extend_from_slice(&speech::write(&speech));
-    say(Speech::Hello(me));
+    say(Speech::Hello(me.clone()));
     if role == Role::Scout {
         if servers {
             // Beside an empty summary all items are news.
@@ -65,34 +73,23 @@
     }
     say(Speech::Ask);
     stream.write_all(&said).await?;
-    let mut come = BytesMut::with_capacity(4096);
-    let (mut bytes, mut greeted) = (0, false);
+    let (mut come, mut bytes) = (Incoming::default(), said.len() as u64);
     let (mut hello, mut rolled, mut items) = (None, None, Vec::new());
     loop {
-        let more = stream.read_buf(&mut come).await?;
+        let more = stream.read_buf(come.room()).await? as u64;
         bytes += more;
-        if more == 0 || bytes > MOST {
+        if more == 0 || bytes > most {
             return Err(VisitError::Unanswered);
         }
-        if !greeted {
-            if come.len() < GREETING.len() {
-                continue;
-            }
-            if come.split_to(GREETING.len()) != GREETING[..] {
-                return Err(Garbled::Greeting.into());
-            }
-            greeted = true;
-        }
-        while let Some(heard) = speech::next(&mut come)? {
+        while let Some(heard) = come.take()? {
             match heard {
-                Speech::Hello(who) if who.role != role => return Err(VisitError::Other(who.role)),
                 Speech::Hello(who) => hello = Some(who),
                 Speech::Rolled(roll) => rolled = Some(roll),
                 Speech::News(news) => items.extend(news),
                 // The last that is asked for; answers come in the order of what was asked.
                 Speech::Figures(figures) => {
                     let hello = hello.ok_or(VisitError::Unanswered)?;
-                    return Ok(Told { hello, figures: figures.into_iter().collect(), rolled, items });
+                    return Ok(Told { hello, figures, rolled, items, bytes });
                 }
                 _ => {}
             }
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -15,7 +15,7 @@
 use pinerelay_nectar::well::Well;
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{Answered, Hello, Passed, Role, Speech, Standing};
+use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech, Standing};
 
 use crate::dispatch::Call;
 use servers::{Beaten, Holding};
@@ -433,13 +433,7 @@
 
     fn summary(&self, peer: Peer, realm: u8, lines: &[Line], answer: bool, out: &mut Vec<Output>) {
         let Some(cells) = self.realms.get(usize::from(realm)) else { return };
-        let (newer, behind) = cells.beside(lines);
-        if !newer.is_empty() {
-            out.push(Output::Say(peer, Speech::News(newer)));
-        }
-        if behind && answer {
-            out.push(Output::Say(peer, Speech::Summary { realm, lines: cells.summary(), answer: false }));
-        }
+        out.extend(mend(cells, realm, lines, answer).map(|speech| Output::Say(peer, speech)));
     }
 
     /// A call from outside, under a number that comes back with the answer.
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -141,10 +141,10 @@
         let mut grants = Vec::with_capacity(asks.len());
         for ask in asks {
             let slice = fence::slice(&ask.tenant);
-            let tenant = self.table.tenants().iter().find(|tenant| tenant.name == ask.tenant);
+            let tenant = self.table.named(&ask.tenant).cloned();
             let grant = match tenant {
                 Some(tenant) if slice < SLICES && self.fence.holds(now, slice) => {
-                    let quota = quota(tenant);
+                    let quota = quota(&tenant);
                     let reserved = self.reserved(now, slice, &ask.tenant);
                     let well = self.wells.entry(ask.tenant.clone()).or_insert_with(|| Well::new(now, quota));
                     let (fence, _) = self.gained.get(&slice).copied().unwrap_or_default();
--- a/crates/scout/src/run.rs
+++ b/crates/scout/src/run.rs
@@ -31,7 +31,6 @@
 use pinerelay_traffic::vigil::Vigil;
 use pinerelay_traffic::wire::Wire;
 use pinerelay_traffic::Common;
-use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -52,13 +51,6 @@
 /// At a planned end calls under way have so long.
 const LAST: Duration = Duration::from_millis(800);
 
-/// Runs a registry until it is told to stop.
-pub fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
-    runtime.block_on(serve(path, settings))
-}
-
 /// The registry with what it is joined to.
 struct Scout {
     registry: RefCell<Registry>,
@@ -71,7 +63,8 @@
     me: Weak<Scout>,
 }
 
-async fn serve(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
+/// Runs a registry until it is told to stop.
+pub async fn run(path: PathBuf, settings: Settings) -> Result<(), Box<dyn Error>> {
     let control = Settings::listens(&path, "control", settings.listen.control)?;
     let allowed = rlimit::increase_nofile_limit(settings.limits.file_limit as u64)?;
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/waggle/src/command.rs
+++ b/crates/waggle/src/command.rs
@@ -5,8 +5,8 @@
 
 use getopts::Options;
 use pinerelay_cells::Kind;
-use pinerelay_propolis::settings::{Settings, SettingsError};
-use thiserror::Error;
+use pinerelay_propolis::command::CommandError;
+use pinerelay_propolis::settings::{FileError, Settings, SettingsError};
 
 /// What the client was called for.
 #[derive(Debug, PartialEq, Eq)]
@@ -75,26 +75,6 @@
     }
 }
 
-/// Why a command line can't be followed.
-#[derive(Debug, Error)]
-pub enum CommandError {
-    /// It has what is not known, or lacks a value.
-    #[error("{0}")]
-    Odd(#[from] getopts::Fail),
-    /// A word is none of those that are wanted there.
-    #[error("{0:?}: {1} is wanted")]
-    Word(String, &'static str),
-    /// An option's value is none.
-    #[error("--{0}: {1} is wanted, not {2:?}")]
-    Unfit(&'static str, &'static str, String),
-    /// Something is missing.
-    #[error("{0}")]
-    Missing(&'static str),
-    /// The settings file can't be used.
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-}
-
 /// The words that a command may be.
 pub const JOBS: [&str; 6] = ["nodes", "servers", "items", "duties", "config", "completion"];
 /// The words after `config`.
@@ -210,16 +190,16 @@
     pub fn places(&self) -> Result<Places, CommandError> {
         let mut places = Places { control: self.at.clone(), internal: self.internal };
         if let Some(path) = &self.settings {
-            let settings = Settings::read(path)?;
+            let settings = Settings::read(path).map_err(SettingsError::from)?;
             if places.control.is_empty() {
                 places.control = settings.seed_nodes.clone();
             }
             if places.control.is_empty() {
-                return Err(CommandError::Settings(SettingsError::Unfit {
+                return Err(CommandError::Settings(SettingsError::File(FileError::Unfit {
                     path: path.clone(),
                     key: "seed_nodes".into(),
                     why: "an address is wanted, or --at ADDRESS".into(),
-                }));
+                })));
             }
             places.internal = places.internal.or(Some(settings.internal_ports.0));
         }
--- a/crates/waggle/src/lib.rs
+++ b/crates/waggle/src/lib.rs
@@ -9,4 +9,3 @@
 pub mod run;
 pub mod table;
 pub mod views;
-pub mod visit;
--- a/crates/waggle/src/look.rs
+++ b/crates/waggle/src/look.rs
@@ -6,16 +6,17 @@
 
 use pinerelay_cells::Cells;
 use pinerelay_propolis::ports;
-use pinerelay_propolis::speech::Role;
+use pinerelay_propolis::speech::{Hello, Role};
+use pinerelay_propolis::visit::{visit, Told, VisitError};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::visit::{visit, Told, VisitError};
-
 /// A process that has not answered by then counts as not reached.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// No more processes are visited.
 const MOST: usize = 2_000;
+/// No answer to a visit is longer, in bytes.
+const ANSWER_MOST: u64 = 32 << 20;
 
 /// Where a process is: its program and its machine.
 pub type Place = (Role, Ipv4Addr);
@@ -45,6 +46,8 @@
 /// Looks, beginning at the registries of these machines.
 pub async fn look(seeds: &[Ipv4Addr], port: u16, depth: Depth) -> Look {
     let mut found = Look::default();
+    let life = u64::from(std::process::id());
+    let me = Hello { node: "waggle".into(), ip: String::new(), role: Role::Visitor, life };
     let mut due: BTreeSet<Place> = seeds.iter().map(|ip| (Role::Scout, *ip)).collect();
     while !due.is_empty() {
         let mut visits = JoinSet::new();
@@ -55,9 +58,11 @@
                 Role::Scout | Role::Visitor => ports::SCOUT,
             };
             let address = SocketAddrV4::new(place.1, port.saturating_add(offset));
+            let me = me.clone();
             visits.spawn(async move {
-                let visited = timeout(PATIENCE, visit(address, place.0, depth == Depth::Servers)).await;
-                (place, visited.unwrap_or(Err(VisitError::Late)).map_err(|e| e.to_string()))
+                let visited = visit(address, &me, place.0, depth == Depth::Servers, ANSWER_MOST);
+                let visited = timeout(PATIENCE, visited).await.unwrap_or(Err(VisitError::Late));
+                (place, visited.map_err(|e| e.to_string()).and_then(|told| expected(place.0, told)))
             });
         }
         while let Some(visited) = visits.join_next().await {
@@ -72,6 +77,14 @@
     found
 }
 
+fn expected(role: Role, told: Told) -> Result<Told, String> {
+    if told.hello.role == role {
+        Ok(told)
+    } else {
+        Err(format!("a {:?} is there", told.hello.role))
+    }
+}
+
 impl Look {
     /// Takes what one visit brought.
     pub fn take(&mut self, place: Place, told: Result<Told, String>) {
@@ -133,7 +146,7 @@
                         ("scout_majority", "reaches no majority of the core"),
                         ("scout_whole", "has not the whole configuration"),
                     ] {
-                        if told.figures.get(figure) == Some(&0.0) {
+                        if told.figure(figure) == Some(0.0) {
                             all.push(format!("the registry at {ip} {why}"));
                         }
                     }
--- a/crates/waggle/src/run.rs
+++ b/crates/waggle/src/run.rs
@@ -9,7 +9,9 @@
 use pinerelay_cells::{Cells, Item};
 use thiserror::Error;
 
-use crate::command::{self, Command, CommandError, From, Job};
+use pinerelay_propolis::command::CommandError;
+
+use crate::command::{self, Command, From, Job};
 use crate::diff::{diff, Change};
 use crate::look::{look, Depth, Look};
 use crate::rpc::{self, RpcError};
--- a/crates/waggle/src/views.rs
+++ b/crates/waggle/src/views.rs
@@ -6,21 +6,11 @@
 use pinerelay_cells::{Cells, Kind};
 use pinerelay_nectar::fence::SLICES;
 use pinerelay_propolis::speech::Role;
+use pinerelay_propolis::visit::Told;
 
 use crate::command::KINDS;
 use crate::look::Look;
 use crate::table::{Cell, Report, Table};
-use crate::visit::Told;
-
-/// A program's name.
-pub fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Forager => "forager",
-        Role::Scout => "scout",
-        Role::Comb => "comb",
-        Role::Visitor => "visitor",
-    }
-}
 
 /// The name of a kind of configuration items.
 pub fn kind_name(kind: Kind) -> &'static str {
@@ -37,8 +27,8 @@
 }
 
 fn zone(role: Role, told: &Told) -> Option<&str> {
-    let begin = format!("{}_info{{zone=\"", role_name(role));
-    told.figures.keys().find_map(|name| name.strip_prefix(&begin)?.strip_suffix("\"}"))
+    let begin = format!("{}_info{{zone=\"", role.name());
+    told.figures.iter().find_map(|(name, _)| name.strip_prefix(&begin)?.strip_suffix("\"}"))
 }
 
 /// The processes.
@@ -53,8 +43,8 @@
         let figures = match told {
             Ok(told) => {
                 let figure = |name: &&str| {
-                    let value = told.figures.get(&format!("{}_{name}", role_name(*role)))?;
-                    Some((name.to_string(), *value))
+                    let value = told.figure(&format!("{}_{name}", role.name()))?;
+                    Some((name.to_string(), value))
                 };
                 Cell::Figures(key_figures(*role).iter().filter_map(figure).collect())
             }
@@ -64,7 +54,7 @@
         let address = Cell::Text(ip.to_string());
         let zone = zones.get(ip).copied();
         let up = Cell::Flag(told.is_ok());
-        table.rows.push(vec![role_name(*role).into(), node.into(), address, zone.into(), up, figures]);
+        table.rows.push(vec![role.name().into(), node.into(), address, zone.into(), up, figures]);
     }
     let known: Vec<&String> = look
         .seen
@@ -134,7 +124,7 @@
     let mut table = Table::new("duties", &["node", "address", "zone", "majority", "slices"]);
     let mut held = 0;
     for (ip, told) in look.told(Role::Scout) {
-        let figure = |name: &str| told.figures.get(name).copied();
+        let figure = |name: &str| told.figure(name);
         let slices = figure("scout_duties").map(|n| n as u64);
         held += slices.unwrap_or(0);
         table.rows.push(vec![
