One revision stands for one content; stores have epochs and incarnations by name

Now the same content is acknowledged again, another one is a conflict (409) that names the item: against what stands, against what is pending when the write is judged, set against dropped, and within one call. A call that was overtaken stays acknowledged, also when its keys are another tenant's by now. Ruled out: keeping a list of acknowledged calls, which a restart would lose; the items' own versions tell enough.

Membership (epoch, members with their disks' incarnations) and what a store tells its registry (current or not) are laid down as types for the parts that follow; nothing behaves otherwise by them yet.

Tests: cells::judge::one_number_stands_for_one_content, which fails without the check.

--- a/crates/cells/src/call.rs
+++ b/crates/cells/src/call.rs
@@ -9,19 +9,26 @@
 use crate::item::{Cells, Item, Key, Kind};
 
 /// Why a call can't be taken: where in it, as a JSON pointer, and what is wanted there.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Error)]
 #[error("{at}: {why}")]
 pub struct Unfit {
     /// A JSON pointer to the value at fault; of an item that stands already, its name.
     pub at: String,
     /// What is wanted.
     pub why: String,
+    /// The call may be sound, and clashes with what was taken under the same revision.
+    pub conflict: bool,
 }
 
 impl Unfit {
     /// What is wrong at a place.
     pub fn new(at: impl Into<String>, why: impl Into<String>) -> Unfit {
-        Unfit { at: at.into(), why: why.into() }
+        Unfit { at: at.into(), why: why.into(), conflict: false }
+    }
+
+    /// What clashes with another content under the same revision.
+    pub fn conflict(at: impl Into<String>, why: impl Into<String>) -> Unfit {
+        Unfit { conflict: true, ..Unfit::new(at, why) }
     }
 }
 
--- a/crates/cells/src/item.rs
+++ b/crates/cells/src/item.rs
@@ -60,7 +60,7 @@
 pub struct Version(pub u64, pub u64);
 
 /// One item.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct Item {
     /// Its name.
     pub key: Key,
@@ -90,7 +90,7 @@
 pub type Line = (u64, Version);
 
 /// A copy of the items.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Cells {
     items: BTreeMap<Key, Item>,
     /// The sum of all items' marks: equal copies have equal sums, whatever the order in which items came.
--- a/crates/cells/src/judge.rs
+++ b/crates/cells/src/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::call::Unfit;
-use crate::item::{Cells, Item, Kind};
+use crate::item::{Cells, Item, Key, Kind};
 use crate::routes::{Limits, Route, Service, Tenant};
 
 /// Reads what an item holds; what is dropped always fits.
@@ -20,9 +20,20 @@
 }
 
 /// Takes a call's items on top of what stands: those of them that are newer, if all that would then stand fits together.
-/// An older version, or the same once more, has no effect and is no fault.
+/// An older version, or the same once more, has no effect and is no fault. Another content under a revision that is taken
+/// is a conflict: of two operators who send one number at most one is confirmed.
 pub fn taken(standing: &Cells, call: &[Item]) -> Result<Vec<Item>, Unfit> {
     call.iter().try_for_each(item)?;
+    let mut sent: BTreeMap<(&Key, u64), &Item> = BTreeMap::new();
+    for item in call {
+        let twin = sent.insert((&item.key, item.version.0), item).or(standing.get(&item.key));
+        if twin.is_some_and(|twin| twin.version.0 == item.version.0 && twin != item) {
+            return Err(Unfit::conflict(
+                format!("{:?} {}/revision", item.key.kind, item.key.name),
+                format!("{} is taken with another content: a higher one is wanted", item.version.0),
+            ));
+        }
+    }
     let mut next = standing.clone();
     let newer: Vec<Item> = call
         .iter()
@@ -131,6 +142,34 @@
         expect_that!(newer.iter().map(|i| i.version.0).collect::<Vec<_>>(), elements_are![eq(&7)]);
     }
 
+    #[gtest]
+    fn one_number_stands_for_one_content() {
+        let mut cells = Cells::default();
+        let first = call(GOOD, r#"["t1",5,["k1"]]"#, "");
+        cells.merge_all(taken(&cells, &first).expect("valid"));
+        expect_that!(taken(&cells, &first), ok(is_empty()), "the same once more");
+        let clashes = |standing: &Cells, tenants: &str, remove: &str| {
+            let unfit = taken(standing, &call(GOOD, tenants, remove)).expect_err("a conflict");
+            expect_that!(unfit.conflict, eq(true));
+            expect_that!(unfit.at, eq("Tenant t1/revision"));
+        };
+        clashes(&cells, r#"["t1",5,["k2"]]"#, "");
+        clashes(&cells, "", r#""tenants":[{"name":"t1","revision":5}]"#);
+        // Nothing else of such a call is taken, either, and in one call a number stands for one content, too.
+        clashes(&cells, r#"["t2",5,["k3"]],["t1",5,["k2"]]"#, "");
+        clashes(&Cells::default(), r#"["t1",5,["k1"]],["t1",5,["k2"]]"#, "");
+        clashes(&Cells::default(), r#"["t1",5,["k1"]]"#, r#""tenants":[{"name":"t1","revision":5}]"#);
+        // A drop that is taken, against a set under its number.
+        let dropped = call(GOOD, "", r#""tenants":[{"name":"t1","revision":6}]"#);
+        cells.merge_all(taken(&cells, &dropped).expect("valid"));
+        clashes(&cells, r#"["t1",6,["k1"]]"#, "");
+        // What was acknowledged and has been overtaken since is acknowledged again, whoever holds its keys by now.
+        let other = call(GOOD, r#"["t2",7,["k1"]]"#, "");
+        cells.merge_all(taken(&cells, &other).expect("valid"));
+        expect_that!(taken(&cells, &first), ok(is_empty()));
+        expect_that!(taken(&cells, &dropped), ok(is_empty()));
+    }
+
     #[gtest]
     fn the_longest_prefix_of_the_host_is_the_route() {
         let route = |name: &str, host: &str, prefix: &str| {
--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -6,7 +6,7 @@
 use pinerelay_cells::{call, Cells, Item, Key, Kind};
 use pinerelay_dance::store::{Birth, Micros};
 use pinerelay_dance::voter::{Change, Kept};
-use pinerelay_dance::{Input, Output as Wants, Reply, Request, Store};
+use pinerelay_dance::{Input, Membership, Output as Wants, Reply, Request, Store};
 use pinerelay_propolis::link::{Peer, PULSE};
 use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech};
 
@@ -41,7 +41,7 @@
     calls: BTreeMap<u64, (Peer, u64)>,
     last_call: u64,
     unwritten: usize,
-    stood: Option<(Vec<String>, bool)>,
+    stood: Option<(Membership, bool, bool)>,
     pulse_at: Micros,
     ending: bool,
 }
@@ -125,7 +125,7 @@
     pub fn written(&mut self, now: Micros, number: u64, out: &mut Vec<Output>) {
         self.unwritten = self.unwritten.saturating_sub(1);
         self.give(now, Input::Written(number, true), out);
-        self.stands(false, out);
+        self.stands(now, false, out);
     }
 
     /// Time has passed.
@@ -135,7 +135,7 @@
         if pulse {
             self.pulse_at = now + PULSE.as_micros() as Micros;
         }
-        self.stands(pulse, out);
+        self.stands(now, pulse, out);
         if pulse {
             self.keep(now, out);
         }
@@ -154,12 +154,12 @@
         } else {
             self.hear(now, peer, speech, out);
         }
-        self.stands(false, out);
+        self.stands(now, false, out);
     }
 
     /// Its figures: name, value.
     pub fn figures(&self) -> Vec<(String, f64)> {
-        let stands = self.stood.as_ref().is_some_and(|(_, whole)| *whole);
+        let stands = self.stood.as_ref().is_some_and(|(_, whole, _)| *whole);
         vec![
             ("comb_items".to_string(), self.store.cells().len() as f64),
             ("comb_whole".to_string(), f64::from(u8::from(self.store.whole()))),
@@ -171,17 +171,17 @@
     }
 
     /// Tells the registries how this store stands: when that has changed, and now and then.
-    fn stands(&mut self, pulse: bool, out: &mut Vec<Output>) {
+    fn stands(&mut self, now: Micros, pulse: bool, out: &mut Vec<Output>) {
         let votes = self.store.voters().contains(&self.hello.ip);
         let whole = !self.store.voters().is_empty() && (self.store.whole() || !votes);
-        let stands = (self.store.voters().to_vec(), whole);
+        let stands = (self.store.membership(), whole, self.store.current(now));
         if !pulse && self.stood.as_ref() == Some(&stands) {
             return;
         }
-        if self.stood.as_ref().is_some_and(|(_, before)| *before != whole) {
+        if self.stood.as_ref().is_some_and(|(_, before, _)| *before != whole) {
             log::info!("its copy is {}", if whole { "whole" } else { "not whole" });
         }
-        let speech = Speech::StoreStands { voters: stands.0.clone(), whole };
+        let speech = Speech::StoreStands { membership: stands.0.clone(), whole, current: stands.2 };
         self.stood = Some(stands);
         let scouts = self.of(Role::Scout);
         out.push(Output::SayAll(scouts.clone(), speech));
@@ -286,7 +286,9 @@
                     let (status, body) = match reply {
                         Reply::Taken => (200, "{}".to_string()),
                         Reply::Stands(text) => (200, text),
-                        Reply::Invalid(unfit) => (400, error(&unfit.to_string())),
+                        Reply::Invalid(unfit) => {
+                            (if unfit.conflict { 409 } else { 400 }, error(&unfit.to_string()))
+                        }
                         Reply::Unsure => (503, error("no majority of the stores has answered in time")),
                     };
                     out.push(Output::Say(peer, Speech::Answer(number, Answered { status, body })));
--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -19,7 +19,7 @@
 const PAUSE_LOT: Micros = 60_000;
 
 /// What an operator calls for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Request {
     /// These items, all or none.
     Update(Vec<Item>),
@@ -30,7 +30,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Reply {
     /// Acknowledged.
     Taken,
@@ -42,6 +42,7 @@
     Unsure,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Promise {
     life: u64,
     at: Ballot,
@@ -50,6 +51,7 @@
     put: bool,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Turn {
     ballot: Ballot,
     begun: Micros,
@@ -60,6 +62,7 @@
     kept: BTreeSet<Name>,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Waiting {
     id: u64,
     request: Request,
@@ -77,7 +80,7 @@
 }
 
 /// The caller of one store.
-#[derive(Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Caller {
     me: u64,
     random: u64,
--- a/crates/dance/src/lib.rs
+++ b/crates/dance/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod word;
 
 pub use store::{Input, Output, Reply, Request, Store};
-pub use word::{Ballot, Word};
+pub use word::{Ballot, Member, Membership, Word};
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -7,7 +7,7 @@
 use crate::caller::{Caller, Step};
 pub use crate::caller::{Micros, Reply, Request};
 use crate::voter::{Change, Kept, Voter};
-use crate::word::{Ballot, Name, Pending, Word};
+use crate::word::{Ballot, Membership, Name, Pending, Word};
 
 /// How often digests are told.
 const DIGEST: Micros = 1_000_000;
@@ -19,7 +19,7 @@
 const OWN: u64 = u64::MAX;
 
 /// What happens to a store.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Input {
     /// Another store has said something.
     Heard(Name, Word),
@@ -32,7 +32,7 @@
 }
 
 /// What a store wants done.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Output {
     /// Say this to another store.
     Say(Name, Word),
@@ -45,6 +45,7 @@
 }
 
 /// What a write is waited for by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum After {
     /// A voter's word.
     Keep(Name, Ballot),
@@ -53,7 +54,7 @@
 }
 
 /// What a store is told at its start.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Birth {
     /// Its name.
     pub me: Name,
@@ -68,6 +69,7 @@
 }
 
 /// A store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Store {
     birth: Birth,
     voters: Vec<Name>,
@@ -139,6 +141,20 @@
         self.voter.whole()
     }
 
+    /// Who votes, and since which epoch.
+    pub fn membership(&self) -> Membership {
+        if self.voters.is_empty() {
+            Membership::default()
+        } else {
+            Membership::first(self.voters.clone())
+        }
+    }
+
+    /// Whether the copy here held all that was agreed on at a moment of the last while, by a quorum's word.
+    pub fn current(&self, _now: Micros) -> bool {
+        self.whole()
+    }
+
     /// Who votes.
     pub fn voters(&self) -> &[Name] {
         &self.voters
--- a/crates/dance/src/voter.rs
+++ b/crates/dance/src/voter.rs
@@ -5,7 +5,7 @@
 use crate::word::{Ballot, Pending, Word};
 
 /// What a voter keeps on disk.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Kept {
     /// Who votes; empty: not known.
     pub voters: Vec<String>,
@@ -18,7 +18,7 @@
 }
 
 /// What of it has changed and is to be written, as one.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Change {
     /// Who votes.
     pub voters: Option<Vec<String>>,
@@ -29,7 +29,7 @@
 }
 
 /// A voter.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Voter {
     life: u64,
     /// The copy is whole: it may vote. One that came back without its disk has to be handed all that the others hold.
--- a/crates/dance/src/word.rs
+++ b/crates/dance/src/word.rs
@@ -8,14 +8,51 @@
 pub type Name = String;
 
 /// A turn's number, higher than all that its store had heard of, and what tells two stores' apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Encode, Decode)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Encode, Decode)]
 pub struct Ballot(pub u64, pub u64);
 
+/// A store as one that votes: the machine's address, and which disk of it. A store whose disk came back empty is another
+/// member, which holds nothing of what the one before it promised and kept.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Encode, Decode)]
+pub struct Member {
+    /// Its name.
+    pub name: Name,
+    /// Another with each empty disk; 0: the one at the system's first start.
+    pub incarnation: u64,
+}
+
+/// Who votes from an epoch on, agreed on as any write is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Encode, Decode)]
+pub struct Membership {
+    /// Higher by one with each change; 0: not known.
+    pub epoch: u64,
+    /// In the order of their names.
+    pub members: Vec<Member>,
+    /// The names of those that voted in the epoch before.
+    pub before: Vec<Name>,
+}
+
+impl Membership {
+    /// Those of the system's first start.
+    pub fn first(names: impl IntoIterator<Item = Name>) -> Membership {
+        let mut names: Vec<Name> = names.into_iter().collect();
+        names.sort();
+        names.dedup();
+        let members = names.into_iter().map(|name| Member { name, incarnation: 0 }).collect();
+        Membership { epoch: 1, members, before: Vec::new() }
+    }
+
+    /// The members' names.
+    pub fn names(&self) -> Vec<Name> {
+        self.members.iter().map(|member| member.name.clone()).collect()
+    }
+}
+
 /// What a voter has put under a ballot and does not know to be agreed on.
 pub type Pending = Option<Vec<Item>>;
 
 /// A word between stores.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum Word {
     /// Take nothing under a lower ballot from now on, and tell what you hold.
     Ask {
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -5,7 +5,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use pinerelay_cells::item::Line;
 use pinerelay_cells::{Cells, Item};
-use pinerelay_dance::Word;
+use pinerelay_dance::{Membership, Word};
 use pinerelay_nectar::fence;
 use pinerelay_nectar::purse::{Ask, Grant};
 use thiserror::Error;
@@ -18,6 +18,9 @@
 /// What each connection begins with: the protocol's name and its version.
 pub const GREETING: [u8; 4] = *b"hiv1";
 
+/// A store's copy counts as current for so long after a quorum has confirmed that it is, in microseconds.
+pub const CURRENT: u64 = 2_500_000;
+
 /// Which program a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum Role {
@@ -150,12 +153,14 @@
     Drawn(Vec<(String, Grant)>),
     /// Between stores.
     Store(Word),
-    /// How a store stands: who votes, and whether its copy is whole.
+    /// How a store stands.
     StoreStands {
-        /// The voters' addresses.
-        voters: Vec<String>,
+        /// Who votes, and since which epoch.
+        membership: Membership,
         /// Its copy is whole, or it needs none.
         whole: bool,
+        /// Its copy holds all that was agreed on at a moment of the last [`CURRENT`], by a quorum's word.
+        current: bool,
     },
     /// A call that is passed on, under a number that comes back.
     Pass(u64, Passed),
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -270,7 +270,8 @@
                 self.missing.extend(unheard.into_iter().map(|node| (node, now)));
                 self.kept.get_or_insert_default();
             }
-            (Role::Comb, Speech::StoreStands { voters, whole }) => {
+            (Role::Comb, Speech::StoreStands { membership, whole, .. }) => {
+                let voters = membership.names();
                 self.stores.insert(peer, whole);
                 self.look();
                 if !voters.is_empty() && voters != self.voters {
--- a/crates/smoker/src/outside.rs
+++ b/crates/smoker/src/outside.rs
@@ -183,7 +183,7 @@
     pub fn back(&mut self, id: u64, tries: u32, status: u16, body: &str) {
         let Some(call) = self.outside.calls.get(&id).filter(|call| call.tries == tries) else { return };
         let (what, by, core, begun) = (call.what.clone(), call.by, call.core, call.begun);
-        let clear = status == 200 || status == 400;
+        let clear = matches!(status, 200 | 400 | 409);
         let over = match what {
             What::Beat(..) | What::Leave(..) => tries >= 6,
             _ => self.now > begun + GIVEN_UP && self.outside.first,
@@ -214,6 +214,7 @@
                 self.figures.count("refused");
                 self.ledger.refused(items);
             }
+            What::Update(..) if status == 409 => self.figures.count("conflicts"),
             What::Read(floor) if status == 200 => {
                 self.figures.count("reads");
                 self.ledger.read(floor, body);
