--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -172,9 +172,8 @@
 
     /// Tells the registries how this store stands: when that has changed, and now and then.
     fn stands(&mut self, now: Micros, pulse: bool, out: &mut Vec<Output>) {
-        let votes = self.store.voters().contains(&self.hello.ip);
-        let whole = !self.store.voters().is_empty() && (self.store.whole() || !votes);
-        let stands = (self.store.membership(), whole, self.store.current(now));
+        let whole = self.store.whole();
+        let stands = (self.store.membership().clone(), whole, self.store.current(now));
         if !pulse && self.stood.as_ref() == Some(&stands) {
             return;
         }
--- a/crates/comb/src/disk.rs
+++ b/crates/comb/src/disk.rs
@@ -34,6 +34,14 @@
 /// Kinds by the number that they have on disk.
 const KINDS: [Kind; 6] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server, Kind::Node];
 
+/// What a column holds as bytes. What can't be read is no empty value: a store that forgot what it had promised or put would
+/// vote as if it never had.
+fn decode<T: bincode::Decode<()>>(column: usize, bytes: &[u8]) -> rusqlite::Result<T> {
+    let read = bincode::decode_from_slice(bytes, bincode::config::standard());
+    let odd = |e| rusqlite::Error::FromSqlConversionFailure(column, rusqlite::types::Type::Blob, Box::new(e));
+    read.map(|(value, _)| value).map_err(odd)
+}
+
 /// The database.
 struct Database(Connection);
 
@@ -48,54 +56,62 @@
         connection.execute_batch(
             "CREATE TABLE IF NOT EXISTS cells (kind INTEGER, name TEXT, revision INTEGER, tie INTEGER, value BLOB,
                  PRIMARY KEY (kind, name)) WITHOUT ROWID;
-             CREATE TABLE IF NOT EXISTS vote (one INTEGER PRIMARY KEY CHECK (one = 1), voters TEXT NOT NULL,
-                 turn INTEGER NOT NULL, node INTEGER NOT NULL, pending BLOB);",
+             CREATE TABLE IF NOT EXISTS voter (one INTEGER PRIMARY KEY CHECK (one = 1), incarnation INTEGER,
+                 membership BLOB, ceiling INTEGER NOT NULL, turn INTEGER NOT NULL, tie INTEGER NOT NULL, pending BLOB);",
         )?;
         Ok(Database(connection))
     }
 
     fn read(&self) -> rusqlite::Result<Option<Kept>> {
-        let row = self.0.query_row("SELECT voters, turn, node, pending FROM vote", [], |row| {
-            Ok((
-                row.get::<_, String>(0)?,
-                row.get::<_, i64>(1)?,
-                row.get::<_, i64>(2)?,
-                row.get::<_, Option<Vec<u8>>>(3)?,
-            ))
-        });
-        let Some((voters, turn, node, pending)) = row.optional()? else { return Ok(None) };
-        let mut cells = Vec::new();
+        let row = self.0.query_row(
+            "SELECT incarnation, membership, ceiling, turn, tie, pending FROM voter",
+            [],
+            |row| {
+                let membership: Option<Vec<u8>> = row.get(1)?;
+                let pending: Option<Vec<u8>> = row.get(5)?;
+                Ok(Kept {
+                    incarnation: row.get::<_, Option<i64>>(0)?.map(|n| n as u64),
+                    membership: membership.map(|m| decode(1, &m)).transpose()?.unwrap_or_default(),
+                    ceiling: row.get::<_, i64>(2)? as u64,
+                    at: Ballot(row.get::<_, i64>(3)? as u64, row.get::<_, i64>(4)? as u64),
+                    pending: pending.map(|p| decode(5, &p)).transpose()?,
+                    cells: Vec::new(),
+                })
+            },
+        );
+        let Some(mut kept) = row.optional()? else { return Ok(None) };
         let mut rows = self.0.prepare("SELECT kind, name, revision, tie, value FROM cells")?;
         let mut rows = rows.query([])?;
         while let Some(row) = rows.next()? {
             let Some(&kind) = KINDS.get(row.get::<_, u8>(0)? as usize) else { continue };
-            cells.push(Item {
+            kept.cells.push(Item {
                 key: Key::new(kind, row.get::<_, String>(1)?),
                 version: Version(row.get::<_, i64>(2)? as u64, row.get::<_, i64>(3)? as u64),
                 value: row.get(4)?,
             });
         }
-        let standard = bincode::config::standard();
-        Ok(Some(Kept {
-            voters: voters.split(',').filter(|v| !v.is_empty()).map(String::from).collect(),
-            at: Ballot(turn as u64, node as u64),
-            pending: pending.and_then(|p| bincode::decode_from_slice(&p, standard).ok()).map(|(p, _)| p),
-            cells,
-        }))
+        Ok(Some(kept))
     }
 
     fn write(&mut self, change: &Change) -> rusqlite::Result<()> {
         let whole = self.0.transaction()?;
-        whole.execute("INSERT OR IGNORE INTO vote VALUES (1, '', 0, 0, NULL)", [])?;
-        if let Some(voters) = &change.voters {
-            whole.execute("UPDATE vote SET voters = ?1", params![voters.join(",")])?;
+        let standard = bincode::config::standard();
+        whole.execute("INSERT OR IGNORE INTO voter VALUES (1, NULL, NULL, 0, 0, 0, NULL)", [])?;
+        if let Some(incarnation) = change.incarnation {
+            whole.execute("UPDATE voter SET incarnation = ?1", params![incarnation as i64])?;
+        }
+        if let Some(membership) = &change.membership {
+            let membership = bincode::encode_to_vec(membership, standard).ok();
+            whole.execute("UPDATE voter SET membership = ?1", params![membership])?;
         }
-        if let Some((Ballot(turn, node), pending)) = &change.put {
-            let standard = bincode::config::standard();
-            let pending = pending.as_ref().and_then(|items| bincode::encode_to_vec(items, standard).ok());
+        if let Some(ceiling) = change.ceiling {
+            whole.execute("UPDATE voter SET ceiling = ?1", params![ceiling as i64])?;
+        }
+        if let Some((Ballot(turn, tie), pending)) = &change.put {
+            let pending = pending.as_ref().and_then(|batch| bincode::encode_to_vec(batch, standard).ok());
             whole.execute(
-                "UPDATE vote SET turn = ?1, node = ?2, pending = ?3",
-                params![*turn as i64, *node as i64, pending],
+                "UPDATE voter SET turn = ?1, tie = ?2, pending = ?3",
+                params![*turn as i64, *tie as i64, pending],
             )?;
         }
         for item in &change.settled {
@@ -193,12 +209,6 @@
     }
 }
 
-fn join(all: &mut Change, more: Change) {
-    all.voters = more.voters.or(all.voters.take());
-    all.put = more.put.or(all.put.take());
-    all.settled.extend(more.settled);
-}
-
 fn write_all(
     mut database: Database,
     changes: &Receiver<(u64, Change)>,
@@ -215,7 +225,7 @@
         };
         match next {
             Ok((number, change)) => {
-                join(&mut open, change);
+                open.join(change);
                 numbers.push(number);
             }
             Err(RecvTimeoutError::Timeout) => {}
@@ -223,7 +233,7 @@
         }
         // All that waits is written as one, with one sync.
         while let Ok((number, change)) = changes.try_recv() {
-            join(&mut open, change);
+            open.join(change);
             numbers.push(number);
         }
         let begun = Instant::now();
@@ -254,6 +264,8 @@
 mod tests {
     use googletest::prelude::*;
 
+    use pinerelay_dance::{Batch, Membership};
+
     use super::*;
 
     fn folder(name: &str) -> PathBuf {
@@ -271,9 +283,12 @@
         let folder = folder("found");
         let (disk, kept, mut written) = Disk::open(&folder).expect("a disk");
         expect_that!(kept, none());
-        let voters = Some(vec!["10.0.0.1".to_string(), "10.0.0.2".into()]);
-        disk.write(1, Change { voters: voters.clone(), ..Change::default() });
-        let batch = Some(vec![item("b", 9)]);
+        let membership = Membership::first(["10.0.0.1".to_string(), "10.0.0.2".into()]);
+        let (incarnation, ceiling) = (Some(u64::MAX), Some(1_000));
+        let first =
+            Change { incarnation, ceiling, membership: Some(membership.clone()), ..Change::default() };
+        disk.write(1, first);
+        let batch = Some(Batch { items: vec![item("b", 9)], membership: Some(membership.clone()) });
         disk.write(2, Change { put: Some((Ballot(4, u64::MAX), batch.clone())), ..Change::default() });
         disk.write(3, Change { settled: vec![item("a", 1), item("a", 7)], ..Change::default() });
         expect_that!((0..3).filter_map(|_| written.blocking_recv()).collect::<Vec<_>>(), eq(&vec![1, 2, 3]));
@@ -288,7 +303,8 @@
             }
         };
         let kept = kept.expect("what was written");
-        expect_that!(Some(kept.voters), eq(&voters));
+        expect_that!(kept.membership, eq(&membership));
+        expect_that!((kept.incarnation, Some(kept.ceiling)), eq((incarnation, ceiling)));
         expect_that!((kept.at, kept.pending), eq(&(Ballot(4, u64::MAX), batch)));
         expect_that!(kept.cells, elements_are![eq(&item("a", 7))]);
         let _ = std::fs::remove_dir_all(&folder);
--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -5,7 +5,8 @@
 use pinerelay_cells::call::{self, Unfit};
 use pinerelay_cells::{judge, Cells, Item};
 
-use crate::word::{Ballot, Name, Pending, Word};
+use crate::range;
+use crate::word::{Ballot, Batch, Member, Membership, Name, Pending, Word};
 
 /// Microseconds.
 pub type Micros = u64;
@@ -27,6 +28,8 @@
     Read,
     /// Nothing: what may have been agreed on and is not known to be, is to be settled.
     Mend,
+    /// These vote from now on, if no other change of the membership comes first.
+    Change(Membership),
 }
 
 /// How a call ended.
@@ -44,10 +47,11 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Promise {
-    life: u64,
+    incarnation: u64,
     at: Ballot,
     pending: Pending,
-    cells: Option<Vec<Item>>,
+    ranges: Vec<u64>,
+    cells: Vec<Item>,
     put: bool,
 }
 
@@ -55,11 +59,12 @@
 struct Turn {
     ballot: Ballot,
     begun: Micros,
+    asked: BTreeSet<Name>,
     promises: BTreeMap<Name, Promise>,
     /// What is put, once enough have promised, and the calls that it answers.
-    batch: Option<Vec<Item>>,
+    batch: Option<Batch>,
     answers: Vec<(u64, Reply)>,
-    kept: BTreeSet<Name>,
+    kept: BTreeSet<Member>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -74,7 +79,7 @@
     /// Say this to a voter.
     Say(Name, Word),
     /// This has been agreed on: settle it everywhere.
-    Agreed(Ballot, Vec<Item>),
+    Agreed(Ballot, Batch),
     /// A call has ended.
     Answer(u64, Reply),
 }
@@ -82,11 +87,11 @@
 /// The caller of one store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Caller {
-    me: u64,
+    /// What tells its ballots from all others': of the store and of its life.
+    tie: u64,
     random: u64,
-    voters: Vec<Name>,
-    /// How many must keep an item: a majority, and one more than may be lost at once.
-    quorum: usize,
+    membership: Membership,
+    losses: usize,
     highest: Ballot,
     waiting: Vec<Waiting>,
     turn: Option<Turn>,
@@ -94,11 +99,33 @@
     rest: Micros,
 }
 
+/// Whether enough members are among these: a majority, and one more than may be lost at once.
+fn quorum(membership: &Membership, losses: usize, among: impl Fn(&Member) -> bool) -> bool {
+    let all = membership.members.len();
+    let least = (all / 2 + 1).max((losses + 1).min(all));
+    membership.members.iter().filter(|member| among(member)).count() >= least
+}
+
 impl Caller {
-    /// One without a call. `me` is another at each store, `losses` are the machines that may be lost at once.
-    pub fn new(me: u64, random: u64, voters: Vec<Name>, losses: usize) -> Caller {
-        let quorum = (voters.len() / 2 + 1).max((losses + 1).min(voters.len()));
-        Caller { me, random, voters, quorum, ..Caller::default() }
+    /// One without a call. `tie` is another in each life of each store, `losses` are the machines that may be lost at once.
+    pub fn new(tie: u64, losses: usize) -> Caller {
+        Caller { tie, random: tie, losses, ..Caller::default() }
+    }
+
+    /// Who votes by now. A turn with those before is given up; what it was to do is done in another.
+    pub fn elect(&mut self, membership: Membership) {
+        self.membership = membership;
+        self.turn = None;
+    }
+
+    /// Others know of a ballot as high as this.
+    pub fn know(&mut self, highest: Ballot) {
+        self.highest = self.highest.max(highest);
+    }
+
+    /// Whether enough of who votes are among these.
+    pub fn quorum(&self, among: impl Fn(&Member) -> bool) -> bool {
+        quorum(&self.membership, self.losses, among)
     }
 
     /// Whether a call waits or a turn is under way.
@@ -134,47 +161,77 @@
     }
 
     fn begin(&mut self, now: Micros, own: &Cells, seen: Ballot, out: &mut Vec<Step>) {
-        if self.turn.is_some() || self.waiting.is_empty() || now < self.rest || self.voters.is_empty() {
+        if self.turn.is_some()
+            || self.waiting.is_empty()
+            || now < self.rest
+            || self.membership.members.is_empty()
+        {
             return;
         }
-        let ballot = Ballot(self.highest.0.max(seen.0) + 1, self.me);
+        let ballot = Ballot(self.highest.0.max(seen.0) + 1, self.tie);
         self.highest = ballot;
         self.turn = Some(Turn {
             ballot,
             begun: now,
+            asked: BTreeSet::new(),
             promises: BTreeMap::new(),
             batch: None,
             answers: Vec::new(),
             kept: BTreeSet::new(),
         });
-        let digest = own.digest();
-        out.extend(self.voters.iter().map(|v| Step::Say(v.clone(), Word::Ask { ballot, digest })));
+        let mut names = self.membership.names();
+        let changes = self.waiting.iter().filter_map(|w| match &w.request {
+            Request::Change(next) if next.epoch == self.membership.epoch + 1 => Some(next.names()),
+            _ => None,
+        });
+        names.extend(changes.flatten());
+        self.ask(names, own, out);
     }
 
-    /// A voter's answer. `own` are the settled items here.
+    fn ask(&mut self, names: Vec<Name>, own: &Cells, out: &mut Vec<Step>) {
+        let Some(turn) = self.turn.as_mut() else { return };
+        let new: BTreeSet<Name> = names.into_iter().filter(|name| !turn.asked.contains(name)).collect();
+        if new.is_empty() {
+            return;
+        }
+        let (ballot, ranges) = (turn.ballot, range::ranges(own));
+        for name in new {
+            let (membership, ranges) = (self.membership.clone(), ranges.clone());
+            out.push(Step::Say(name.clone(), Word::Ask { ballot, membership, ranges }));
+            turn.asked.insert(name);
+        }
+    }
+
+    /// A voter's answer. `own` are the settled items here, and all that a promise has told of are among them.
     pub fn heard(&mut self, now: Micros, from: &str, word: Word, own: &Cells, out: &mut Vec<Step>) {
         match word {
             Word::Deny { ballot, higher } => {
-                self.highest = self.highest.max(higher);
+                self.know(higher);
                 if self.turn.as_ref().is_some_and(|turn| turn.ballot == ballot) {
                     self.random = pinerelay_cells::hash::mix(self.random.wrapping_add(0x9e37_79b9_7f4a_7c15));
                     self.rest = now + PAUSE + self.random % PAUSE_LOT;
                     self.turn = None;
                 }
             }
-            Word::Promise { ballot, life, at, pending, cells } => {
+            Word::Promise { ballot, incarnation, at, pending, ranges, cells } => {
                 let Some(turn) = self.turn.as_mut().filter(|turn| turn.ballot == ballot) else { return };
-                let promise = Promise { life, at, pending, cells, put: false };
+                let promise = Promise { incarnation, at, pending, ranges, cells, put: false };
                 turn.promises.entry(from.into()).or_insert(promise);
-                if turn.batch.is_none() && turn.promises.len() >= self.quorum {
+                if turn.batch.is_none() {
                     self.decide(own, out);
                 }
-                self.put(out);
+                self.put(own, out);
             }
-            Word::Kept { ballot } => {
+            Word::Kept { ballot, incarnation } => {
                 let Some(turn) = self.turn.as_mut().filter(|turn| turn.ballot == ballot) else { return };
-                turn.kept.insert(from.into());
-                if turn.kept.len() >= self.quorum {
+                // Danger: who keeps it must be who promised: a disk that was lost in between holds nothing else.
+                if turn.promises.get(from).is_none_or(|promise| promise.incarnation != incarnation) {
+                    return;
+                }
+                turn.kept.insert(Member { name: from.into(), incarnation });
+                let Some(batch) = &turn.batch else { return };
+                let enough = |of: &Membership| quorum(of, self.losses, |member| turn.kept.contains(member));
+                if enough(&self.membership) && batch.membership.as_ref().is_none_or(enough) {
                     if let Some(Turn { ballot, batch: Some(batch), answers, .. }) = self.turn.take() {
                         out.push(Step::Agreed(ballot, batch));
                         self.answer(answers, out);
@@ -195,27 +252,45 @@
         );
     }
 
-    /// Enough have promised: what stands is known, and what of the calls fits it.
+    /// Once enough have promised, what stands is known, and what of the calls fits it.
     fn decide(&mut self, own: &Cells, out: &mut Vec<Step>) {
         let Some(turn) = self.turn.as_mut() else { return };
-        let mut base = own.clone();
-        for cells in turn.promises.values().filter_map(|p| p.cells.as_ref()) {
-            base.merge_all(cells.iter().cloned());
+        let enough = |of: &Membership| {
+            quorum(of, self.losses, |m| {
+                turn.promises.get(&m.name).is_some_and(|p| p.incarnation == m.incarnation)
+            })
+        };
+        if !enough(&self.membership) {
+            return;
         }
-        // What was put under a ballot lower than another's highest has not been agreed on, or is settled there.
-        let last = turn.promises.values().max_by_key(|p| p.at);
+        // What was put under a ballot lower than another's highest has not been agreed on, or is among the settled items of
+        // who kept that; and so has what is settled under the same one elsewhere.
+        let last = turn.promises.values().max_by_key(|p| (p.at, p.pending.is_none()));
         let mut batch = last.and_then(|p| p.pending.clone()).unwrap_or_default();
-        let mut next = base;
-        next.merge_all(batch.iter().cloned());
+        let epoch = self.membership.epoch;
+        batch.membership = batch.membership.filter(|next| next.epoch > epoch);
+        if batch.membership.is_none() {
+            let change = self.waiting.iter().find_map(|w| match &w.request {
+                Request::Change(next) if next.epoch == epoch + 1 => Some(next.clone()),
+                _ => None,
+            });
+            batch.membership = change;
+        }
+        // Danger: those who are to vote next may do so already, and what they have agreed on since is known to them alone.
+        if let Some(next) = batch.membership.clone().filter(|next| !enough(next)) {
+            return self.ask(next.names(), own, out);
+        }
+        let mut next = own.clone();
+        next.merge_all(batch.items.iter().cloned());
         let mut read = Vec::new();
         for Waiting { id, request, .. } in &self.waiting {
             match request {
-                Request::Mend => turn.answers.push((*id, Reply::Taken)),
+                Request::Mend | Request::Change(_) => turn.answers.push((*id, Reply::Taken)),
                 Request::Read => read.push(*id),
                 Request::Update(items) => match judge::taken(&next, items) {
                     Ok(newer) => {
                         next.merge_all(newer.iter().cloned());
-                        batch.extend(newer);
+                        batch.items.extend(newer);
                         turn.answers.push((*id, Reply::Taken));
                     }
                     Err(unfit) => turn.answers.push((*id, Reply::Invalid(unfit))),
@@ -226,7 +301,7 @@
             let text = call::write(&next);
             turn.answers.extend(read.into_iter().map(|id| (id, Reply::Stands(text.clone()))));
         }
-        if batch.is_empty() {
+        if batch == Batch::default() {
             let answers = std::mem::take(&mut turn.answers);
             self.turn = None;
             self.answer(answers, out);
@@ -235,11 +310,18 @@
         }
     }
 
-    fn put(&mut self, out: &mut Vec<Step>) {
+    /// Puts the batch to each who has promised, with what it lacks of all that is settled.
+    fn put(&mut self, own: &Cells, out: &mut Vec<Step>) {
         let Some(Turn { ballot, promises, batch: Some(batch), .. }) = &mut self.turn else { return };
+        let mut ranges = None;
         for (voter, promise) in promises.iter_mut().filter(|(_, promise)| !promise.put) {
             promise.put = true;
-            let word = Word::Put { ballot: *ballot, life: promise.life, batch: batch.clone() };
+            let own_ranges: &Vec<u64> = ranges.get_or_insert_with(|| range::ranges(own));
+            let mut theirs = Cells::default();
+            theirs.merge_all(std::mem::take(&mut promise.cells));
+            let lacks = |item: &&Item| theirs.get(&item.key).is_none_or(|there| there.version < item.version);
+            let fill = range::differing(own, own_ranges, &promise.ranges).filter(lacks).cloned().collect();
+            let word = Word::Put { ballot: *ballot, fill, batch: batch.clone() };
             out.push(Step::Say(voter.clone(), word));
         }
     }
--- a/crates/dance/src/lib.rs
+++ b/crates/dance/src/lib.rs
@@ -7,9 +7,11 @@
 //! Items merge by their own versions, and a store that missed some is mended by digests.
 
 pub mod caller;
+pub mod presence;
+pub mod range;
 pub mod store;
 pub mod voter;
 pub mod word;
 
 pub use store::{Input, Output, Reply, Request, Store};
-pub use word::{Ballot, Member, Membership, Word};
+pub use word::{Ballot, Batch, Member, Membership, Word};
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -1,20 +1,25 @@
 //! A store: its vote, its calls, and the mending of what it or another has missed.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use pinerelay_cells::item::Line;
 use pinerelay_cells::{hash, Cells, Item};
 
 use crate::caller::{Caller, Step};
 pub use crate::caller::{Micros, Reply, Request};
-use crate::voter::{Change, Kept, Voter};
-use crate::word::{Ballot, Membership, Name, Pending, Word};
+use crate::presence::Presence;
+use crate::voter::{Asked, Change, Kept, Put, Voter};
+use crate::word::{Ballot, Batch, Member, Membership, Name, Word};
 
-/// How often digests are told.
-const DIGEST: Micros = 1_000_000;
+/// A copy counts as current for so long after a quorum has confirmed that it is.
+pub const CURRENT: Micros = 2_500_000;
+/// How often digests are told, and how often by one that does not know who votes, or does not vote and should.
+const DIGEST: Micros = 500_000;
+const LOST: Micros = 200_000;
 /// What is pending for so long is settled by whoever holds it.
 const PENDS: Micros = 500_000;
-/// How often one that has lost its disk asks for copies.
-const FETCH: Micros = 200_000;
+/// A change of who votes waits so long for each member before this one, so that not all propose it at once.
+const TURNS: Micros = 300_000;
 /// The calls that a store makes itself have this number.
 const OWN: u64 = u64::MAX;
 
@@ -47,10 +52,12 @@
 /// What a write is waited for by.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum After {
-    /// A voter's word.
+    /// A caller, whose batch is kept then.
     Keep(Name, Ballot),
-    /// The copy is whole.
-    Restored,
+    /// A caller, who has the promise then; the ceiling that is written.
+    Promise(Name, Ballot, Vec<u64>, Option<u64>),
+    /// Nobody; the vote counts on it.
+    Known(Change),
 }
 
 /// What a store is told at its start.
@@ -72,17 +79,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Store {
     birth: Birth,
-    voters: Vec<Name>,
+    membership: Membership,
     voter: Voter,
     caller: Caller,
+    presence: Presence,
     after: BTreeMap<u64, After>,
     written: u64,
-    /// Copies that others have handed over to one that has lost its disk.
-    copies: BTreeMap<Name, (Ballot, Pending, Vec<Item>)>,
-    restoring: bool,
     pends_since: Option<Micros>,
+    /// Who should vote in place of whom, and since when.
+    due: Option<(Vec<Member>, Micros)>,
     digest_at: Micros,
-    fetch_at: Micros,
+    /// By when they were asked: who has said that its copy is this one.
+    confirmed: BTreeMap<Micros, BTreeSet<Member>>,
+    /// When the copy here last held all that was agreed on.
+    current_at: Option<Micros>,
     /// What it says to itself.
     inner: VecDeque<Word>,
 }
@@ -90,45 +100,58 @@
 impl Store {
     /// A store with what it found on its disk, none if that was empty. Says what is to be done first.
     pub fn new(birth: Birth, kept: Option<Kept>, out: &mut Vec<Output>) -> Store {
-        let lost = kept.is_none() && !birth.first;
-        let fresh = kept.is_none() && birth.first;
         let mut kept = kept.unwrap_or_default();
-        if fresh {
-            kept.voters = birth.seeds.clone();
-            kept.voters.sort();
-            kept.voters.dedup();
+        let fresh = kept.incarnation.is_none();
+        // One that does not know who it was has lost its disk, and is another member from now on.
+        let incarnation = if birth.first { 0 } else { birth.life.max(1) };
+        if fresh && birth.first {
+            kept.membership = Membership::first(birth.seeds.clone());
         }
-        let voters = kept.voters.clone();
-        let votes = voters.contains(&birth.me);
-        let voter = Voter::new(birth.life, votes && !lost && !fresh, kept);
+        let membership = kept.membership.clone();
+        let tie = hash::of(&[birth.me.as_bytes(), &birth.life.to_le_bytes()]);
         let mut store = Store {
-            caller: Caller::default(),
-            voters: Vec::new(),
-            voter,
+            caller: Caller::new(tie, birth.losses),
+            membership: Membership::default(),
+            voter: Voter::new(kept),
+            presence: Presence::new(birth.me.clone()),
             after: BTreeMap::new(),
             written: 0,
-            copies: BTreeMap::new(),
-            restoring: false,
             pends_since: None,
+            due: None,
             digest_at: 0,
-            fetch_at: 0,
+            confirmed: BTreeMap::new(),
+            current_at: None,
             inner: VecDeque::new(),
             birth,
         };
-        store.elect(voters);
+        store.adopt(membership);
+        // It must not vote before it would know after an end that it has begun.
+        let mut change = store.voter.rise().unwrap_or_default();
         if fresh {
-            // It must not vote before it would know after an end that it has begun.
-            let change = Change { voters: Some(store.voters.clone()), ..Change::default() };
-            store.restoring = true;
-            store.write(change, votes.then_some(After::Restored), out);
+            change.incarnation = Some(incarnation);
+            change.membership = Some(store.membership.clone());
         }
+        store.write(change.clone(), Some(After::Known(change)), out);
         store
     }
 
-    fn elect(&mut self, voters: Vec<Name>) {
-        let me = hash::of(&[self.birth.me.as_bytes()]);
-        self.caller = Caller::new(me, self.birth.life, voters.clone(), self.birth.losses);
-        self.voters = voters;
+    fn adopt(&mut self, membership: Membership) -> bool {
+        if membership.epoch <= self.membership.epoch {
+            return false;
+        }
+        self.caller.elect(membership.clone());
+        self.membership = membership;
+        self.confirmed.clear();
+        self.due = None;
+        true
+    }
+
+    /// Takes a membership that has been agreed on.
+    fn learn(&mut self, membership: Membership, out: &mut Vec<Output>) {
+        if self.adopt(membership) {
+            let change = Change { membership: Some(self.membership.clone()), ..Change::default() };
+            self.write(change, None, out);
+        }
     }
 
     /// The settled items.
@@ -136,34 +159,32 @@
         self.voter.cells()
     }
 
-    /// Whether its copy is whole, and it votes.
-    pub fn whole(&self) -> bool {
-        self.voter.whole()
+    /// Who votes, and since which epoch.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
-    /// Who votes, and since which epoch.
-    pub fn membership(&self) -> Membership {
-        if self.voters.is_empty() {
-            Membership::default()
-        } else {
-            Membership::first(self.voters.clone())
-        }
+    /// Whether it votes.
+    pub fn votes(&self) -> bool {
+        let me = |m: &Member| m.name == self.birth.me && Some(m.incarnation) == self.voter.incarnation();
+        self.membership.members.iter().any(me)
     }
 
-    /// Whether the copy here held all that was agreed on at a moment of the last while, by a quorum's word.
-    pub fn current(&self, _now: Micros) -> bool {
-        self.whole()
+    /// Whether its copy is whole: it votes, or has held all that was agreed on at some moment of this life.
+    pub fn whole(&self) -> bool {
+        self.votes() || self.current_at.is_some()
     }
 
-    /// Who votes.
-    pub fn voters(&self) -> &[Name] {
-        &self.voters
+    /// Whether its copy held all that was agreed on at a moment of the last [`CURRENT`], by a quorum's word.
+    pub fn current(&self, now: Micros) -> bool {
+        self.current_at.is_some_and(|at| now < at + CURRENT)
     }
 
-    /// The stores that it has to reach: those that vote, or as long as it does not know them, those it was told of.
+    /// The stores that it has to reach: those that vote, and those it was told of.
     pub fn others(&self) -> Vec<Name> {
-        let all = if self.voters.is_empty() { &self.birth.seeds } else { &self.voters };
-        all.iter().filter(|name| **name != self.birth.me).cloned().collect()
+        let all: BTreeSet<Name> =
+            self.membership.names().into_iter().chain(self.birth.seeds.clone()).collect();
+        all.into_iter().filter(|name| *name != self.birth.me).collect()
     }
 
     /// Takes one input at the time `now` and appends what is to be done.
@@ -176,12 +197,18 @@
                 self.caller.call(now, id, request, self.voter.cells(), seen, &mut steps);
             }
             Input::Written(token, ok) => match self.after.remove(&token) {
-                Some(After::Keep(to, ballot)) if ok => self.say(to, Word::Kept { ballot }, out),
-                Some(After::Restored) if ok => {
-                    self.voter.restored();
-                    self.restoring = false;
+                Some(After::Keep(to, ballot)) if ok => {
+                    let incarnation = self.voter.incarnation();
+                    if let Some(incarnation) = incarnation {
+                        self.say(to, Word::Kept { ballot, incarnation }, out);
+                    }
+                }
+                Some(After::Promise(to, ballot, ranges, ceiling)) if ok => {
+                    self.voter.written(&Change { ceiling, ..Change::default() });
+                    let promise = self.voter.promise(ballot, &ranges);
+                    self.say(to, promise, out);
                 }
-                Some(After::Restored) => self.restoring = false,
+                Some(After::Known(change)) if ok => self.voter.written(&change),
                 _ => {}
             },
             Input::Tick => self.tick(now, &mut steps, out),
@@ -192,14 +219,7 @@
                     Step::Say(to, word) => self.say(to, word, out),
                     Step::Answer(OWN, _) => {}
                     Step::Answer(id, reply) => out.push(Output::Answer(id, reply)),
-                    Step::Agreed(ballot, batch) => {
-                        for voter in self.voters.clone() {
-                            self.say(voter, Word::Settle { ballot, batch: batch.clone() }, out);
-                        }
-                        if !self.voters.contains(&self.birth.me) {
-                            self.inner.push_back(Word::Settle { ballot, batch });
-                        }
-                    }
+                    Step::Agreed(ballot, batch) => self.agreed(now, ballot, batch, out),
                 }
             }
             let Some(word) = self.inner.pop_front() else { break };
@@ -230,54 +250,90 @@
 
     fn news(&mut self, (news, change): (Vec<Item>, Change), out: &mut Vec<Output>) {
         self.write(change, None, out);
-        if !news.is_empty() {
-            out.push(Output::News(news));
+        self.tell(news, out);
+    }
+
+    /// Tells all whom it concerns, those that do not vote as well.
+    fn agreed(&mut self, now: Micros, ballot: Ballot, batch: Batch, out: &mut Vec<Output>) {
+        let next = batch.membership.as_ref().map(Membership::names).unwrap_or_default();
+        let mut to: BTreeSet<Name> = self.membership.names().into_iter().chain(next).collect();
+        to.extend(self.presence.heard(now));
+        to.insert(self.birth.me.clone());
+        for name in to {
+            self.say(name, Word::Settle { ballot, batch: batch.clone() }, out);
         }
     }
 
     fn heard(&mut self, now: Micros, from: &str, word: Word, steps: &mut Vec<Step>, out: &mut Vec<Output>) {
         match word {
-            Word::Ask { ballot, digest } => {
-                if let Some(answer) = self.voter.ask(ballot, digest) {
-                    self.say(from.into(), answer, out);
+            Word::Ask { ballot, membership, ranges } => {
+                if membership.epoch < self.membership.epoch {
+                    return self.say(from.into(), Word::Members(self.membership.clone()), out);
+                }
+                self.learn(membership, out);
+                match self.voter.ask(ballot, &ranges) {
+                    Asked::Answer(answer) => self.say(from.into(), answer, out),
+                    Asked::After(change) => {
+                        let after = After::Promise(from.into(), ballot, ranges, change.ceiling);
+                        self.write(change, Some(after), out);
+                    }
+                    Asked::Silent => {}
                 }
             }
-            Word::Put { ballot, life, batch } => match self.voter.put(ballot, life, batch) {
-                Ok(change) => self.write(change, Some(After::Keep(from.into(), ballot)), out),
-                Err(Some(answer)) => self.say(from.into(), answer, out),
-                Err(None) => {}
+            Word::Put { ballot, fill, batch } => match self.voter.put(ballot, fill, batch) {
+                Put::After(news, change) => {
+                    self.write(change, Some(After::Keep(from.into(), ballot)), out);
+                    self.tell(news, out);
+                }
+                Put::Answer(answer) => self.say(from.into(), answer, out),
+                Put::Silent => {}
             },
             Word::Settle { ballot, batch } => {
-                let settled = self.voter.settle(ballot, batch);
+                if let Some(membership) = batch.membership {
+                    self.learn(membership, out);
+                }
+                let settled = self.voter.settle(ballot, batch.items);
                 self.news(settled, out);
             }
-            Word::Promise { .. } | Word::Deny { .. } | Word::Kept { .. } => {
+            Word::Promise { ballot, incarnation, at, pending, ranges, cells } => {
+                // What is settled anywhere is agreed on.
+                let merged = self.voter.merge(cells.clone());
+                self.news(merged, out);
+                let word = Word::Promise { ballot, incarnation, at, pending, ranges, cells };
                 self.caller.heard(now, from, word, self.voter.cells(), steps);
             }
-            Word::Fetch => {
-                if let Some(copy) = self.voter.copy(&self.voters) {
-                    self.say(from.into(), copy, out);
-                }
+            Word::Deny { .. } | Word::Kept { .. } => {
+                self.caller.heard(now, from, word, self.voter.cells(), steps);
             }
-            Word::Copy { voters, at, pending, cells } => self.copied(from, voters, (at, pending, cells), out),
-            Word::Digest(digest) => {
-                if digest != self.cells().digest() {
+            Word::Members(membership) => self.learn(membership, out),
+            Word::Digest { life, sent, digest, epoch, incarnation, highest } => {
+                self.caller.know(highest);
+                let own = self.cells().digest();
+                self.presence.digest(now, from, incarnation, digest == own);
+                let seen = Word::Seen {
+                    life,
+                    sent,
+                    digest: own,
+                    epoch: self.membership.epoch,
+                    incarnation: self.voter.incarnation(),
+                    pends: self.voter.pends(),
+                };
+                self.say(from.into(), seen, out);
+                if epoch < self.membership.epoch {
+                    self.say(from.into(), Word::Members(self.membership.clone()), out);
+                }
+                if digest != own {
                     self.say(from.into(), Word::Summary { lines: self.cells().summary(), answer: true }, out);
                 }
             }
-            Word::Summary { lines, answer } => {
-                let (newer, behind) = self.cells().beside(&lines);
-                if !newer.is_empty() {
-                    self.say(from.into(), Word::News(newer), out);
-                }
-                if behind && answer {
-                    self.say(
-                        from.into(),
-                        Word::Summary { lines: self.cells().summary(), answer: false },
-                        out,
-                    );
+            Word::Seen { life, sent, digest, epoch, incarnation, pends } if life == self.birth.life => {
+                let same = epoch == self.membership.epoch && digest == self.cells().digest() && !pends;
+                if let Some(incarnation) = incarnation.filter(|_| same) {
+                    self.confirm(sent, Member { name: from.into(), incarnation });
                 }
             }
+            Word::Seen { .. } => {}
+            Word::Summary { lines, answer } => self.summary(from, &lines, answer, out),
             Word::News(items) => {
                 let merged = self.voter.merge(items);
                 self.news(merged, out);
@@ -285,64 +341,88 @@
         }
     }
 
-    /// Danger: a write may stand on this store's lost disk and on one other. Only the copies of all the others hold all
-    /// that was acknowledged.
-    fn copied(
-        &mut self,
-        from: &str,
-        voters: Vec<Name>,
-        copy: (Ballot, Pending, Vec<Item>),
-        out: &mut Vec<Output>,
-    ) {
-        if self.voters.is_empty() {
-            self.elect(voters.clone());
-            self.write(Change { voters: Some(voters), ..Change::default() }, None, out);
+    /// Another's summary: what is newer here goes there, and what is newer there is asked for.
+    fn summary(&mut self, from: &str, lines: &[Line], answer: bool, out: &mut Vec<Output>) {
+        let (newer, behind) = self.cells().beside(lines);
+        if !newer.is_empty() {
+            self.say(from.into(), Word::News(newer), out);
         }
-        let votes = self.voters.contains(&self.birth.me);
-        if !votes {
-            let merged = self.voter.merge(copy.2);
-            return self.news(merged, out);
+        if behind && answer {
+            self.say(from.into(), Word::Summary { lines: self.cells().summary(), answer: false }, out);
         }
-        if self.voter.whole() || self.restoring || !self.voters.iter().any(|v| v == from) {
+    }
+
+    /// A store that holds nothing but what is settled has the same copy, or had it when it was asked.
+    fn confirm(&mut self, sent: Micros, by: Member) {
+        if self.current_at.is_some_and(|at| at >= sent) {
             return;
         }
-        self.copies.insert(from.into(), copy);
-        if self.copies.len() + 1 < self.voters.len() {
-            return;
+        let Some(by_now) = self.confirmed.get_mut(&sent) else { return };
+        by_now.insert(by);
+        let me = (&self.birth.me, self.voter.incarnation(), self.voter.pends());
+        let own = |m: &Member| (&m.name, Some(m.incarnation), false) == me;
+        if self.caller.quorum(|member| by_now.contains(member) || own(member)) {
+            self.current_at = Some(sent);
+            self.confirmed.retain(|at, _| *at > sent);
         }
-        let copies = std::mem::take(&mut self.copies);
-        let last = copies.values().max_by_key(|(at, ..)| *at).map(|(at, pending, _)| (*at, pending.clone()));
-        let (at, pending) = last.unwrap_or_default();
-        let cells = copies.into_values().flat_map(|(_, _, cells)| cells).collect();
-        let (news, change) = self.voter.restore(at, pending, cells);
-        self.restoring = true;
-        let change = Change { voters: Some(self.voters.clone()), ..change };
-        self.write(change, Some(After::Restored), out);
+    }
+
+    fn tell(&mut self, news: Vec<Item>, out: &mut Vec<Output>) {
         if !news.is_empty() {
             out.push(Output::News(news));
         }
     }
 
     fn tick(&mut self, now: Micros, steps: &mut Vec<Step>, out: &mut Vec<Output>) {
+        self.presence.tick(now);
+        if let Some(change) = self.voter.rise() {
+            self.write(change.clone(), Some(After::Known(change)), out);
+        }
         let seen = self.voter.highest();
         // The first of the holders settles it, so that not all do at once.
-        let rank = self.voters.iter().position(|v| *v == self.birth.me).unwrap_or(0) as Micros;
+        let names = self.membership.names();
+        let rank = names.iter().position(|name| *name == self.birth.me).unwrap_or(0) as Micros;
         let pends = self.pends_since.is_some_and(|since| now >= since + PENDS + rank * PENDS / 2);
         if pends && !self.caller.busy() {
             self.pends_since = Some(now);
             self.caller.call(now, OWN, Request::Mend, self.voter.cells(), seen, steps);
         }
+        self.members(now, rank, steps);
         self.caller.tick(now, self.voter.cells(), seen, steps);
-        let votes = self.voters.contains(&self.birth.me);
-        let lost = self.voters.is_empty() || votes && !self.voter.whole() && !self.restoring;
-        if lost && now >= self.fetch_at {
-            self.fetch_at = now + FETCH;
-            out.extend(self.others().into_iter().map(|to| Output::Say(to, Word::Fetch)));
-        }
         if now >= self.digest_at {
-            self.digest_at = now + DIGEST;
-            let digest = self.cells().digest();
-            out.extend(self.others().into_iter().map(|to| Output::Say(to, Word::Digest(digest))));
+            let lost = names.is_empty() || names.contains(&self.birth.me) && !self.votes();
+            self.digest_at = now + if lost { LOST } else { DIGEST };
+            self.confirmed.retain(|at, _| now < *at + CURRENT);
+            self.confirmed.insert(now, BTreeSet::new());
+            let digest = Word::Digest {
+                life: self.birth.life,
+                sent: now,
+                digest: self.cells().digest(),
+                epoch: self.membership.epoch,
+                incarnation: self.voter.incarnation(),
+                highest: seen,
+            };
+            let to: BTreeSet<Name> = self.others().into_iter().chain(self.presence.heard(now)).collect();
+            out.extend(to.into_iter().map(|to| Output::Say(to, digest.clone())));
+            // Where there is no other, its own word is enough.
+            self.confirm(now, Member::default());
+        }
+    }
+
+    /// Proposes who is to vote, where a member has lost its disk or has gone and another is there.
+    fn members(&mut self, now: Micros, rank: Micros, steps: &mut Vec<Step>) {
+        let next = self.votes().then(|| self.presence.next(now, &self.membership.members)).flatten();
+        let Some(next) = next else {
+            self.due = None;
+            return;
+        };
+        let since = self.due.take().filter(|(due, _)| *due == next).map_or(now, |(_, since)| since);
+        if now < since + rank * TURNS || self.caller.busy() {
+            self.due = Some((next, since));
+            return;
         }
+        let next =
+            Membership { epoch: self.membership.epoch + 1, members: next, before: self.membership.names() };
+        self.caller.call(now, OWN, Request::Change(next), self.voter.cells(), self.voter.highest(), steps);
     }
 }
--- a/crates/dance/src/word.rs
+++ b/crates/dance/src/word.rs
@@ -48,8 +48,17 @@
     }
 }
 
+/// What is put under one ballot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Encode, Decode)]
+pub struct Batch {
+    /// Items of operators' calls.
+    pub items: Vec<Item>,
+    /// Who votes from then on.
+    pub membership: Option<Membership>,
+}
+
 /// What a voter has put under a ballot and does not know to be agreed on.
-pub type Pending = Option<Vec<Item>>;
+pub type Pending = Option<Batch>;
 
 /// A word between stores.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Encode, Decode)]
@@ -58,21 +67,25 @@
     Ask {
         /// The turn's.
         ballot: Ballot,
-        /// Of the asker's own items; a voter that has the same ones need not send them.
-        digest: u64,
+        /// Who votes, as far as the asker knows.
+        membership: Membership,
+        /// Of the asker's settled items, by range; a voter need not send what is the same.
+        ranges: Vec<u64>,
     },
-    /// The voter will not.
+    /// The voter will not, not in a later life either.
     Promise {
         /// The turn's.
         ballot: Ballot,
-        /// Of the voter's process: a later one knows nothing of the promise.
-        life: u64,
+        /// Of the voter's disk: one that has lost it is another member.
+        incarnation: u64,
         /// The highest ballot under which something was put or settled here.
         at: Ballot,
         /// What was put under it and is not known to be agreed on.
         pending: Pending,
-        /// The settled items, if they differ.
-        cells: Option<Vec<Item>>,
+        /// Of the voter's settled items, by range.
+        ranges: Vec<u64>,
+        /// Its settled items of the ranges that differ.
+        cells: Vec<Item>,
     },
     /// A higher ballot has been promised.
     Deny {
@@ -81,42 +94,61 @@
         /// The one promised.
         higher: Ballot,
     },
-    /// Put these on disk.
+    /// Put these on disk, all of it or nothing.
     Put {
         /// The turn's.
         ballot: Ballot,
-        /// Of the process that promised.
-        life: u64,
-        /// The items.
-        batch: Vec<Item>,
+        /// Settled items that the voter lacks: who keeps a batch holds all that was agreed on before it.
+        fill: Vec<Item>,
+        /// What is new.
+        batch: Batch,
     },
     /// They are on disk.
     Kept {
         /// The turn's.
         ballot: Ballot,
+        /// Of the voter's disk.
+        incarnation: u64,
     },
     /// They are on enough disks: agreed on.
     Settle {
         /// The turn's.
         ballot: Ballot,
-        /// The items.
-        batch: Vec<Item>,
+        /// What was put.
+        batch: Batch,
     },
-    /// Tell all that you hold: the asker has lost its disk.
-    Fetch,
-    /// All that a voter holds.
-    Copy {
-        /// Who votes.
-        voters: Vec<Name>,
-        /// The highest ballot under which something was put or settled here.
-        at: Ballot,
-        /// What was put under it and is not known to be agreed on.
-        pending: Pending,
-        /// The settled items.
-        cells: Vec<Item>,
+    /// Who votes by now: the other's epoch is past.
+    Members(Membership),
+    /// The speaker is there, and what its settled items come to. [`Word::Seen`] is wanted.
+    Digest {
+        /// Comes back: the speaker's process.
+        life: u64,
+        /// Comes back: when it was said, by the speaker's clock.
+        sent: u64,
+        /// Of all settled items.
+        digest: u64,
+        /// Of its membership.
+        epoch: u64,
+        /// Of its disk; none: its disk does not hold it yet.
+        incarnation: Option<u64>,
+        /// The highest ballot that it knows of.
+        highest: Ballot,
+    },
+    /// What the settled items of who was asked come to.
+    Seen {
+        /// From the digest.
+        life: u64,
+        /// From the digest.
+        sent: u64,
+        /// Of all settled items.
+        digest: u64,
+        /// Of its membership.
+        epoch: u64,
+        /// Of its disk.
+        incarnation: Option<u64>,
+        /// It holds what it does not know to be agreed on.
+        pends: bool,
     },
-    /// What the settled items come to.
-    Digest(u64),
     /// What settled items there are.
     Summary {
         /// Item by item.
--- a/crates/dance/tests/stores.rs
+++ b/crates/dance/tests/stores.rs
@@ -29,22 +29,15 @@
     disk: Option<Kept>,
     store: Option<Store>,
     life: u64,
+    /// Its disk was lost once.
+    wiped: bool,
     /// Writes that are not on disk yet.
     unwritten: Vec<(Micros, u64, Change)>,
     stalled_until: Micros,
 }
 
 fn apply(disk: &mut Option<Kept>, change: &Change) {
-    let kept = disk.get_or_insert_default();
-    if let Some(voters) = &change.voters {
-        kept.voters.clone_from(voters);
-    }
-    if let Some((at, pending)) = &change.put {
-        (kept.at, kept.pending) = (*at, pending.clone());
-    }
-    let mut cells = Cells::default();
-    cells.merge_all(kept.cells.iter().chain(&change.settled).cloned());
-    kept.cells = cells.all().cloned().collect();
+    disk.get_or_insert_default().write(change);
 }
 
 /// Three stores or more, the network between them, and what the operators have been told.
@@ -109,6 +102,11 @@
         }
     }
 
+    fn wipe(&mut self, name: &str) {
+        let machine = self.machines.get_mut(name).expect("a machine");
+        (machine.disk, machine.wiped) = (None, true);
+    }
+
     fn give(&mut self, name: &str, input: Input) {
         let now = self.now;
         let Some(store) = self.machines.get_mut(name).and_then(|m| m.store.as_mut()) else { return };
@@ -212,6 +210,9 @@
                     written.push(token);
                 }
                 written.into_iter().for_each(|token| self.give(&name, Input::Written(token, true)));
+                if now.is_multiple_of(10_000) {
+                    assert_eq!(self.thin(), None, "at {now}");
+                }
                 if now.is_multiple_of(20_000) {
                     self.give(&name, Input::Tick);
                 }
@@ -219,6 +220,26 @@
         }
     }
 
+    /// On how many disks each acknowledged item is at least, settled or put; and one that is not on enough.
+    fn thin(&self) -> Option<String> {
+        let mut disks = Vec::new();
+        for kept in self.machines.values().filter_map(|machine| machine.disk.as_ref()) {
+            let pending = kept.pending.iter().flat_map(|batch| &batch.items);
+            let mut newest: BTreeMap<&Key, u64> = BTreeMap::new();
+            for item in kept.cells.iter().chain(pending) {
+                let there = newest.entry(&item.key).or_default();
+                *there = (*there).max(item.version.0);
+            }
+            disks.push(newest);
+        }
+        // A disk that was lost counts again once its store votes.
+        let lost = self.machines.values().any(|m| m.wiped && !m.store.as_ref().is_some_and(Store::votes));
+        let least = if lost { 1 } else { 2 };
+        let on = |key: &Key, revision: u64| disks.iter().filter(|d| d.get(key) >= Some(&revision)).count();
+        let mut thin = self.acknowledged.iter().filter(|(key, revision)| on(key, **revision) < least);
+        thin.next().map(|(key, revision)| format!("{key:?} at {revision} is on fewer than {least} disks"))
+    }
+
     fn names(&self) -> Vec<String> {
         self.machines.keys().cloned().collect()
     }
@@ -293,7 +314,7 @@
             let power = wiped || world.lot.chance(2);
             world.kill(&name, power);
             if wiped {
-                world.machines.get_mut(&name).expect("a machine").disk = None;
+                world.wipe(&name);
             }
             // At times all others lose their power, too, and come back.
             if world.lot.chance(4) {
@@ -348,8 +369,10 @@
     let digests: BTreeSet<u64> =
         world.machines.values().filter_map(|m| Some(m.store.as_ref()?.cells().digest())).collect();
     assert_eq!(digests.len(), 1, "seed {seed}: copies differ");
+    let vote = world.machines.values().filter(|m| m.store.as_ref().is_some_and(Store::votes)).count();
+    assert_eq!(vote, 3, "seed {seed}: three vote again");
     let whole = world.machines.values().filter(|m| m.store.as_ref().is_some_and(Store::whole)).count();
-    assert_eq!(whole, 3, "seed {seed}: all that vote are whole again");
+    assert_eq!(whole, cores, "seed {seed}: all copies are whole again");
     world.answers
 }
 
@@ -382,7 +405,7 @@
     world.pass(400_000);
     expect_that!(world.answers.get("taken"), some(eq(&1)));
     world.kill(&names[0], true);
-    world.machines.get_mut(&names[0]).expect("a machine").disk = None;
+    world.wipe(&names[0]);
     world.kill(&names[1], true);
     // The third has never heard of it, and the first has lost it: they must not answer without the second.
     world.start(&names[2], false);
@@ -398,3 +421,78 @@
     expect_that!(world.answers.get("read"), some(eq(&1)));
     expect_that!(world.machines[&names[0]].store.as_ref().map(Store::whole), some(eq(true)));
 }
+
+#[gtest]
+fn machines_are_replaced_for_good_one_after_the_other_until_none_of_the_first_is_left() {
+    let mut taken = 0;
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3);
+        world.pass(400_000);
+        let mut revision = 10;
+        for turn in 3..9 {
+            let names = world.names();
+            for name in &names {
+                revision += 1;
+                let order = tenants(&mut world.lot, revision);
+                world.call(name, order);
+            }
+            let wait = world.now + world.lot.upto(400_000);
+            world.pass(wait);
+            // It goes with its disk, at times in the middle of a change; the next comes under a new address and is told of
+            // those that are there.
+            let gone = names[world.lot.upto(3) as usize].clone();
+            world.kill(&gone, true);
+            world.machines.remove(&gone);
+            let next = format!("10.0.0.{turn}");
+            world.seeds = names.into_iter().filter(|name| *name != gone).collect();
+            world.machines.insert(next.clone(), Machine { wiped: true, ..Machine::default() });
+            let begin = world.now + world.lot.upto(1_500_000);
+            world.pass(begin);
+            world.start(&next, false);
+            // As long as the operators' bounds take a new machine for lost.
+            let counts = world.now + 4_000_000;
+            world.pass(counts);
+            assert!(
+                world.machines[&next].store.as_ref().is_some_and(Store::votes),
+                "seed {seed}: {next} votes"
+            );
+        }
+        for name in world.names() {
+            world.call(&name, Request::Read);
+        }
+        let end = world.now + 1_000_000;
+        world.pass(end);
+        assert_eq!(world.answers.get("read"), Some(&3), "seed {seed}");
+        taken += world.answers["taken"];
+    }
+    assert!(taken > 100, "{taken} orders of {} were taken", 20 * 6 * 3);
+}
+
+#[gtest]
+fn a_spare_store_takes_the_place_of_one_that_is_gone_and_a_second_loss_is_borne() {
+    let mut world = World::new(7, 4);
+    world.pass(2_000_000);
+    let names = world.names();
+    expect_that!(world.machines[&names[3]].store.as_ref().map(Store::votes), some(eq(false)));
+    let order = |revision: u64| {
+        let text = format!(
+            r#"{{"upsert":{{"services":{{"column_names":["name","revision"],"records":[["s0",{revision}]]}}}}}}"#
+        );
+        Request::Update(config(&text))
+    };
+    world.call(&names[0], order(3));
+    world.pass(2_400_000);
+    // Gone for good, and three seconds later another: with three that vote for ever nothing could be agreed on any more.
+    world.kill(&names[0], true);
+    world.pass(6_000_000);
+    world.kill(&names[1], true);
+    world.pass(6_100_000);
+    world.call(&names[3], order(5));
+    world.pass(8_000_000);
+    expect_that!(world.answers.get("taken"), some(eq(&2)));
+    // The first comes back with its old disk: it neither votes nor serves what is old.
+    world.start(&names[0], false);
+    world.call(&names[0], Request::Read);
+    world.pass(9_500_000);
+    expect_that!(world.answers.get("read"), some(eq(&1)));
+}
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -5,6 +5,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use pinerelay_cells::item::Line;
 use pinerelay_cells::{Cells, Item};
+pub use pinerelay_dance::store::CURRENT;
 use pinerelay_dance::{Membership, Word};
 use pinerelay_nectar::fence;
 use pinerelay_nectar::purse::{Ask, Grant};
@@ -18,9 +19,6 @@
 /// What each connection begins with: the protocol's name and its version.
 pub const GREETING: [u8; 4] = *b"hiv1";
 
-/// A store's copy counts as current for so long after a quorum has confirmed that it is, in microseconds.
-pub const CURRENT: u64 = 2_500_000;
-
 /// Which program a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum Role {
--- a/crates/smoker/src/plan.rs
+++ b/crates/smoker/src/plan.rs
@@ -42,7 +42,7 @@
     News,
     /// Nobody says what it has: what was missed stays missed.
     Digests,
-    /// Nobody hands its copy to a store that has lost its disk.
+    /// A store that has lost its disk is never taken in again.
     Copies,
     /// A leaving is acknowledged although no other registry holds it.
     Hold,
--- a/crates/smoker/src/process.rs
+++ b/crates/smoker/src/process.rs
@@ -325,13 +325,7 @@
         let kept = self.kept.get_or_insert_default();
         let mut numbers = Vec::new();
         for (number, change) in self.unwritten.drain(..n) {
-            kept.voters = change.voters.unwrap_or(std::mem::take(&mut kept.voters));
-            if let Some((at, pending)) = change.put {
-                (kept.at, kept.pending) = (at, pending);
-            }
-            let mut cells = pinerelay_cells::Cells::default();
-            cells.merge_all(std::mem::take(&mut kept.cells).into_iter().chain(change.settled));
-            kept.cells = cells.all().cloned().collect();
+            kept.write(&change);
             numbers.push(number);
         }
         numbers
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -317,7 +317,10 @@
         let broken = self.plan.broken;
         let back = match &mut speech {
             Speech::Digest(_) if broken == Some(Broken::Digests) => return,
-            Speech::Store(StoreWord::Copy { .. }) if broken == Some(Broken::Copies) => return,
+            Speech::Store(StoreWord::Digest { incarnation, .. }) if broken == Some(Broken::Copies) => {
+                *incarnation = incarnation.filter(|n| *n == 0);
+                None
+            }
             Speech::Hold { number, .. } if broken == Some(Broken::Hold) => Some(Speech::Held(*number)),
             Speech::Fence(Word::Claim { turn, .. }) if broken == Some(Broken::Fence) => {
                 Some(Speech::Fence(Word::Promised { turn: *turn, slices: ALL }))
@@ -586,9 +589,9 @@
         for (proc, process) in self.procs.iter().enumerate() {
             match &process.body {
                 Some(Body::Store(desk)) => {
-                    let votes = desk.store().voters().iter().any(|ip| *ip == self.places.ip(proc / 2));
-                    if desk.store().voters().is_empty() || votes && !desk.store().whole() {
-                        return Some(format!("store {proc} is not whole"));
+                    let named = desk.store().membership().names().contains(&self.places.ip(proc / 2));
+                    if !desk.store().whole() || named && !desk.store().votes() {
+                        return Some(format!("store {proc} is not whole, or does not vote and should"));
                     }
                     digests[0].insert(desk.store().cells().digest());
                     if let Err(unfit) = judge::together(desk.store().cells()) {
--- a/crates/smoker/tests/seeds.rs
+++ b/crates/smoker/tests/seeds.rs
@@ -43,12 +43,12 @@
 
 #[gtest]
 fn each_invariant_breaks_without_what_keeps_it() {
-    expect_that!(breaks(Broken::Sync, 10..20, Invariant::Stands), eq(true));
-    expect_that!(breaks(Broken::Wiped, 100..110, Invariant::Stands), eq(true));
+    expect_that!(breaks(Broken::Sync, 40..50, Invariant::Stands), eq(true));
+    expect_that!(breaks(Broken::Wiped, 90..100, Invariant::Stands), eq(true));
     expect_that!(breaks(Broken::Quorum, 0..10, Invariant::Valid), eq(true));
-    expect_that!(breaks(Broken::Memory, 10..20, Invariant::NeverBack), eq(true));
+    expect_that!(breaks(Broken::Memory, 30..40, Invariant::NeverBack), eq(true));
     expect_that!(breaks(Broken::News, 0..10, Invariant::Applied), eq(true));
-    expect_that!(breaks(Broken::Hold, 130..140, Invariant::Drained), eq(true));
+    expect_that!(breaks(Broken::Hold, 120..130, Invariant::Drained), eq(true));
     expect_that!(breaks(Broken::Units, 0..10, Invariant::Quota), eq(true));
     expect_that!(breaks(Broken::Fence, 0..20, Invariant::OneDuty), eq(true));
     expect_that!(breaks(Broken::Digests, 0..30, Invariant::Drained), eq(true));
--- a/crates/waggle/src/diff.rs
+++ b/crates/waggle/src/diff.rs
@@ -34,7 +34,7 @@
             What::Drop => "drop",
             What::Mark => "does not stand",
             What::Older => "older: no effect",
-            What::Other => "same revision, other content: no effect",
+            What::Other => "same revision, other content: refused",
         }
     }
 
@@ -194,10 +194,30 @@
         #[test]
         fn a_diff_that_is_made_gives_what_the_daemon_would_have(first in calls(), second in calls()) {
             let mut standing = Cells::default();
+            let twins = |call: &[Item]| {
+                let same = |a: &Item, b: &Item| a.key == b.key && a.version.0 == b.version.0 && a != b;
+                call.iter().any(|a| call.iter().any(|b| same(a, b)))
+            };
+            // One number with two contents is refused, and services alone fit each other anyhow.
+            let mut first = first;
+            first.sort_by_key(|item| (item.key.clone(), item.version.0));
+            first.dedup_by_key(|item| (item.key.clone(), item.version.0));
             let taken = judge::taken(&standing, &first).expect("services fit");
             standing.merge_all(taken);
             let changes = diff(&standing, &second);
-            let taken = judge::taken(&standing, &second).expect("services fit");
+            let other = |item: &Item| {
+                standing.get(&item.key).is_some_and(|old| old.version.0 == item.version.0 && old != item)
+            };
+            let taken = judge::taken(&standing, &second);
+            prop_assert_eq!(taken.is_err(), second.iter().any(other) || twins(&second));
+            prop_assert!(taken.is_err() || changes.iter().all(|change| change.what != What::Other));
+            let taken = match taken {
+                Ok(taken) => taken,
+                Err(unfit) => {
+                    prop_assert!(unfit.conflict);
+                    return Ok(());
+                }
+            };
             let mut next = standing.clone();
             next.merge_all(taken);
             let made = made(&standing, &changes);
