A store takes over the disk of an earlier build; the protocol between processes is another

The table of votes has epochs and incarnations now, so the one of an earlier build would have counted as a lost disk, on all stores at once, and nobody would have known who votes. It is read once and taken over: incarnation 0, epoch 1, a ceiling 1,000 above the highest ballot, which is enough since no process of that build runs beside a new one: messages differ, and so does the greeting (hiv2). Test: comb::disk::what_an_earlier_build_has_kept_is_taken_over.

--- a/crates/comb/src/disk.rs
+++ b/crates/comb/src/disk.rs
@@ -10,7 +10,7 @@
 
 use pinerelay_cells::{Item, Key, Kind, Version};
 use pinerelay_dance::voter::{Change, Kept};
-use pinerelay_dance::Ballot;
+use pinerelay_dance::{Ballot, Batch, Membership};
 use rusqlite::{params, Connection, OptionalExtension};
 use thiserror::Error;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -59,7 +59,42 @@
              CREATE TABLE IF NOT EXISTS voter (one INTEGER PRIMARY KEY CHECK (one = 1), incarnation INTEGER,
                  membership BLOB, ceiling INTEGER NOT NULL, turn INTEGER NOT NULL, tie INTEGER NOT NULL, pending BLOB);",
         )?;
-        Ok(Database(connection))
+        let database = Database(connection);
+        database.take_over()?;
+        Ok(database)
+    }
+
+    /// Takes over what an earlier build has kept, which knew neither epochs nor incarnations. Nobody of that build runs any
+    /// more: the protocol between processes is another.
+    fn take_over(&self) -> rusqlite::Result<()> {
+        let there = "SELECT 1 FROM sqlite_master WHERE name = 'vote' AND NOT EXISTS (SELECT 1 FROM voter)";
+        if self.0.query_row(there, [], |_| Ok(())).optional()?.is_none() {
+            return Ok(());
+        }
+        let row = self.0.query_row("SELECT voters, turn, node, pending FROM vote", [], |row| {
+            let pending: Option<Vec<u8>> = row.get(3)?;
+            let items = pending.map(|p| decode(3, &p)).transpose()?;
+            let pending = items.map(|items| Batch { items, membership: None });
+            Ok((
+                row.get::<_, String>(0)?,
+                Ballot(row.get::<_, i64>(1)? as u64, row.get::<_, i64>(2)? as u64),
+                pending,
+            ))
+        });
+        let Some((voters, at, pending)) = row.optional()?.filter(|(voters, ..)| !voters.is_empty()) else {
+            return Ok(());
+        };
+        let membership = Membership::first(voters.split(',').map(String::from));
+        let change = Change {
+            incarnation: Some(0),
+            membership: Some(membership),
+            ceiling: Some(at.0 + 1_000),
+            put: Some((at, pending)),
+            settled: Vec::new(),
+        };
+        let whole = self.0.unchecked_transaction()?;
+        Database::put(&whole, &change)?;
+        whole.commit()
     }
 
     fn read(&self) -> rusqlite::Result<Option<Kept>> {
@@ -95,6 +130,11 @@
 
     fn write(&mut self, change: &Change) -> rusqlite::Result<()> {
         let whole = self.0.transaction()?;
+        Database::put(&whole, change)?;
+        whole.commit()
+    }
+
+    fn put(whole: &Connection, change: &Change) -> rusqlite::Result<()> {
         let standard = bincode::config::standard();
         whole.execute("INSERT OR IGNORE INTO voter VALUES (1, NULL, NULL, 0, 0, 0, NULL)", [])?;
         if let Some(incarnation) = change.incarnation {
@@ -133,7 +173,7 @@
                 )?;
             }
         }
-        whole.commit()
+        Ok(())
     }
 }
 
@@ -264,8 +304,6 @@
 mod tests {
     use googletest::prelude::*;
 
-    use pinerelay_dance::{Batch, Membership};
-
     use super::*;
 
     fn folder(name: &str) -> PathBuf {
@@ -310,6 +348,31 @@
         let _ = std::fs::remove_dir_all(&folder);
     }
 
+    #[gtest]
+    fn what_an_earlier_build_has_kept_is_taken_over() {
+        let folder = folder("earlier");
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let connection = Connection::open(folder.join(FILE)).expect("a database");
+        let pending = bincode::encode_to_vec(vec![item("b", 9)], bincode::config::standard()).expect("bytes");
+        connection
+            .execute_batch(
+                "CREATE TABLE cells (kind INTEGER, name TEXT, revision INTEGER, tie INTEGER, value BLOB,
+                     PRIMARY KEY (kind, name)) WITHOUT ROWID;
+                 CREATE TABLE vote (one INTEGER PRIMARY KEY CHECK (one = 1), voters TEXT NOT NULL,
+                     turn INTEGER NOT NULL, node INTEGER NOT NULL, pending BLOB);",
+            )
+            .expect("the tables");
+        let row = "INSERT INTO vote VALUES (1, '10.0.0.1,10.0.0.2', 7, 3, ?1)";
+        connection.execute(row, params![pending]).expect("a row");
+        drop(connection);
+        let kept =
+            Database::open(&folder.join(FILE)).and_then(|d| d.read()).expect("read").expect("what was kept");
+        expect_that!(kept.membership, eq(&Membership::first(["10.0.0.1".to_string(), "10.0.0.2".into()])));
+        expect_that!((kept.incarnation, kept.ceiling, kept.at), eq((Some(0), 1_007, Ballot(7, 3))));
+        expect_that!(kept.pending.map(|batch| batch.items), some(eq(&vec![item("b", 9)])));
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+
     #[gtest]
     fn one_that_cannot_be_read_counts_as_lost() {
         let folder = folder("spoilt");
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -17,7 +17,7 @@
 const ROOM: usize = 4 * 1024;
 const KEPT: usize = 16 * 1024;
 /// What each connection begins with: the protocol's name and its version.
-pub const GREETING: [u8; 4] = *b"hiv1";
+pub const GREETING: [u8; 4] = *b"hiv2";
 
 /// Which program a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
