Who settles says under which epoch; a promise keeps to the epoch it was asked in

A settle of a later epoch made a member that had missed the change of epoch drop that change, which was pending there, so an old majority agreed without the new one (11 steps, no crash). Settle carries the membership now, learned first. 2. A promise that waited for its ceiling was told from what was held by then, though the membership had changed meanwhile: the asker, an epoch behind, did not hear of it (11 steps, one earlier restart). Its epoch is kept with it; a past one is answered by the membership. 3. A store that lost its disk and votes again called itself whole with nothing in it (8 steps). Whole is what a quorum's word has confirmed, in this life or, as a mark on the disk, in an earlier one. Ruled out for 1: not dropping what is pending below a later settle (a member that missed settles would keep it for ever).

--- a/crates/comb/src/disk.rs
+++ b/crates/comb/src/disk.rs
@@ -57,7 +57,7 @@
             "CREATE TABLE IF NOT EXISTS cells (kind INTEGER, name TEXT, revision INTEGER, tie INTEGER, value BLOB,
                  PRIMARY KEY (kind, name)) WITHOUT ROWID;
              CREATE TABLE IF NOT EXISTS voter (one INTEGER PRIMARY KEY CHECK (one = 1), incarnation INTEGER,
-                 membership BLOB, ceiling INTEGER NOT NULL, turn INTEGER NOT NULL, tie INTEGER NOT NULL, pending BLOB);",
+                 whole INTEGER NOT NULL, membership BLOB, ceiling INTEGER NOT NULL, turn INTEGER NOT NULL, tie INTEGER NOT NULL, pending BLOB);",
         )?;
         let database = Database(connection);
         database.take_over()?;
@@ -87,6 +87,7 @@
         let membership = Membership::first(voters.split(',').map(String::from));
         let change = Change {
             incarnation: Some(0),
+            whole: true,
             membership: Some(membership),
             ceiling: Some(at.0 + 1_000),
             put: Some((at, pending)),
@@ -99,13 +100,14 @@
 
     fn read(&self) -> rusqlite::Result<Option<Kept>> {
         let row = self.0.query_row(
-            "SELECT incarnation, membership, ceiling, turn, tie, pending FROM voter",
+            "SELECT incarnation, membership, ceiling, turn, tie, pending, whole FROM voter",
             [],
             |row| {
                 let membership: Option<Vec<u8>> = row.get(1)?;
                 let pending: Option<Vec<u8>> = row.get(5)?;
                 Ok(Kept {
                     incarnation: row.get::<_, Option<i64>>(0)?.map(|n| n as u64),
+                    whole: row.get(6)?,
                     membership: membership.map(|m| decode(1, &m)).transpose()?.unwrap_or_default(),
                     ceiling: row.get::<_, i64>(2)? as u64,
                     at: Ballot(row.get::<_, i64>(3)? as u64, row.get::<_, i64>(4)? as u64),
@@ -136,10 +138,13 @@
 
     fn put(whole: &Connection, change: &Change) -> rusqlite::Result<()> {
         let standard = bincode::config::standard();
-        whole.execute("INSERT OR IGNORE INTO voter VALUES (1, NULL, NULL, 0, 0, 0, NULL)", [])?;
+        whole.execute("INSERT OR IGNORE INTO voter VALUES (1, NULL, 0, NULL, 0, 0, 0, NULL)", [])?;
         if let Some(incarnation) = change.incarnation {
             whole.execute("UPDATE voter SET incarnation = ?1", params![incarnation as i64])?;
         }
+        if change.whole {
+            whole.execute("UPDATE voter SET whole = 1", [])?;
+        }
         if let Some(membership) = &change.membership {
             let membership = bincode::encode_to_vec(membership, standard).ok();
             whole.execute("UPDATE voter SET membership = ?1", params![membership])?;
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -54,8 +54,8 @@
 enum After {
     /// A caller, whose batch is kept then.
     Keep(Name, Ballot),
-    /// A caller, who has the promise then; the ceiling that is written.
-    Promise(Name, Ballot, Vec<u64>, Option<u64>),
+    /// A caller of this epoch, who has the promise then; the ceiling that is written.
+    Promise { to: Name, epoch: u64, ballot: Ballot, ranges: Vec<u64>, ceiling: Option<u64> },
     /// Nobody; the vote counts on it.
     Known(Change),
 }
@@ -129,6 +129,8 @@
         let mut change = store.voter.rise().unwrap_or_default();
         if fresh {
             change.incarnation = Some(incarnation);
+            // At the system's first start there is nothing that it lacks.
+            change.whole = store.birth.first;
             change.membership = Some(store.membership.clone());
         }
         store.write(change.clone(), Some(After::Known(change)), out);
@@ -170,9 +172,10 @@
         self.membership.members.iter().any(me)
     }
 
-    /// Whether its copy is whole: it votes, or has held all that was agreed on at some moment of this life.
+    /// Whether its copy is whole: by a quorum's word it has held all that was agreed on, in this life or on the disk that
+    /// it votes with.
     pub fn whole(&self) -> bool {
-        self.votes() || self.current_at.is_some()
+        self.current_at.is_some() || self.voter.whole() && self.votes()
     }
 
     /// Whether its copy held all that was agreed on at a moment of the last [`CURRENT`], by a quorum's word.
@@ -203,10 +206,15 @@
                         self.say(to, Word::Kept { ballot, incarnation }, out);
                     }
                 }
-                Some(After::Promise(to, ballot, ranges, ceiling)) if ok => {
+                Some(After::Promise { to, epoch, ballot, ranges, ceiling }) if ok => {
                     self.voter.written(&Change { ceiling, ..Change::default() });
-                    let promise = self.voter.promise(ballot, &ranges);
-                    self.say(to, promise, out);
+                    // Danger: what was pending may have been settled meanwhile, a change of who votes with it.
+                    let answer = if epoch < self.membership.epoch {
+                        Word::Members(self.membership.clone())
+                    } else {
+                        self.voter.promise(ballot, &ranges)
+                    };
+                    self.say(to, answer, out);
                 }
                 Some(After::Known(change)) if ok => self.voter.written(&change),
                 _ => {}
@@ -260,7 +268,8 @@
         to.extend(self.presence.heard(now));
         to.insert(self.birth.me.clone());
         for name in to {
-            self.say(name, Word::Settle { ballot, batch: batch.clone() }, out);
+            let membership = self.membership.clone();
+            self.say(name, Word::Settle { ballot, membership, batch: batch.clone() }, out);
         }
     }
 
@@ -274,7 +283,8 @@
                 match self.voter.ask(ballot, &ranges) {
                     Asked::Answer(answer) => self.say(from.into(), answer, out),
                     Asked::After(change) => {
-                        let after = After::Promise(from.into(), ballot, ranges, change.ceiling);
+                        let (to, epoch, ceiling) = (from.into(), self.membership.epoch, change.ceiling);
+                        let after = After::Promise { to, epoch, ballot, ranges, ceiling };
                         self.write(change, Some(after), out);
                     }
                     Asked::Silent => {}
@@ -288,7 +298,9 @@
                 Put::Answer(answer) => self.say(from.into(), answer, out),
                 Put::Silent => {}
             },
-            Word::Settle { ballot, batch } => {
+            Word::Settle { ballot, membership, batch } => {
+                // Danger: it may take the place of a change that is pending here. What makes the epoch must not get lost.
+                self.learn(membership, out);
                 if let Some(membership) = batch.membership {
                     self.learn(membership, out);
                 }
@@ -329,7 +341,7 @@
             Word::Seen { life, sent, digest, epoch, incarnation, pends } if life == self.birth.life => {
                 let same = epoch == self.membership.epoch && digest == self.cells().digest() && !pends;
                 if let Some(incarnation) = incarnation.filter(|_| same) {
-                    self.confirm(sent, Member { name: from.into(), incarnation });
+                    self.confirm(sent, Member { name: from.into(), incarnation }, out);
                 }
             }
             Word::Seen { .. } => {}
@@ -353,7 +365,7 @@
     }
 
     /// A store that holds nothing but what is settled has the same copy, or had it when it was asked.
-    fn confirm(&mut self, sent: Micros, by: Member) {
+    fn confirm(&mut self, sent: Micros, by: Member, out: &mut Vec<Output>) {
         if self.current_at.is_some_and(|at| at >= sent) {
             return;
         }
@@ -362,6 +374,10 @@
         let me = (&self.birth.me, self.voter.incarnation(), self.voter.pends());
         let own = |m: &Member| (&m.name, Some(m.incarnation), false) == me;
         if self.caller.quorum(|member| by_now.contains(member) || own(member)) {
+            if self.current_at.is_none() && !self.voter.whole() {
+                let change = Change { whole: true, ..Change::default() };
+                self.write(change.clone(), Some(After::Known(change)), out);
+            }
             self.current_at = Some(sent);
             self.confirmed.retain(|at, _| *at > sent);
         }
@@ -405,7 +421,7 @@
             let to: BTreeSet<Name> = self.others().into_iter().chain(self.presence.heard(now)).collect();
             out.extend(to.into_iter().map(|to| Output::Say(to, digest.clone())));
             // Where there is no other, its own word is enough.
-            self.confirm(now, Member::default());
+            self.confirm(now, Member::default(), out);
         }
     }
 
--- a/crates/dance/src/voter.rs
+++ b/crates/dance/src/voter.rs
@@ -14,6 +14,8 @@
 pub struct Kept {
     /// Of this disk; none: it was never written.
     pub incarnation: Option<u64>,
+    /// It has held all that was agreed on, at some moment.
+    pub whole: bool,
     /// Who votes.
     pub membership: Membership,
     /// No ballot with a higher count has been promised.
@@ -30,6 +32,7 @@
     /// What a disk with this on it keeps after a change.
     pub fn write(&mut self, change: &Change) {
         self.incarnation = change.incarnation.or(self.incarnation);
+        self.whole |= change.whole;
         if let Some(membership) = &change.membership {
             self.membership.clone_from(membership);
         }
@@ -48,6 +51,8 @@
 pub struct Change {
     /// The disk's incarnation.
     pub incarnation: Option<u64>,
+    /// It holds all that was agreed on.
+    pub whole: bool,
     /// Who votes.
     pub membership: Option<Membership>,
     /// The ceiling of promises.
@@ -62,6 +67,7 @@
     /// Takes what is to be written after it, as if both were one.
     pub fn join(&mut self, more: Change) {
         self.incarnation = more.incarnation.or(self.incarnation.take());
+        self.whole |= more.whole;
         self.membership = more.membership.or(self.membership.take());
         self.ceiling = more.ceiling.or(self.ceiling.take());
         self.put = more.put.or(self.put.take());
@@ -74,6 +80,8 @@
 pub struct Voter {
     /// None until the disk holds it: before, nothing is promised.
     incarnation: Option<u64>,
+    /// The disk says that it has held all that was agreed on.
+    whole: bool,
     /// What the disk holds, and what it will once the write under way is safe.
     ceiling: u64,
     rises_to: u64,
@@ -113,6 +121,7 @@
         let promised = if kept.ceiling > 0 { kept.at.max(Ballot(kept.ceiling, u64::MAX)) } else { kept.at };
         Voter {
             incarnation: kept.incarnation,
+            whole: kept.whole,
             ceiling: kept.ceiling,
             rises_to: kept.ceiling,
             promised,
@@ -125,6 +134,7 @@
     /// The disk holds this by now.
     pub fn written(&mut self, change: &Change) {
         self.incarnation = change.incarnation.or(self.incarnation);
+        self.whole |= change.whole;
         self.ceiling = self.ceiling.max(change.ceiling.unwrap_or(0));
     }
 
@@ -133,6 +143,11 @@
         self.incarnation
     }
 
+    /// Whether its disk has held all that was agreed on, at some moment.
+    pub fn whole(&self) -> bool {
+        self.whole
+    }
+
     /// The settled items.
     pub fn cells(&self) -> &Cells {
         &self.cells
--- a/crates/dance/src/word.rs
+++ b/crates/dance/src/word.rs
@@ -114,6 +114,8 @@
     Settle {
         /// The turn's.
         ballot: Ballot,
+        /// Under which it was agreed on: one whose epoch is older learns of the newer with it, and not without.
+        membership: Membership,
         /// What was put.
         batch: Batch,
     },
