--- /dev/null
+++ b/crates/dance/tests/model.rs
@@ -0,0 +1,989 @@
+//! Every interleaving of a few stores and calls, to a bound: the stores themselves, disks that sync late, a network that
+//! loses, holds up, reorders and doubles words, processes that end and start again, disks that come back empty.
+//!
+//! A word that stays on the way for ever is a lost one, so losing needs no step of its own.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::ops::Deref;
+use std::sync::Arc;
+use std::time::Instant;
+
+use pinerelay_cells::{call, judge, Cells, Item};
+use pinerelay_dance::store::{Birth, Micros, CURRENT as LEASE};
+use pinerelay_dance::voter::{Change, Kept};
+use pinerelay_dance::{Ballot, Batch, Input, Member, Membership, Output, Reply, Request, Store, Word};
+use stateright::{Checker, HasDiscoveries, Model, Property};
+
+/// A value with its hash beside it: states share what no step has touched.
+struct Shared<T>(u64, Arc<T>);
+
+impl<T: Hash> From<T> for Shared<T> {
+    fn from(value: T) -> Shared<T> {
+        let mut hasher = DefaultHasher::new();
+        value.hash(&mut hasher);
+        Shared(hasher.finish(), Arc::new(value))
+    }
+}
+
+impl<T> Clone for Shared<T> {
+    fn clone(&self) -> Shared<T> {
+        Shared(self.0, Arc::clone(&self.1))
+    }
+}
+
+impl<T: PartialEq> PartialEq for Shared<T> {
+    fn eq(&self, other: &Shared<T>) -> bool {
+        self.0 == other.0 && (Arc::ptr_eq(&self.1, &other.1) || self.1 == other.1)
+    }
+}
+
+impl<T: Eq> Eq for Shared<T> {}
+
+impl<T> Hash for Shared<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl<T> Deref for Shared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.1
+    }
+}
+
+impl<T: Hash + Clone> Shared<T> {
+    /// Changes it, for this state alone.
+    fn change<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
+        let mut value = T::clone(self);
+        let result = change(&mut value);
+        *self = value.into();
+        result
+    }
+}
+
+impl<T: fmt::Debug> fmt::Debug for Shared<T> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.1.fmt(f)
+    }
+}
+
+/// A word on its way, from one machine to another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Said {
+    from: usize,
+    to: usize,
+    word: Word,
+}
+
+/// A machine: its disk, and the process on it, if it runs.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Machine {
+    disk: Shared<Option<Kept>>,
+    /// Given to the disk and not yet on it, in order.
+    unwritten: Vec<(u64, Shared<Change>)>,
+    store: Option<Shared<Store>>,
+    life: u64,
+    now: Micros,
+    /// What had been acknowledged when its process told its digest, by when that was.
+    told: Vec<(Micros, Calls)>,
+    /// What had been acknowledged when it lost its disk.
+    lost: Calls,
+}
+
+impl Machine {
+    /// The next write gets to the disk.
+    fn sync(&mut self) -> u64 {
+        let (token, change) = self.unwritten.remove(0);
+        self.disk.change(|disk| disk.get_or_insert_default().write(&change));
+        token
+    }
+}
+
+/// What may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+struct Left {
+    crashes: u8,
+    wipes: u8,
+    doubles: u8,
+    ticks: u8,
+}
+
+/// A set of calls, by their places.
+type Calls = u16;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    machines: Vec<Shared<Machine>>,
+    /// In the order of their hashes.
+    wire: Vec<Shared<Said>>,
+    left: Left,
+    made: Calls,
+    /// Open ones, each with the writes that it must show if it is a read.
+    open: Vec<(usize, Calls)>,
+    /// Writes that were acknowledged, or shown by a read that has ended.
+    known: Calls,
+    acknowledged: Calls,
+    refused: Calls,
+    /// The membership of each epoch that any store has known.
+    epochs: Shared<BTreeMap<u64, Membership>>,
+    /// What an answer shows to be wrong.
+    wrong: Option<&'static str>,
+}
+
+#[derive(Clone, PartialEq)]
+enum Step {
+    Hear {
+        said: Shared<Said>,
+        again: bool,
+    },
+    Sync(usize),
+    /// So many of its unsynced writes get to the disk.
+    Crash(usize, usize),
+    Wipe(usize),
+    Start(usize),
+    Call(usize),
+    Tick(usize, Micros),
+}
+
+/// A call that is made and answered before the search begins, where these machines hear nothing, and what
+/// tells of its end may still be on the way.
+#[derive(Debug, Clone, Default)]
+struct Before {
+    call: usize,
+    deaf: Vec<usize>,
+    untold: bool,
+}
+
+/// What is played: how many of each there may be, and what is tampered with.
+#[derive(Debug, Clone)]
+struct Scope {
+    name: &'static str,
+    cores: usize,
+    /// The first of them vote from the beginning; the others are new.
+    voters: usize,
+    /// At which machine, and what.
+    calls: Vec<(usize, Request)>,
+    left: Left,
+    /// By how much a store's clock may go on at once.
+    jumps: Vec<Micros>,
+    /// A write is on disk as soon as it is given there.
+    syncs_at_once: bool,
+    /// Digests and summaries are told, too.
+    digests: bool,
+    /// Calls that are made and answered before.
+    already: Vec<Before>,
+    /// These are off, and never start.
+    off: Vec<usize>,
+    /// These have ended and started once before: their ballots are above what the others' disks allow them to promise.
+    restarted: Vec<usize>,
+    /// Steps from the start.
+    depth: usize,
+    /// What it has to meet.
+    meets: Vec<&'static str>,
+}
+
+const FIT: &str = "what is agreed on fits together, under one number one content";
+const READ: &str = "a read shows what was known before it";
+const DURABLE: &str = "what is acknowledged is on a quorum of disks";
+const SEEN: &str = "every quorum of disks shows what is acknowledged";
+const REFUSED: &str = "what is refused never takes force";
+const EPOCH: &str = "an epoch has one membership";
+const CURRENT: &str = "a copy that is current holds what was acknowledged before it asked";
+const WHOLE: &str = "a copy that is whole again holds what was acknowledged before its disk was lost";
+const ONCE: &str = "a call is answered once";
+const ACKNOWLEDGED: &str = "two are acknowledged";
+const CONFLICT: &str = "one is refused";
+const REPAIRED: &str = "a lost disk is made whole";
+
+fn letter(machine: usize) -> char {
+    char::from(b'A' + machine as u8)
+}
+
+fn name(machine: usize) -> String {
+    format!("10.0.0.{machine}")
+}
+
+fn holds(cells: &[Item], item: &Item) -> bool {
+    cells.iter().any(|c| c.key == item.key && c.version >= item.version)
+}
+
+fn quorum(members: usize) -> usize {
+    (members / 2 + 1).max(2.min(members))
+}
+
+/// All sets of so many of these.
+fn choose<T: Copy>(of: &[T], count: usize) -> Vec<Vec<T>> {
+    if count == 0 {
+        return vec![Vec::new()];
+    }
+    let with = |at: usize| {
+        choose(&of[at + 1..], count - 1).into_iter().map(move |mut set| {
+            set.push(of[at]);
+            set
+        })
+    };
+    (0..of.len()).filter(|at| of.len() - at >= count).flat_map(with).collect()
+}
+
+/// What a turn with these disks takes for standing.
+fn stands<'a>(disks: impl Iterator<Item = &'a Kept>) -> Cells {
+    let mut all = Cells::default();
+    let mut last: Option<&Kept> = None;
+    for kept in disks {
+        all.merge_all(kept.cells.iter().cloned());
+        if last.is_none_or(|l| kept.at > l.at) {
+            last = Some(kept);
+        }
+    }
+    all.merge_all(last.and_then(|l| l.pending.clone()).into_iter().flat_map(|batch| batch.items));
+    all
+}
+
+impl World {
+    fn disk(&self, me: usize) -> Option<&Kept> {
+        self.machines[me].disk.1.as_ref().as_ref()
+    }
+
+    /// The newest membership that has been agreed on.
+    fn newest(&self) -> &Membership {
+        self.epochs.last_key_value().expect("an epoch").1
+    }
+
+    /// The members' disks that are there.
+    fn disks(&self) -> Vec<&Kept> {
+        let disk = |member: &Member| {
+            let me = (0..self.machines.len()).find(|&me| name(me) == member.name)?;
+            self.disk(me).filter(|kept| kept.incarnation == Some(member.incarnation))
+        };
+        self.newest().members.iter().filter_map(disk).collect()
+    }
+
+    /// How many members have lost their disk.
+    fn lost(&self) -> usize {
+        self.newest().members.len() - self.disks().len()
+    }
+
+    /// What a store knows for the membership of its epoch.
+    fn learn(&mut self, membership: &Membership) {
+        match self.epochs.get(&membership.epoch) {
+            _ if membership.epoch == 0 => {}
+            Some(known) if known != membership => self.wrong = Some(EPOCH),
+            Some(_) => {}
+            None => {
+                self.epochs.change(|epochs| _ = epochs.insert(membership.epoch, membership.clone()));
+            }
+        }
+    }
+
+    fn push(&mut self, said: Said) {
+        let said = Shared::from(said);
+        let at = self.wire.partition_point(|s| s.0 < said.0);
+        self.wire.insert(at, said);
+    }
+}
+
+impl Scope {
+    fn items(&self, set: Calls) -> impl Iterator<Item = &Item> {
+        let in_set = move |(n, call): (usize, &'_ (usize, Request))| {
+            set & (1 << n) != 0 && matches!(call.1, Request::Update(_))
+        };
+        self.calls.iter().enumerate().filter(move |(n, call)| in_set((*n, call))).flat_map(
+            |(_, (_, request))| match request {
+                Request::Update(items) => items.as_slice(),
+                _ => &[],
+            },
+        )
+    }
+
+    fn start(&self, world: &mut World, me: usize, first: bool) {
+        let mut out = Vec::new();
+        let seeds = (0..self.voters).map(name).collect();
+        world.machines[me].change(|machine| {
+            machine.life += 1;
+            machine.now = 0;
+            let birth = Birth { me: name(me), life: machine.life, losses: 1, first, seeds };
+            let store = Store::new(birth, Option::clone(&machine.disk), &mut out);
+            machine.told.clear();
+            machine.store = Some(store.into());
+        });
+        self.carry_out(world, me, out);
+    }
+
+    fn give(&self, world: &mut World, me: usize, input: Input) {
+        let mut out = Vec::new();
+        let Some(store) = &world.machines[me].store else { return };
+        let mut store = Store::clone(store);
+        store.on(world.machines[me].now, input, &mut out);
+        world.learn(store.membership());
+        world.machines[me].change(|machine| machine.store = Some(store.into()));
+        self.carry_out(world, me, out);
+    }
+
+    fn carry_out(&self, world: &mut World, me: usize, out: Vec<Output>) {
+        let mut written = Vec::new();
+        for output in out {
+            match output {
+                Output::Say(to, word) => {
+                    let mends = matches!(
+                        word,
+                        Word::Digest { .. } | Word::Seen { .. } | Word::Summary { .. } | Word::News(_)
+                    );
+                    let Some(to) = (0..self.cores).find(|n| name(*n) == to) else { continue };
+                    if let (true, Word::Digest { sent, .. }) = (self.digests, &word) {
+                        let acknowledged = world.acknowledged;
+                        world.machines[me].change(|machine| {
+                            if machine.told.last().is_none_or(|(at, _)| at != sent) {
+                                machine.told.push((*sent, acknowledged));
+                            }
+                        });
+                    }
+                    if self.digests || !mends {
+                        world.push(Said { from: me, to, word });
+                    }
+                }
+                Output::Write(token, change) => {
+                    world.machines[me].change(|machine| machine.unwritten.push((token, change.into())));
+                    if self.syncs_at_once {
+                        written.push(token);
+                    }
+                }
+                Output::Answer(id, reply) => self.answered(world, id as usize, reply),
+                Output::News(_) => {}
+            }
+        }
+        for _ in written {
+            self.sync(world, me);
+        }
+    }
+
+    fn sync(&self, world: &mut World, me: usize) {
+        let token = world.machines[me].change(Machine::sync);
+        self.give(world, me, Input::Written(token, true));
+    }
+
+    fn answered(&self, world: &mut World, id: usize, reply: Reply) {
+        let Some(at) = world.open.iter().position(|(call, _)| *call == id) else {
+            world.wrong = Some(ONCE);
+            return;
+        };
+        let (_, floor) = world.open.remove(at);
+        match reply {
+            Reply::Taken => {
+                world.acknowledged |= 1 << id;
+                world.known |= 1 << id;
+            }
+            Reply::Invalid(_) => world.refused |= 1 << id,
+            Reply::Unsure => {}
+            Reply::Stands(text) => {
+                let shown = call::read(format!("{{\"upsert\":{text}}}").as_bytes()).expect("what stands");
+                let all = self.items(Calls::MAX);
+                let drops: Vec<Item> = all.filter(|item| item.value.is_none()).cloned().collect();
+                // What is missing must have been dropped under a higher number.
+                if !self.items(floor).all(|item| holds(&shown, item) || holds(&drops, item)) {
+                    world.wrong = Some(READ);
+                }
+                for (n, (_, request)) in self.calls.iter().enumerate() {
+                    let Request::Update(items) = request else { continue };
+                    if items.iter().all(|item| shown.contains(item)) {
+                        world.known |= 1 << n;
+                    }
+                }
+            }
+        }
+    }
+
+    fn before(&self, world: &mut World, Before { call, deaf, untold }: &Before) {
+        let mut late = Vec::new();
+        *world = self.next_state(world, Step::Call(*call)).expect("a call");
+        while !world.wire.is_empty() || world.machines.iter().any(|m| !m.unwritten.is_empty()) {
+            if !world.wire.is_empty() {
+                let said = world.wire.remove(0);
+                if *untold && matches!(said.word, Word::Settle { .. }) {
+                    late.push(said);
+                    continue;
+                }
+                if !deaf.contains(&said.to) {
+                    self.give(world, said.to, Input::Heard(name(said.from), said.word.clone()));
+                }
+            }
+            for me in 0..self.cores {
+                while !world.machines[me].unwritten.is_empty() {
+                    self.sync(world, me);
+                }
+            }
+        }
+        assert_ne!(world.acknowledged & (1 << call), 0, "{}: call {call} is acknowledged before", self.name);
+        late.into_iter().for_each(|said| world.push(Said::clone(&said)));
+    }
+
+    /// All that any store or disk holds for settled, and what was acknowledged.
+    fn agreed<'a>(&'a self, world: &'a World) -> impl Iterator<Item = &'a Item> {
+        let disks =
+            world.machines.iter().filter_map(|m| m.disk.1.as_ref().as_ref()).flat_map(|kept| &kept.cells);
+        let stores = world.machines.iter().filter_map(|m| m.store.as_ref()).flat_map(|s| s.cells().all());
+        disks.chain(stores).chain(self.items(world.acknowledged))
+    }
+
+    fn fit(&self, world: &World) -> bool {
+        let mut all = Cells::default();
+        all.merge_all(self.agreed(world).cloned());
+        let one_content = self
+            .agreed(world)
+            .all(|item| all.get(&item.key).is_some_and(|a| a.version.0 != item.version.0 || a == item));
+        one_content && judge::together(&all).is_ok()
+    }
+
+    fn durable(&self, world: &World) -> bool {
+        let disks = world.disks();
+        let on = |item: &Item| {
+            let pends = |kept: &Kept| kept.pending.iter().any(|batch| batch.items.contains(item));
+            disks.iter().filter(|kept| holds(&kept.cells, item) || pends(kept)).count()
+        };
+        let all = world.newest().members.len();
+        self.items(world.acknowledged).all(|item| on(item) + world.lost() >= quorum(all))
+    }
+
+    fn seen(&self, world: &World) -> bool {
+        let disks = world.disks();
+        // With some lost all that are left are asked, at most.
+        let enough = quorum(world.newest().members.len()).min(disks.len());
+        choose(&disks, enough).into_iter().all(|set| {
+            let cells = stands(set.into_iter());
+            self.items(world.acknowledged)
+                .all(|item| cells.get(&item.key).is_some_and(|c| c.version >= item.version))
+        })
+    }
+
+    fn current(&self, world: &World) -> bool {
+        world.machines.iter().all(|machine| {
+            let Some(store) = &machine.store else { return true };
+            // The last digest that a quorum has confirmed.
+            let confirmed = machine.told.iter().rev().find(|(at, _)| store.current(at + LEASE - 1));
+            confirmed.is_none_or(|(_, known)| {
+                let cells: Vec<Item> = store.cells().all().cloned().collect();
+                self.items(*known).all(|item| holds(&cells, item))
+            })
+        })
+    }
+
+    fn whole(&self, world: &World) -> bool {
+        world.machines.iter().all(|machine| {
+            let store = machine.store.as_ref().filter(|store| machine.lost != 0 && store.whole());
+            store.is_none_or(|store| {
+                let cells: Vec<Item> = store.cells().all().cloned().collect();
+                self.items(machine.lost).all(|item| holds(&cells, item))
+            })
+        })
+    }
+
+    fn refused(&self, world: &World) -> bool {
+        world.refused == 0 || {
+            let refused: Vec<&Item> = self.items(world.refused).collect();
+            self.agreed(world).all(|item| !refused.contains(&item))
+        }
+    }
+}
+
+impl Model for Scope {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let machine = Machine {
+            disk: None.into(),
+            unwritten: Vec::new(),
+            store: None,
+            life: 0,
+            now: 0,
+            told: Vec::new(),
+            lost: 0,
+        };
+        let mut world = World {
+            machines: vec![machine.into(); self.cores],
+            wire: Vec::new(),
+            left: self.left,
+            made: 0,
+            open: Vec::new(),
+            known: 0,
+            acknowledged: 0,
+            refused: 0,
+            epochs: BTreeMap::from([(1, Membership::first((0..self.voters).map(name)))]).into(),
+            wrong: None,
+        };
+        for me in 0..self.cores {
+            self.start(&mut world, me, me < self.voters);
+            while !world.machines[me].unwritten.is_empty() {
+                self.sync(&mut world, me);
+            }
+        }
+        for &me in &self.restarted {
+            self.end(&mut world, me);
+            self.start(&mut world, me, false);
+            while !world.machines[me].unwritten.is_empty() {
+                self.sync(&mut world, me);
+            }
+        }
+        for before in &self.already {
+            self.before(&mut world, before);
+        }
+        self.off.iter().for_each(|&me| self.end(&mut world, me));
+        vec![world]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        let mut last = None;
+        for said in &world.wire {
+            if last != Some(said) && world.machines[said.to].store.is_some() {
+                steps.push(Step::Hear { said: said.clone(), again: false });
+                if world.left.doubles > 0 {
+                    steps.push(Step::Hear { said: said.clone(), again: true });
+                }
+            }
+            last = Some(said);
+        }
+        for (me, machine) in world.machines.iter().enumerate() {
+            if machine.store.is_none() {
+                if !self.off.contains(&me) {
+                    steps.push(Step::Start(me));
+                }
+                continue;
+            }
+            if !machine.unwritten.is_empty() {
+                steps.push(Step::Sync(me));
+            }
+            if world.left.ticks > 0 {
+                steps.extend(self.jumps.iter().map(|&jump| Step::Tick(me, jump)));
+            }
+            if world.left.crashes > 0 {
+                steps.extend((0..=machine.unwritten.len()).map(|on_disk| Step::Crash(me, on_disk)));
+            }
+            if world.left.wipes > 0 && world.lost() == 0 {
+                steps.push(Step::Wipe(me));
+            }
+        }
+        let running = |(n, (at, _)): &(usize, &(usize, Request))| {
+            world.made & (1 << n) == 0 && world.machines[*at].store.is_some()
+        };
+        steps.extend(self.calls.iter().enumerate().filter(running).map(|(n, _)| Step::Call(n)));
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Hear { said, again } => {
+                if again {
+                    world.left.doubles -= 1;
+                } else {
+                    let at = world.wire.iter().position(|s| *s == said)?;
+                    world.wire.remove(at);
+                }
+                let (before, on_way) = (world.machines[said.to].clone(), world.wire.len());
+                self.give(&mut world, said.to, Input::Heard(name(said.from), said.word.clone()));
+                // A word without effect may as well stay on its way.
+                if world.machines[said.to] == before && world.wire.len() == on_way && world.open == last.open
+                {
+                    return None;
+                }
+            }
+            Step::Sync(me) => self.sync(&mut world, me),
+            Step::Crash(me, on_disk) => {
+                world.left.crashes -= 1;
+                world.machines[me].change(|machine| (0..on_disk).for_each(|_| _ = machine.sync()));
+                self.end(&mut world, me);
+            }
+            Step::Wipe(me) => {
+                world.left.wipes -= 1;
+                self.end(&mut world, me);
+                let lost = world.acknowledged;
+                world.machines[me].change(|machine| (machine.disk, machine.lost) = (None.into(), lost));
+            }
+            Step::Start(me) => self.start(&mut world, me, false),
+            Step::Call(n) => {
+                world.made |= 1 << n;
+                let known = world.known;
+                world.open.push((n, known));
+                let (me, request) = self.calls[n].clone();
+                self.give(&mut world, me, Input::Call(n as u64, request));
+            }
+            Step::Tick(me, jump) => {
+                world.left.ticks -= 1;
+                world.machines[me].change(|machine| machine.now += jump);
+                self.give(&mut world, me, Input::Tick);
+            }
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(FIT, |scope: &Scope, world: &World| scope.fit(world)),
+            Property::always(READ, |_, world: &World| world.wrong != Some(READ)),
+            Property::always(ONCE, |_, world: &World| world.wrong != Some(ONCE)),
+            Property::always(EPOCH, |_, world: &World| world.wrong != Some(EPOCH)),
+            Property::always(CURRENT, |scope: &Scope, world: &World| scope.current(world)),
+            Property::always(WHOLE, |scope: &Scope, world: &World| scope.whole(world)),
+            Property::always(DURABLE, |scope: &Scope, world: &World| scope.durable(world)),
+            Property::always(SEEN, |scope: &Scope, world: &World| scope.seen(world)),
+            Property::always(REFUSED, |scope: &Scope, world: &World| scope.refused(world)),
+            Property::sometimes(ACKNOWLEDGED, |scope: &Scope, world: &World| {
+                scope.items(world.acknowledged).count() > 1
+            }),
+            Property::sometimes(CONFLICT, |_, world: &World| world.refused != 0),
+            Property::sometimes(REPAIRED, |scope: &Scope, world: &World| {
+                world.left.wipes < scope.left.wipes && world.lost() == 0
+            }),
+        ]
+    }
+}
+
+impl Scope {
+    fn end(&self, world: &mut World, me: usize) {
+        world.machines[me].change(|machine| (machine.store, machine.unwritten) = (None, Vec::new()));
+        world.open.retain(|(call, _)| self.calls[*call].0 != me);
+    }
+}
+
+fn items(items: &[Item]) -> String {
+    let one = |i: &Item| {
+        let value = i.value.as_ref().map_or("dropped".into(), |v| String::from_utf8_lossy(v).into_owned());
+        format!("{}@{} {value}", i.key.name, i.version.0)
+    };
+    format!("[{}]", items.iter().map(one).collect::<Vec<_>>().join(", "))
+}
+
+fn members(membership: &Membership) -> String {
+    let one = |m: &Member| {
+        let me = (0..16).find(|me| name(*me) == m.name).expect("a machine");
+        format!("{}{}", letter(me), m.incarnation)
+    };
+    format!("{}:{}", membership.epoch, membership.members.iter().map(one).collect::<String>())
+}
+
+fn brief(batch: &Batch) -> String {
+    let change = batch.membership.as_ref().map_or(String::new(), |m| format!(" members {}", members(m)));
+    format!("{}{change}", items(&batch.items))
+}
+
+impl fmt::Debug for Step {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Step::Hear { said, again } => {
+                let again = if *again { " (and again later)" } else { "" };
+                write!(f, "{} hears {}: ", letter(said.to), letter(said.from))?;
+                let b = |ballot: &Ballot| format!("{}.{:02x}", ballot.0, ballot.1 % 256);
+                match &said.word {
+                    Word::Ask { ballot, membership, .. } => {
+                        write!(f, "Ask {} in epoch {}", b(ballot), membership.epoch)
+                    }
+                    Word::Promise { ballot, at, pending, cells, .. } => {
+                        write!(f, "Promise {} at {}", b(ballot), b(at))?;
+                        if let Some(pending) = pending {
+                            write!(f, " pending {}", brief(pending))?;
+                        }
+                        write!(f, " settled {}", items(cells))
+                    }
+                    Word::Deny { ballot, higher } => write!(f, "Deny {} for {}", b(ballot), b(higher)),
+                    Word::Put { ballot, fill, batch } => {
+                        write!(f, "Put {} {} fill {}", b(ballot), brief(batch), items(fill))
+                    }
+                    Word::Kept { ballot, .. } => write!(f, "Kept {}", b(ballot)),
+                    Word::Settle { ballot, batch, .. } => write!(f, "Settle {} {}", b(ballot), brief(batch)),
+                    Word::Members(membership) => write!(f, "Members {}", members(membership)),
+                    other => write!(f, "{other:?}"),
+                }?;
+                write!(f, "{again}")
+            }
+            Step::Sync(me) => write!(f, "{} syncs", letter(*me)),
+            Step::Crash(me, kept) => write!(f, "{} ends, {kept} unsynced writes kept", letter(*me)),
+            Step::Wipe(me) => write!(f, "{} loses its disk", letter(*me)),
+            Step::Start(me) => write!(f, "{} starts", letter(*me)),
+            Step::Call(n) => write!(f, "call {n}"),
+            Step::Tick(me, jump) => write!(f, "{} ms pass at {}", jump / 1_000, letter(*me)),
+        }
+    }
+}
+
+fn tenant(name: &str, revision: u64, key: &str) -> Request {
+    let text = format!(
+        r#"{{"upsert":{{"tenants":{{"column_names":["name","revision","api_keys"],
+        "records":[["{name}",{revision},["{key}"]]]}}}}}}"#
+    );
+    Request::Update(call::read(text.as_bytes()).expect("a call"))
+}
+
+/// Who votes in an epoch: machines, and the incarnations of their disks.
+fn membership(epoch: u64, of: &[(usize, u64)]) -> Membership {
+    let mut members: Vec<Member> =
+        of.iter().map(|&(me, incarnation)| Member { name: name(me), incarnation }).collect();
+    members.sort();
+    Membership { epoch, members, before: (0..3).map(name).collect() }
+}
+
+fn change(epoch: u64, of: &[(usize, u64)]) -> Request {
+    Request::Change(membership(epoch, of))
+}
+
+/// The searches, each of which is to break nothing. `more` steps deeper by request.
+fn searches(more: usize) -> Vec<Scope> {
+    let base = Scope {
+        name: "",
+        cores: 3,
+        voters: 3,
+        calls: Vec::new(),
+        left: Left::default(),
+        jumps: vec![400_000],
+        syncs_at_once: true,
+        digests: false,
+        already: Vec::new(),
+        off: Vec::new(),
+        restarted: Vec::new(),
+        depth: 60,
+        meets: Vec::new(),
+    };
+    let (read, none) = ((2, Request::Read), Left::default());
+    let clash = [(0, tenant("t1", 1, "k")), (2, tenant("t2", 1, "k"))];
+    let apart = [(0, tenant("t1", 1, "k1")), (2, tenant("t2", 1, "k2"))];
+    let one_store = [(0, tenant("t1", 1, "k1")), (0, tenant("t2", 1, "k2"))];
+    let scope = |name, calls: &[(usize, Request)], left, depth| Scope {
+        name,
+        calls: calls.to_vec(),
+        left,
+        depth: depth + more,
+        ..base.clone()
+    };
+    let one_lost = Left { wipes: 1, ticks: 1, ..none };
+    let replaced = change(2, &[(0, 0), (1, 0), (3, 1)]);
+    let crash = Left { crashes: 1, ..none };
+    let both = [(0, tenant("t1", 1, "k1")), (1, tenant("t2", 1, "k2"))];
+    let clashing = [(0, tenant("t1", 1, "k")), (1, tenant("t2", 1, "k"))];
+    let with = |first: &[(usize, Request)], more: &[(usize, Request)]| [first, more].concat();
+    let to_d = (0, replaced.clone());
+    let to_d_untold = |deaf: &[usize]| vec![Before { call: 0, deaf: deaf.to_vec(), untold: true }];
+    let told = vec![Before { call: 0, ..Before::default() }];
+    // C lost its disk and votes again; so does B, after D.
+    let c_again = (0, change(2, &[(0, 0), (1, 0), (2, 2)]));
+    let b_again = (0, change(3, &[(0, 0), (1, 2), (3, 1)]));
+    let two_hold = vec![Before { call: 0, deaf: vec![2], untold: false }];
+    vec![
+        Scope { meets: vec![CONFLICT], ..scope("two that clash", &clash, Left { ticks: 1, ..none }, 12) },
+        scope("two that clash, a restart", &clash, crash, 17),
+        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, 17),
+        Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, 17) },
+        Scope {
+            syncs_at_once: false,
+            ..scope("two at one store, a restart, late syncs", &one_store, crash, 16)
+        },
+        scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, 12),
+        Scope {
+            already: two_hold.clone(),
+            ..scope("one that two hold, a read, a lost disk", &[apart[0].clone(), read.clone()], one_lost, 60)
+        },
+        Scope {
+            already: two_hold.clone(),
+            ..scope(
+                "one that two hold, a read, a lost disk that votes again, a restart",
+                &[apart[0].clone(), (2, Request::Read), c_again.clone()],
+                Left { crashes: 1, ..one_lost },
+                10,
+            )
+        },
+        Scope { meets: vec![REPAIRED], ..scope("a lost disk", std::slice::from_ref(&c_again), one_lost, 60) },
+        Scope {
+            cores: 4,
+            off: vec![2],
+            already: told.clone(),
+            meets: vec![REPAIRED],
+            ..scope(
+                "a lost disk beside one that is off",
+                &[to_d.clone(), both[0].clone(), b_again],
+                one_lost,
+                13,
+            )
+        },
+        Scope {
+            cores: 4,
+            already: to_d_untold(&[2, 3]),
+            ..scope(
+                "a member that missed a change, an order at each side",
+                &with(std::slice::from_ref(&to_d), &both),
+                none,
+                13,
+            )
+        },
+        Scope {
+            cores: 4,
+            syncs_at_once: false,
+            restarted: vec![2],
+            already: to_d_untold(&[2, 3]),
+            ..scope(
+                "a member that learns of a change while its promise waits for the disk",
+                &[to_d.clone(), (2, tenant("t2", 1, "k2"))],
+                none,
+                16,
+            )
+        },
+        Scope {
+            cores: 4,
+            ..scope(
+                "a change while two orders that clash are put",
+                &with(std::slice::from_ref(&to_d), &clashing),
+                none,
+                11,
+            )
+        },
+        Scope {
+            cores: 4,
+            ..scope("a change while an order is put, a restart", &[to_d.clone(), both[1].clone()], crash, 11)
+        },
+        Scope {
+            cores: 4,
+            already: to_d_untold(&[1]),
+            ..scope(
+                "a second change before the first is known",
+                &[to_d.clone(), (1, change(2, &[(0, 0), (2, 0), (3, 1)])), both[1].clone()],
+                none,
+                11,
+            )
+        },
+        Scope {
+            cores: 4,
+            already: to_d_untold(&[2]),
+            ..scope(
+                "one that was removed calls and reads",
+                &[to_d.clone(), both[0].clone(), (2, tenant("t2", 1, "k1")), (2, Request::Read)],
+                none,
+                10,
+            )
+        },
+    ]
+}
+
+/// A property's name, and the steps that lead there.
+type Found = (&'static str, Vec<Step>);
+
+/// What was found, how many states were seen, and to which depth.
+fn search(scope: Scope) -> (Vec<Found>, usize, usize) {
+    let threads = std::thread::available_parallelism().map_or(2, |n| n.get().min(4));
+    let depth = scope.depth;
+    let checker = scope
+        .checker()
+        .threads(threads)
+        .target_max_depth(depth)
+        .finish_when(HasDiscoveries::AnyFailures)
+        .spawn_bfs()
+        .join();
+    let found = checker.discoveries().into_iter().map(|(name, path)| (name, path.into_actions())).collect();
+    (found, checker.unique_state_count(), checker.max_depth())
+}
+
+fn is_wrong((what, _): &Found) -> bool {
+    ![ACKNOWLEDGED, CONFLICT, REPAIRED].contains(what)
+}
+
+#[test]
+fn no_search_breaks_anything() {
+    let more = std::env::var("DANCE_SCOPE").map_or(0, |scope| if scope == "long" { 3 } else { 0 });
+    let only = std::env::var("DANCE_ONLY").unwrap_or_default();
+    let mut broken = Vec::new();
+    for scope in searches(more).into_iter().filter(|scope| scope.name.contains(&only)) {
+        let (name, meets) = (scope.name, scope.meets.clone());
+        let begun = Instant::now();
+        let (found, states, depth) = search(scope);
+        println!("{name}: {states} states to depth {depth} in {:?}", begun.elapsed());
+        for what in &meets {
+            assert!(found.iter().any(|(met, _)| met == what), "{name}: {what}");
+        }
+        for (what, steps) in found.iter().filter(|found| is_wrong(found)) {
+            println!("    {what}: {} steps {steps:#?}", steps.len());
+            broken.push((name, *what));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// One walk by lot: which properties were broken or met, and at which step first.
+fn walk(scope: &Scope, seed: u64, most: usize) -> Vec<(&'static str, usize)> {
+    let mut lot = seed;
+    let mut upto = |most: usize| {
+        lot = lot.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        (pinerelay_cells::hash::mix(lot) % most as u64) as usize
+    };
+    let properties = scope.properties();
+    let mut world = scope.init_states().remove(0);
+    let mut met: Vec<(&'static str, usize)> = Vec::new();
+    for at in 0..most {
+        let mut steps = Vec::new();
+        scope.actions(&world, &mut steps);
+        // Words and syncs more often than the rest.
+        let (often, seldom): (Vec<Step>, Vec<Step>) = steps
+            .into_iter()
+            .partition(|s| matches!(s, Step::Hear { again: false, .. } | Step::Sync(_) | Step::Start(_)));
+        let steps = if seldom.is_empty() || !often.is_empty() && upto(8) != 0 { often } else { seldom };
+        if steps.is_empty() {
+            break;
+        }
+        let step = steps[upto(steps.len())].clone();
+        let Some(next) = scope.next_state(&world, step) else { continue };
+        world = next;
+        for property in &properties {
+            let holds = (property.condition)(scope, &world);
+            let told = holds == (property.expectation == stateright::Expectation::Sometimes);
+            if told && !met.iter().any(|(name, _)| *name == property.name) {
+                met.push((property.name, at));
+            }
+        }
+    }
+    met
+}
+
+fn wide() -> Scope {
+    let mut wide = searches(0).remove(0);
+    wide.name = "walks";
+    wide.cores = 4;
+    wide.calls = vec![
+        (0, tenant("t1", 1, "k")),
+        (1, tenant("t2", 1, "k")),
+        (2, tenant("t1", 1, "m")),
+        (3, tenant("t3", 1, "n")),
+        (1, Request::Read),
+        (2, Request::Read),
+        (0, change(2, &[(0, 0), (1, 0), (3, 1)])),
+        (2, change(2, &[(1, 0), (2, 0), (3, 1)])),
+        (1, change(2, &[(0, 0), (1, 0), (2, 2)])),
+        (1, change(3, &[(0, 0), (1, 0), (2, 2)])),
+        (3, change(3, &[(0, 0), (2, 0), (3, 1)])),
+    ];
+    wide.left = Left { crashes: 3, wipes: 1, doubles: 2, ticks: 8 };
+    wide.jumps = vec![100_000, 400_000];
+    wide.syncs_at_once = false;
+    wide.digests = true;
+    wide
+}
+
+#[test]
+fn walks_go_where_searches_do_not_reach() {
+    let walks = std::env::var("DANCE_WALKS").ok().and_then(|n| n.parse().ok()).unwrap_or(500);
+    let scope = wide();
+    let begun = Instant::now();
+    let mut met: BTreeMap<&str, (u64, u64, usize)> = BTreeMap::new();
+    for seed in 0..walks {
+        for (what, at) in walk(&scope, seed, 200) {
+            met.entry(what).or_insert((0, seed, at)).0 += 1;
+        }
+    }
+    println!("{walks} walks in {:?}", begun.elapsed());
+    for (what, (times, seed, at)) in &met {
+        println!("    {what}: {times} times, first at step {at} of seed {seed}");
+    }
+    let broken: Vec<_> =
+        met.keys().filter(|what| ![ACKNOWLEDGED, CONFLICT, REPAIRED].contains(what)).collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    for what in [ACKNOWLEDGED, CONFLICT, REPAIRED] {
+        assert!(met.contains_key(what), "{what}");
+    }
+}
