Answers of the control side belong to one call on one connection; nobody waits for who is gone

Cause: a registry took Answer and Held of any peer that named a number in use, and numbers begin anew with each process. Links give each connection a number of its own and say nothing on one that has gone, so honest processes can't bring a wrong answer about by that; but nothing checked it. Seen broken: a call that was passed to a store whose link went waited out its 0.95 s (1.0 s with the tick), a leaving waited 0.7 s for registries that were not there, and with the machine's own store silent but linked callers were held for 2 s and turned away for one more.

Change: a call is kept with the connection that it went out on, and its answer is taken there alone. When that goes, it is offered to another store, or answered 503 at once with none: a read changes nothing, and an update's items are told apart by revision, so it is what its caller would do himself. What is held counts from those who were asked, and is asked for again on a connection that is left. No call is passed to a store that has not been heard for two pulses; links to other stores are wanted once the own is not heard for a second, linked or not. A second greeting on a connection is cut, at all three.

Ruled out: numbers drawn by lot, lives in each message: a connection tells both. Links to all stores at all times: nine more links and their bytes between zones, for the one second.

--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -144,6 +144,10 @@
     /// Something was said on a connection.
     pub fn said(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
         if let Speech::Hello(hello) = speech {
+            if self.peers.contains_key(&peer) {
+                // A connection belongs to one life at each end.
+                return out.push(Output::Cut(peer));
+            }
             if hello.role == Role::Scout {
                 self.stood = None;
                 if hello.ip == self.hello.ip {
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -161,7 +161,8 @@
             if hello.role == Role::Visitor {
                 return;
             }
-            if hello.role != Role::Scout {
+            // A connection belongs to one life at each end.
+            if hello.role != Role::Scout || self.registries.contains_key(&peer) {
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -22,13 +22,15 @@
 
 /// How often it says how it stands.
 const PULSE: Micros = 600_000;
-/// A call that a store has not answered by then gets 503: the caller moves on after a second.
-const PATIENCE: Micros = 950_000;
+/// A call that a store has not answered by then gets 503 with the next tick: the caller moves on after a second.
+const PATIENCE: Micros = 900_000;
 /// A proxy that says nothing for so long counts as cut off, and for so long at the most.
 const QUIET: Micros = 650_000;
 const MISSED: Micros = 60_000_000;
-/// A registry whose machine's store has not been there for so long goes to another.
+/// A registry that has not heard its machine's store for so long keeps links to the others.
 const OWN_STORE: Micros = 1_000_000;
+/// No call is passed to a store that has said nothing for two of its pulses.
+const SILENT: Micros = 1_200_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
 
@@ -62,6 +64,16 @@
     pub seeds: Vec<String>,
 }
 
+/// A call that is with a store.
+#[derive(Debug)]
+struct Offered {
+    call: u64,
+    since: Micros,
+    /// The connection that it went out on: its answer comes on this one and on no other.
+    store: Peer,
+    passed: Passed,
+}
+
 /// The registry.
 pub struct Registry {
     birth: Birth,
@@ -76,6 +88,8 @@
     stores: BTreeMap<Peer, bool>,
     /// What each store's items came to, as it said last.
     stored: BTreeMap<Peer, u64>,
+    /// When each store last said something.
+    spoke: BTreeMap<Peer, Micros>,
     beaten: BTreeMap<String, Beaten>,
     /// Servers that are lost, and since when.
     lost: BTreeMap<String, Micros>,
@@ -102,12 +116,12 @@
     lives: BTreeMap<(Role, String), u64>,
     /// How many proxies other registries know of.
     told: BTreeMap<String, u32>,
-    passed: BTreeMap<u64, (u64, Micros)>,
+    offered: BTreeMap<u64, Offered>,
     /// What each proxy was last told of its number.
     placed: BTreeMap<Peer, (u32, u32)>,
     last: u64,
     ticked: Micros,
-    /// When the machine's own store was last linked.
+    /// When the machine's own store was last heard.
     own_store_at: Micros,
     pulse_at: Micros,
     /// When what it has last agreed with what a store or another registry has.
@@ -131,6 +145,7 @@
             whole: false,
             stores: BTreeMap::new(),
             stored: BTreeMap::new(),
+            spoke: BTreeMap::new(),
             beaten: BTreeMap::new(),
             lost: BTreeMap::new(),
             numbers: BTreeMap::new(),
@@ -147,7 +162,7 @@
             missing: BTreeMap::new(),
             lives: BTreeMap::new(),
             told: BTreeMap::new(),
-            passed: BTreeMap::new(),
+            offered: BTreeMap::new(),
             placed: BTreeMap::new(),
             last: 0,
             ticked: now,
@@ -212,7 +227,10 @@
     pub fn down(&mut self, now: Micros, peer: Peer, out: &mut Vec<Output>) {
         self.stores.remove(&peer);
         self.stored.remove(&peer);
+        self.spoke.remove(&peer);
         let Some(hello) = self.peers.remove(&peer) else { return };
+        self.reoffer(now, peer, out);
+        self.not_held_by(peer, &hello.ip, out);
         let again = self.peers.values().any(|h| h.role == hello.role && h.node == hello.node);
         match hello.role {
             Role::Scout if !again => {
@@ -225,12 +243,18 @@
 
     /// Something was said on a connection.
     pub fn said(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
-        if let Speech::Hello(hello) = speech {
-            return self.meet(now, peer, hello, out);
-        }
-        let Some(hello) = self.peers.get(&peer).cloned() else { return out.push(Output::Cut(peer)) };
-        if hello.role == Role::Forager {
-            self.loud(now, &hello.node);
+        let (hello, speech) = match (speech, self.peers.get(&peer).cloned()) {
+            (Speech::Hello(hello), None) => return self.meet(now, peer, hello, out),
+            // A connection belongs to one life at each end.
+            (Speech::Hello(_), Some(_)) | (_, None) => return out.push(Output::Cut(peer)),
+            (speech, Some(hello)) => (hello, speech),
+        };
+        match hello.role {
+            Role::Forager => self.loud(now, &hello.node),
+            Role::Comb => {
+                self.spoke.insert(peer, now);
+            }
+            Role::Scout | Role::Visitor => {}
         }
         match (hello.role, speech) {
             (Role::Forager, Speech::Bye) => {
@@ -247,7 +271,7 @@
                 self.merge(peer, &hello, items, out);
                 out.push(Output::Say(peer, Speech::Held(number)));
             }
-            (Role::Scout, Speech::Held(number)) => self.is_held(number, out),
+            (Role::Scout, Speech::Held(number)) => self.is_held(peer, number, out),
             (Role::Scout, Speech::Beats(beats)) => self.beats(now, &beats),
             (Role::Scout, Speech::Standing(standing)) => {
                 // It has had this process's greeting: nothing is said before.
@@ -279,11 +303,7 @@
                     self.voters = voters;
                 }
             }
-            (Role::Comb, Speech::Answer(number, answered)) => {
-                if let Some((call, _)) = self.passed.remove(&number) {
-                    out.push(Output::Answer(call, answered));
-                }
-            }
+            (Role::Comb, Speech::Answer(number, answered)) => self.answered(peer, number, answered, out),
             (_, Speech::Roll) => out.push(Output::Say(peer, Speech::Rolled(self.roll()))),
             (_, Speech::Ask) => out.push(Output::Say(peer, Speech::Figures(self.figures(now)))),
             _ => {}
@@ -449,22 +469,56 @@
 
     fn pass(&mut self, now: Micros, call: u64, passed: Passed, out: &mut Vec<Output>) {
         self.figures[1] += 1;
-        // The machine's own store first; else any.
-        let store = self.own_store().or(self.stores.keys().next().copied());
-        let Some(store) = store else {
+        self.offer(now, (call, now), passed, out);
+    }
+
+    /// Passes a call to the machine's own store, or to any other that is heard; with none its caller moves on at once.
+    fn offer(&mut self, now: Micros, (call, since): (u64, Micros), passed: Passed, out: &mut Vec<Output>) {
+        let own = self.own_store().into_iter();
+        let Some(store) = own.chain(self.stores.keys().copied()).find(|&peer| self.hears(now, peer)) else {
             return out.push(Output::Answer(call, error(503, "no store is reached")));
         };
         self.last += 1;
-        self.passed.insert(self.last, (call, now));
+        self.offered.insert(self.last, Offered { call, since, store, passed: passed.clone() });
         out.push(Output::Say(store, Speech::Pass(self.last, passed)));
     }
 
+    /// Danger: numbers begin anew with each process, so one that is in use here may come from elsewhere.
+    fn answered(&mut self, store: Peer, number: u64, answered: Answered, out: &mut Vec<Output>) {
+        let ours = self.offered.get(&number).is_some_and(|offered| offered.store == store);
+        if let Some(Offered { call, .. }) = ours.then(|| self.offered.remove(&number)).flatten() {
+            out.push(Output::Answer(call, answered));
+        }
+    }
+
+    /// Whether a store is heard, as far as this process would know.
+    fn hears(&self, now: Micros, store: Peer) -> bool {
+        let stood_still = now > self.ticked + STOOD_STILL;
+        stood_still || self.spoke.get(&store).is_some_and(|&at| now < at + SILENT)
+    }
+
+    /// A connection to a store has gone, and no answer comes on it any more. A read changes nothing, and items of an update
+    /// are told apart by their revisions: as with a caller who sends it again himself, what was taken is acknowledged again.
+    fn reoffer(&mut self, now: Micros, store: Peer, out: &mut Vec<Output>) {
+        let open: Vec<u64> =
+            self.offered.iter().filter(|(_, offered)| offered.store == store).map(|(&n, _)| n).collect();
+        for number in open {
+            if let Some(Offered { call, since, passed, .. }) = self.offered.remove(&number) {
+                self.offer(now, (call, since), passed, out);
+            }
+        }
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
         let stood_still = now > self.ticked + STOOD_STILL;
         self.ticked = now;
-        if self.own_store().is_some() {
-            self.own_store_at = now;
+        if stood_still {
+            // What was said meanwhile lies unread.
+            self.spoke.values_mut().for_each(|at| *at = now);
+        }
+        if let Some(&at) = self.own_store().and_then(|store| self.spoke.get(&store)) {
+            self.own_store_at = at;
         }
         let scouts = self.scouts();
         let core =
@@ -486,9 +540,9 @@
         self.overdue(now, out);
         self.missing.retain(|_, since| now < *since + MISSED);
         let late: Vec<u64> =
-            self.passed.iter().filter(|(_, (_, at))| now >= *at + PATIENCE).map(|(&n, _)| n).collect();
+            self.offered.iter().filter(|(_, o)| now >= o.since + PATIENCE).map(|(&n, _)| n).collect();
         for number in late {
-            if let Some((call, _)) = self.passed.remove(&number) {
+            if let Some(Offered { call, .. }) = self.offered.remove(&number) {
                 out.push(Output::Answer(call, error(503, "the store has not answered in time")));
             }
         }
--- a/crates/scout/src/registry/servers.rs
+++ b/crates/scout/src/registry/servers.rs
@@ -1,8 +1,11 @@
 //! Servers: what they tell of themselves, who else has to know, and which have fallen silent.
 
+use std::collections::BTreeSet;
+
 use pinerelay_cells::item::{Item, Key, Kind};
 use pinerelay_cells::server::{Beat, Server, State};
 use pinerelay_nectar::Micros;
+use pinerelay_propolis::link::Peer;
 use pinerelay_propolis::speech::{Answered, Speech};
 
 use super::{error, Output, Registry};
@@ -24,9 +27,11 @@
 /// A leaving that is not acknowledged before another registry holds it.
 #[derive(Debug)]
 pub struct Holding {
-    calls: Vec<u64>,
+    call: u64,
     id: String,
     since: Micros,
+    /// The connections that it was asked on: only what comes on these tells that it is held.
+    asked: BTreeSet<Peer>,
 }
 
 fn taken() -> Answered {
@@ -88,18 +93,48 @@
             self.held.insert(key.name.clone());
             return out.push(Output::Answer(call, taken()));
         }
-        let Some(item) = self.realms[1].get(key).cloned() else { return };
+        let asked: BTreeSet<Peer> = self.scouts().into_values().collect();
+        let item = self.realms[1].get(key).cloned().filter(|_| !asked.is_empty());
+        let Some(item) = item else { return self.unheld(call, out) };
         self.last += 1;
-        let holding = Holding { calls: vec![call], id: key.name.clone(), since: now };
+        let to = asked.iter().copied().collect();
+        let holding = Holding { call, id: key.name.clone(), since: now, asked };
         self.holding.insert(self.last, holding);
-        let to = self.scouts().into_values().collect();
         out.push(Output::SayAll(to, Speech::Hold { number: self.last, items: vec![item] }));
     }
 
-    pub(super) fn is_held(&mut self, number: u64, out: &mut Vec<Output>) {
-        if let Some(holding) = self.holding.remove(&number) {
-            self.held.insert(holding.id);
-            out.extend(holding.calls.into_iter().map(|call| Output::Answer(call, taken())));
+    fn unheld(&mut self, call: u64, out: &mut Vec<Output>) {
+        self.figures[4] += 1;
+        out.push(Output::Answer(call, error(503, "no other registry holds it")));
+    }
+
+    /// A registry says that it holds what it was asked to.
+    pub(super) fn is_held(&mut self, peer: Peer, number: u64, out: &mut Vec<Output>) {
+        if self.holding.get(&number).is_some_and(|holding| holding.asked.contains(&peer)) {
+            if let Some(holding) = self.holding.remove(&number) {
+                self.held.insert(holding.id);
+                out.push(Output::Answer(holding.call, taken()));
+            }
+        }
+    }
+
+    /// A connection has gone, and nothing comes on it any more. Whoever was asked there is asked again on another that he has.
+    pub(super) fn not_held_by(&mut self, peer: Peer, ip: &str, out: &mut Vec<Output>) {
+        let other = self.scouts().get(ip).copied();
+        let mut over = Vec::new();
+        for (&number, holding) in self.holding.iter_mut().filter(|(_, h)| h.asked.contains(&peer)) {
+            holding.asked.remove(&peer);
+            let item = self.realms[1].get(&Key::new(Kind::Server, holding.id.as_str()));
+            if let (Some(other), Some(item)) = (other, item) {
+                holding.asked.insert(other);
+                out.push(Output::Say(other, Speech::Hold { number, items: vec![item.clone()] }));
+            } else if holding.asked.is_empty() {
+                over.push(number);
+            }
+        }
+        for holding in over.into_iter().filter_map(|number| self.holding.remove(&number)).collect::<Vec<_>>()
+        {
+            self.unheld(holding.call, out);
         }
     }
 
@@ -150,11 +185,9 @@
     pub(super) fn overdue(&mut self, now: Micros, out: &mut Vec<Output>) {
         let late: Vec<u64> =
             self.holding.iter().filter(|(_, h)| now >= h.since + HOLD).map(|(&n, _)| n).collect();
-        for number in late {
-            self.figures[4] += 1;
-            for call in self.holding.remove(&number).into_iter().flat_map(|h| h.calls) {
-                out.push(Output::Answer(call, error(503, "no other registry holds it")));
-            }
+        for holding in late.into_iter().filter_map(|number| self.holding.remove(&number)).collect::<Vec<_>>()
+        {
+            self.unheld(holding.call, out);
         }
         let wall = self.wall(now);
         let over: Vec<String> =
