An answer that names no request, or promises what its server does not, is not believed

Found by reading: an attempt that had a connection but had written nothing could still write after its client was promised 503 (after a standstill), since nothing was cancelled without a further try in the budget; and a request was written to a kept connection after its time was up.

Change: what names no request counts only as the first answer on its connection, which is not used again. All ids must be its own. Not run and success exclude each other. Statuses that promise pass for repeatable requests alone; else 502. A promise closes the request: the attempt looks just before it writes. A first attempt may always be cancelled.

Ruled out: an id on every refusal.

--- a/crates/forager/src/flow.rs
+++ b/crates/forager/src/flow.rs
@@ -24,6 +24,8 @@
     pub verdict: Cell<Verdict>,
     /// To how many servers it has been sent.
     pub arrived: Cell<usize>,
+    /// The client has been promised that it has not run and never will: nothing of it may be written any more.
+    pub promised: Cell<bool>,
     /// A server's own failure, for the client if no other server does better.
     pub spare: RefCell<Option<Response<Bytes>>>,
 }
@@ -78,20 +80,30 @@
     Spoilt,
 }
 
+/// Whether an answer says which request it belongs to.
+pub fn names_request(headers: &HeaderMap) -> bool {
+    headers.contains_key(REQUEST_ID)
+}
+
+/// Whether a client takes a status for the promise that its request has not run and never will.
+pub fn promises(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Reads an answer's head, given the id of the request.
 pub fn means(status: StatusCode, headers: &HeaderMap, id: &HeaderValue) -> Means {
-    let echoed = headers.get(REQUEST_ID);
     // Danger: an answer that comes late, or once more, stands where the next one is expected.
-    if echoed.is_some_and(|echoed| echoed != id) {
+    if headers.get_all(REQUEST_ID).iter().any(|echoed| echoed != id) {
         return Means::Spoilt;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Means::Another;
     }
     if headers.contains_key(NOT_EXECUTED) {
-        return Means::NotRun;
+        // A success that has not run is neither.
+        return if status.is_success() { Means::Spoilt } else { Means::NotRun };
     }
-    if echoed.is_none() || headers.contains_key(CONTENT_ENCODING) {
+    if !names_request(headers) || headers.contains_key(CONTENT_ENCODING) {
         return Means::Spoilt;
     }
     match status.is_success() {
@@ -138,6 +150,7 @@
         expect_that!(said(503, &[("x-request-id", "8"), ("x-not-executed", "1")]), eq(Means::Spoilt));
         expect_that!(said(200, &[id, seal, ("content-encoding", "gzip")]), eq(Means::Spoilt));
         expect_that!(said(503, &[("x-not-executed", "1")]), eq(Means::NotRun));
+        expect_that!(said(200, &[id, seal, ("x-not-executed", "1")]), eq(Means::Spoilt), "either or");
         expect_that!(said(503, &[id]), eq(Means::Failure));
         expect_that!(said(500, &[id]), eq(Means::Failure));
         expect_that!(said(404, &[id]), eq(Means::Answer));
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -29,7 +29,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::flow::{Fate, Flow, Forward};
+use crate::flow::{promises, Fate, Flow, Forward};
 use crate::outlet::{Hosts, BODY_MOST};
 use crate::request::{drop_hop, onward, Head};
 use crate::services::Services;
@@ -259,7 +259,7 @@
             _ = overdue => Answer::Failed(Reason::TimedOut),
         };
         drop((waited, drained));
-        self.answered(answer, &fate)
+        self.answered(answer, &fate, route.kind == RouteType::Safe)
     }
 
     fn number(&self) -> u64 {
@@ -310,8 +310,21 @@
     }
 
     /// What the client is answered. Danger: 429 and 503 promise that it has not run and never will.
-    fn answered(&self, answer: Answer<Flow>, fate: &Fate) -> Result<Response<Reply>, Rejected> {
+    fn answered(
+        &self,
+        answer: Answer<Flow>,
+        fate: &Fate,
+        repeatable: bool,
+    ) -> Result<Response<Reply>, Rejected> {
+        // Danger: a server's word that means no promise between it and here is one to the client.
+        let passes = |status| repeatable || !promises(status);
         let why = match answer {
+            Answer::Served(response) if !passes(response.status()) => {
+                return Err(Rejected(StatusCode::BAD_GATEWAY, "", None));
+            }
+            Answer::Long((head, _)) if !passes(head.status) => {
+                return Err(Rejected(StatusCode::BAD_GATEWAY, "", None));
+            }
             Answer::Served(response) => {
                 let (mut head, body) = response.into_parts();
                 drop_hop(&mut head.headers);
@@ -336,6 +349,7 @@
         }
         match fate.verdict.get() {
             Verdict::NeverRan => {
+                fate.promised.set(true);
                 let again = AGAIN + (self.lot() * AGAIN_LOT) as Micros;
                 Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "", Some(again)))
             }
--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -24,7 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use crate::flow::{means, Flow, Forward, Means};
+use crate::flow::{means, names_request, Flow, Forward, Means};
 use crate::request::{DEADLINE, EXPECT_SERVER, KEEP_ALIVE};
 
 /// As much of a body is taken in ahead, in bytes.
@@ -199,7 +199,7 @@
     /// A whole answer, what it means, and for how long its connection may be kept.
     Whole(Means, Response<Bytes>, Option<Duration>),
     /// The beginning of a long one.
-    Long(Parts, Bytes, hyper::body::Incoming, Duration),
+    Long(Parts, Bytes, hyper::body::Incoming, Option<Duration>),
 }
 
 impl Outlet {
@@ -272,6 +272,15 @@
                 }
             };
             let fate = &forward.fate;
+            // Danger: what its client was promised never to run must not be written after that; and what comes too late for
+            // its answer is not begun.
+            if fate.promised.get() || upload.is_none() && Instant::now() >= until {
+                hosts.pool.give_back(server, connection, generation, KEEP_UNTOLD);
+                if let Sent::Long(body) = message.into_body() {
+                    body.give_back();
+                }
+                return (Outcome::Ignored, None);
+            }
             let before = fate.verdict.get();
             // Danger: one that is cancelled on the way is dropped here, and has reached its server all the same.
             fate.verdict.set(before.and(Verdict::MayHaveRun));
@@ -279,7 +288,7 @@
             let heard = connection.heard();
             let answer = tokio::select! {
                 biased;
-                answer = self.exchange(&mut connection, message, forward) => answer,
+                answer = self.exchange(&mut connection, message, forward, idle.is_some()) => answer,
                 // Danger: whether the last byte went out is not known here, so it may have run.
                 () = forward.body.time_up(until, STOP) => return (Outcome::TimedOut, None),
             };
@@ -326,7 +335,10 @@
                     }
                     return match ended.await {
                         Ok(End::Whole) => {
-                            hosts.pool.give_back(server, connection, generation, keep);
+                            // Danger: an answer that came before the request was whole leaves the rest of it on the line.
+                            if let Some(keep) = keep.filter(|_| upload.is_none_or(|upload| upload.whole())) {
+                                hosts.pool.give_back(server, connection, generation, keep);
+                            }
                             (Outcome::Ok, None)
                         }
                         Ok(End::Broken) => (Outcome::Reset, None),
@@ -346,11 +358,7 @@
                     }
                     return (Outcome::ConnectFailed, None);
                 }
-                // Its last byte has not been written.
-                Err(Broken::Doubtful) if upload.is_some_and(|upload| !upload.whole()) => {
-                    fate.verdict.set(before);
-                    return (Outcome::ConnectFailed, None);
-                }
+                // Danger: a server may begin with a request before it has read all of its body.
                 Err(Broken::Doubtful) => return (Outcome::Reset, None),
                 Err(Broken::Spoilt) => {
                     hosts.distrust(server);
@@ -377,6 +385,7 @@
         connection: &mut Connection,
         message: Request<Sent>,
         forward: &Forward,
+        kept: bool,
     ) -> Result<Exchanged, Broken> {
         let response = connection.send(message).await?;
         if !framed(&response) {
@@ -384,14 +393,15 @@
         }
         let (head, body) = response.into_parts();
         let means = means(head.status, &head.headers, &forward.id);
-        if means == Means::Spoilt {
+        // Danger: what names no request is this one's only where no other has gone before it: else it may be a surplus answer,
+        // and this one may run.
+        let named = names_request(&head.headers);
+        if means == Means::Spoilt || !named && kept {
             return Err(Broken::Spoilt);
         }
-        let keep = keep_for(&head.headers);
+        let keep = Some(keep_for(&head.headers)).filter(|_| named);
         match take(body, BODY_MOST, None, &self.hosts.common.room).await {
-            Ok(Taken::Whole(body)) => {
-                Ok(Exchanged::Whole(means, Response::from_parts(head, body), Some(keep)))
-            }
+            Ok(Taken::Whole(body)) => Ok(Exchanged::Whole(means, Response::from_parts(head, body), keep)),
             Ok(Taken::Part(first, rest)) if means == Means::Answer => {
                 Ok(Exchanged::Long(head, first, rest, keep))
             }
@@ -436,9 +446,11 @@
     }
 
     fn goes_on(&self, forward: &Forward) -> bool {
-        let now = self.clock.now();
-        forward.fate.arrived.get() < forward.servers
-            && self.hosts.tries.borrow().has(now, &self.service, self.hosts.nodes.get())
+        let (now, arrived) = (self.clock.now(), forward.fate.arrived.get());
+        // The first is not counted, here as in `may_send`.
+        arrived == 0
+            || arrived < forward.servers
+                && self.hosts.tries.borrow().has(now, &self.service, self.hosts.nodes.get())
     }
 
     /// The decisions ask for no probes.
--- a/crates/forager/tests/stage/mod.rs
+++ b/crates/forager/tests/stage/mod.rs
@@ -1,5 +1,8 @@
 //! The stage: a proxy's process, a registry that tells it a configuration and servers, and servers that follow a script.
 
+// Each test file plays with a part of it.
+#![allow(dead_code)]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -48,13 +51,15 @@
     "tenants":{"column_names":["name","revision","api_keys"],"records":[["t1",1,["key"]]]},
     "services":{"column_names":["name","revision"],"records":[["s1",1]]}}}"#;
 
-type Seen = Arc<Mutex<Vec<String>>>;
+/// The requests that servers have been sent.
+pub type Seen = Arc<Mutex<Vec<String>>>;
 
 /// All that a test plays with.
 pub struct Stage {
     proxy: Child,
     folder: PathBuf,
-    public: SocketAddrV4,
+    /// Where it takes clients.
+    pub public: SocketAddrV4,
     readiness: SocketAddrV4,
     internal: SocketAddrV4,
     seen: Seen,
@@ -62,11 +67,20 @@
 
 /// Ports that no other test of this process has; whether another process has one shows when it is taken.
 static PORT: AtomicU16 = AtomicU16::new(0);
+/// Held while ports are looked for and a program is started: until it runs, it has a copy of each socket that is open, and a
+/// port that has just been looked at is not free.
+static STARTS: Mutex<()> = Mutex::new(());
+
+/// The machine of all parts of a play: another in each process, so that no other's tests take its ports.
+fn machine() -> [u8; 4] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [127, 64 | high, low, 1]
+}
 
 fn ports(ip: [u8; 4], count: u16) -> u16 {
     loop {
-        let base = 20_000 + (std::process::id() % 300) as u16 * 64;
-        let first = base.wrapping_add(PORT.fetch_add(count, Ordering::Relaxed) % 10_000);
+        // Below those that outgoing connections are given.
+        let first = 10_000 + PORT.fetch_add(count, Ordering::Relaxed) % 20_000;
         let free = |port| TcpListener::bind(SocketAddr::from((ip, port))).is_ok();
         if (first..first + count).all(free) {
             return first;
@@ -77,11 +91,17 @@
 impl Stage {
     /// A proxy that is ready, with a service of these servers.
     pub fn with(servers: Vec<Does>) -> Stage {
-        let ip = [127, 0, 0, 1];
         let seen = Seen::default();
         let addresses: Vec<SocketAddr> =
-            servers.into_iter().map(|does| serve(does, ip, seen.clone())).collect();
-        let items = items(&addresses);
+            servers.into_iter().map(|does| serve(does, machine(), seen.clone())).collect();
+        Stage::at(&addresses, seen)
+    }
+
+    /// A proxy that is ready, with a service of servers at these addresses.
+    pub fn at(addresses: &[SocketAddr], seen: Seen) -> Stage {
+        let ip = machine();
+        let items = items(addresses);
+        let starts = STARTS.lock().unwrap_or_else(|broken| broken.into_inner());
         let first = ports(ip, 5);
         let at = |n: u16| SocketAddrV4::new(ip.into(), first + n);
         let registry = TcpListener::bind(at(0)).expect("a free port");
@@ -95,9 +115,10 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let file = folder.join("settings.toml");
         let settings = format!(
-            "node = \"edge-1\"\nip = \"127.0.0.1\"\nzone = \"z\"\ninternal_ports = [{first},{}]\n\
-             seed_nodes = [\"127.0.0.1:1\"]\n[listen]\npublic_http = \"{}\"\nreadiness = \"{}\"\n\
+            "node = \"edge-1\"\nip = \"{0}\"\nzone = \"z\"\ninternal_ports = [{first},{1}]\n\
+             seed_nodes = [\"{0}:1\"]\n[listen]\npublic_http = \"{2}\"\nreadiness = \"{3}\"\n\
              [limits]\nmemory_mb = 128\n[bounds]\ngrace_period = \"1500ms\"\n",
+            at(0).ip(),
             first + 4,
             at(3),
             at(4)
@@ -108,6 +129,7 @@
             .arg(&file)
             .spawn()
             .expect("the program");
+        drop(starts);
         let stage = Stage { proxy, folder, public: at(3), readiness: at(4), internal: at(2), seen };
         stage.until(Stage::ready);
         stage
@@ -217,7 +239,8 @@
     String::from_utf8_lossy(&got).into_owned()
 }
 
-fn whole(got: &[u8]) -> bool {
+/// Whether that is a whole message with a length.
+pub fn whole(got: &[u8]) -> bool {
     let text = String::from_utf8_lossy(got).to_lowercase();
     let Some(end) = text.find("\r\n\r\n") else { return false };
     let length = text[..end].lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
@@ -244,14 +267,10 @@
 
 /// Plays a registry on one connection.
 fn tell(mut stream: TcpStream, items: &[Item]) {
-    let hello = Hello { node: "core-1".into(), ip: "127.0.0.1".into(), role: Role::Scout, life: 1 };
-    let standing = Standing {
-        scouts: vec!["127.0.0.1".into()],
-        voters: vec!["127.0.0.1".into()],
-        foragers: 1,
-        majority: true,
-        whole: true,
-    };
+    let ip = std::net::Ipv4Addr::from(machine()).to_string();
+    let hello = Hello { node: "core-1".into(), ip: ip.clone(), role: Role::Scout, life: 1 };
+    let standing =
+        Standing { scouts: vec![ip.clone()], voters: vec![ip], foragers: 1, majority: true, whole: true };
     let mut cells = pinerelay_cells::Cells::default();
     cells.merge_all(items.iter().filter(|item| item.key.kind.is_config()).cloned());
     let mut out = GREETING.to_vec();
