--- a/crates/smoker/src/check.rs
+++ b/crates/smoker/src/check.rs
@@ -1,4 +1,4 @@
-//! What must hold, checked while a play runs. The first breach ends it.
+//! What must hold, checked while a play runs. The first breach ends it; a quota's once it is known by how much.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -79,6 +79,15 @@
     /// The servers that each proxy uses.
     usable: BTreeMap<Proc, BTreeSet<String>>,
     runs: BTreeMap<String, VecDeque<Micros>>,
+    /// The tenants that are over their quota now: since when, and the most that was seen in a window.
+    over: BTreeMap<String, Overrun>,
+}
+
+/// A quota that is broken, until no window that reaches the present is over it.
+struct Overrun {
+    since: Micros,
+    most: usize,
+    bound: f64,
 }
 
 impl Ledger {
@@ -216,15 +225,31 @@
         }
         let Some(runs) = self.runs.get_mut(tenant) else { return };
         runs.push_back(now);
-        while runs.front().is_some_and(|at| at + 5 * SECOND <= now) {
-            runs.pop_front();
-        }
-        let (ran, bound) = (runs.len() as f64, (rate * 5.0 + burst) * 1.1 + 20.0);
-        if ran > bound {
-            self.broken(Invariant::Quota, format!("{tenant}: {ran} in five seconds, {bound:.0} allowed"));
+        trim(runs, now);
+        let bound = (rate * 5.0 + burst) * 1.1 + 20.0;
+        if runs.len() as f64 > bound {
+            let over = self.over.entry(tenant.into()).or_insert(Overrun { since: now, most: 0, bound });
+            over.most = over.most.max(runs.len());
         }
     }
 
+    /// Tells of the quotas that were broken and are not over any more, or at the play's end of all that are: by how much.
+    pub fn overrun(&mut self, now: Micros, end: bool) {
+        let runs = &mut self.runs;
+        let ended = self.over.iter().find(|(tenant, over)| {
+            let within = runs.get_mut(*tenant).is_none_or(|runs| {
+                trim(runs, now);
+                runs.len() as f64 <= over.bound
+            });
+            end || within
+        });
+        let told = ended.map(|(tenant, Overrun { since, most, bound })| {
+            let (since, for_s) = (*since as f64 / 1e6, (now - since) as f64 / 1e6);
+            format!("{tenant}: {most} in five seconds, {bound:.0} allowed, from {since:.3} s for {for_s:.3} s")
+        });
+        told.into_iter().for_each(|what| self.broken(Invariant::Quota, what));
+    }
+
     /// Looks at what is overdue. A proxy's trouble and the core's: when the last one ends or ended;
     /// `halted`: until when half of the core or more did not run.
     pub fn look(
@@ -262,6 +287,13 @@
     }
 }
 
+/// Leaves what ran in the window that ends now.
+fn trim(runs: &mut VecDeque<Micros>, now: Micros) {
+    while runs.front().is_some_and(|at| at + 5 * SECOND <= now) {
+        runs.pop_front();
+    }
+}
+
 fn has(cells: &Cells, what: &[(Key, u64)]) -> bool {
     what.iter().all(|(key, version)| cells.get(key).is_some_and(|item| item.version.0 >= *version))
 }
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -131,13 +131,16 @@
     let mut world = World::new(plan.clone());
     let end = plan.seconds * SECOND;
     while let Some(((at, _), event)) = world.queue.pop_first() {
-        if at > end {
-            break;
+        world.now = at.min(end);
+        if at <= end {
+            world.happens(event);
         }
-        world.now = at;
-        world.happens(event);
+        world.ledger.overrun(world.now, at > end);
         if let Some((invariant, what)) = world.ledger.breach.take() {
-            return Err(Breach { seed: plan.seed, at, invariant, what, trail: world.trail });
+            return Err(Breach { seed: plan.seed, at: world.now, invariant, what, trail: world.trail });
+        }
+        if at > end {
+            break;
         }
     }
     world.figures.usable[1] += if plan.faults { 0.0 } else { QUOTAS[0].1 * (plan.seconds as f64 - 10.0) };
