A burst and a share have one owner: what was kept back is no second burst

The bucket is cut at the burst less what missing proxies may have unspent, and takes back no more than they could keep. A new count keeps back all shares that the one before may have told, less those of who has asked, for as long as such a share lives: 60 s in place of 12 s and of one part for each missing proxy. A share counts from the first ask that failed, ends 59 s after the ask it was told with, and is not lived on if that was 19 s ago, since the count gives it to others after 20 s. A proxy that lives on its share tells every registry, not one alone, what it spends. What is kept back for a proxy that has gone ends after 60 s in the counts, too, and not only in the list of the missing.

Ruled out: registries that do not vote, two counts at once, answers that were held up.

Existing tests: the well's start with a new count says that nobody else holds shares where they meant that; the purse's play calls a count whole once all proxies have asked, as the registry does, and plays all seeds a second time with proxies cut off while counts begin anew, which it avoided.

--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -9,7 +9,7 @@
 use pinerelay_cells::server::{Server, State};
 use pinerelay_cells::Cells;
 use pinerelay_nectar::fence::{owner, slice};
-use pinerelay_nectar::purse::{Admission, Grant, Purse};
+use pinerelay_nectar::purse::{Admission, Ask, Grant, Purse};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
 use pinerelay_propolis::speech::{mend, Hello, Role, Speech, Standing};
@@ -274,15 +274,22 @@
         let mut by_peer: BTreeMap<Peer, Vec<_>> = BTreeMap::new();
         for ask in asks {
             let slice = slice(&ask.tenant);
+            // Another may have the duty than who it is asked of: what is spent of a share is told to all.
+            let living = ask.lives_on_share().then(|| Ask { want: 0.0, back: 0.0, ..ask.clone() });
             let astray = self.astray.get(&slice).copied().unwrap_or(0);
             // Who sees other registries alive than they see themselves finds the owner among the next.
             let names = rendezvous(&format!("duty-{slice}"), alive.keys());
             debug_assert!(names.first().copied() == owner(slice, alive.keys()));
-            match names.get(astray % names.len().max(1)) {
-                Some(name) => by_peer.entry(alive[*name]).or_default().push(ask),
+            let peer = names.get(astray % names.len().max(1)).map(|name| alive[*name]);
+            for other in self.registries.keys().filter(|other| Some(**other) != peer) {
+                by_peer.entry(*other).or_default().extend(living.clone());
+            }
+            match peer {
+                Some(peer) => by_peer.entry(peer).or_default().push(ask),
                 None => self.purse.unasked(now, &ask.tenant),
             }
         }
+        by_peer.retain(|_, asks| !asks.is_empty());
         for (peer, asks) in by_peer {
             if let Some(registry) = self.registries.get_mut(&peer) {
                 registry.draws.push_back(now);
--- a/crates/forager/tests/hearing.rs
+++ b/crates/forager/tests/hearing.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use pinerelay_forager::hearing::{Hearing, Output};
-use pinerelay_propolis::speech::{Hello, Role, Speech};
+use pinerelay_nectar::purse::Grant;
+use pinerelay_nectar::terms::Quota;
+use pinerelay_propolis::speech::{Hello, Role, Speech, Standing};
 
 fn hello(role: Role) -> Hello {
     Hello { node: "n".into(), ip: "127.0.0.9".into(), role, life: 1 }
@@ -23,3 +25,37 @@
     hearing.said(6_000_000, 3, Speech::Digest(own), &mut out);
     expect_that!(hearing.behind(6_500_000), eq(500_000));
 }
+
+#[gtest]
+fn one_that_lives_on_its_share_tells_every_registry_what_it_spends() {
+    let mut hearing = Hearing::new(0, hello(Role::Forager), Vec::new());
+    let mut out = Vec::new();
+    for peer in 1..3 {
+        let ip = format!("127.0.0.{peer}");
+        hearing.said(1, peer, Speech::Hello(Hello { ip, ..hello(Role::Scout) }), &mut out);
+        let (scouts, voters) = (Vec::new(), Vec::new());
+        let standing = Standing { scouts, voters, foragers: 1, majority: true, whole: false };
+        hearing.said(1, peer, Speech::Standing(standing), &mut out);
+    }
+    let asks = |hearing: &mut Hearing, now| {
+        hearing.purse.arrive(now, "t", Quota { rate: 100.0, burst: 100.0 }, now);
+        let mut out = Vec::new();
+        hearing.tick(now, &mut out);
+        let asks = out.into_iter().filter_map(|output| match output {
+            Output::Say(peer, Speech::Draw(asks)) => Some((peer, asks[0].want, asks[0].spent)),
+            _ => None,
+        });
+        asks.collect::<Vec<_>>()
+    };
+    let first = asks(&mut hearing, 10_000);
+    let [(count, ..)] = first[..] else { panic!("one is asked") };
+    let grant = Grant::Block { units: 1.0, life: 100_000, fence: 1, share: 0.5 };
+    hearing.said(20_000, count, Speech::Drawn(vec![("t".into(), grant)]), &mut Vec::new());
+    // No answer comes any more: by and by it spends of its share, and both hear of that; one is asked.
+    let told: Vec<_> = (30_000..900_000).step_by(10_000).flat_map(|now| asks(&mut hearing, now)).collect();
+    for peer in 1..3 {
+        let spent = told.iter().filter(|ask| ask.0 == peer).map(|ask| ask.2).fold(0.0, f64::max);
+        expect_that!(spent, gt(10.0), "told to {peer}");
+    }
+    expect_that!(told.iter().filter(|ask| ask.0 != count).all(|ask| ask.1 == 0.0), eq(true));
+}
--- a/crates/nectar/src/purse.rs
+++ b/crates/nectar/src/purse.rs
@@ -7,7 +7,7 @@
 use mountbend::schedule::Schedule;
 
 use crate::terms::Quota;
-use crate::well::Call;
+use crate::well::{keeps, Call, FORGET, SHARE_LIFE};
 use crate::Micros;
 
 /// What clients ask here is smoothed over this.
@@ -22,9 +22,13 @@
 const PATIENCE: Micros = 300_000;
 /// After it was told that there is nothing, a proxy asks again no sooner.
 const DRY: Micros = 25_000;
-/// With no word from a tenant's count for so long, though it asks, a proxy lives on the share that it was told last. The
-/// count takes that out of the rate from when it last heard the proxy, which is no later.
+/// With no word from a tenant's count for so long, though it asks, a proxy lives on the share that it was told last, from
+/// when it asked first. The count takes that out of the rate from when it last heard the proxy, which is no later, or the
+/// proxy tells it of what is left.
 const FAILING: Micros = 250_000;
+/// It does not live on a share that the count may have given to others by now. Clocks differ in pace.
+const STALE: Micros = FORGET - 1_000_000;
+const DEAD: Micros = SHARE_LIFE - 1_000_000;
 /// Units that would die unspent within this are handed back.
 const HAND_BACK: Micros = 60_000;
 
@@ -56,15 +60,22 @@
     pub spent: f64,
     /// Since asks have failed.
     pub lately: f64,
+    /// What is left of it now.
+    pub left: f64,
     /// The fence.
     pub fence: u64,
 }
 
 impl Ask {
+    /// Whether the proxy lives on its share by now.
+    pub fn lives_on_share(&self) -> bool {
+        self.left > 0.0 || self.lately > 0.0
+    }
+
     /// As the count takes it.
     pub fn call(&self) -> Call {
-        let Ask { want, back, holds, spent, lately, .. } = *self;
-        Call { want, back, holds, spent, lately }
+        let Ask { want, back, holds, spent, lately, left, .. } = *self;
+        Call { want, back, holds, spent, lately, left }
     }
 }
 
@@ -112,7 +123,7 @@
     arrivals: Rate,
     drawn: Rate,
     schedule: Schedule,
-    /// The part of the rate that it may live on, and when it was told.
+    /// The part of the rate that it may live on, and when what it was told with was asked.
     share: f64,
     told: Micros,
     /// Since when asks have failed.
@@ -145,16 +156,23 @@
         true
     }
 
+    /// What there is of the share by now, if asks have failed for long enough and it still holds.
+    fn left(&mut self, now: Micros) -> f64 {
+        let Some(since) = self.failing.filter(|since| now >= since + FAILING) else { return 0.0 };
+        if since >= self.told + STALE || now >= self.told + DEAD {
+            return 0.0;
+        }
+        let living = self.living.get_or_insert(Bucket { store: 0.0, at: since });
+        living.refill(now, self.quota.rate * self.share, keeps(self.quota, self.share));
+        living.store
+    }
+
     /// Spends of the share, if asks have failed for long enough.
     fn live_on(&mut self, now: Micros) -> bool {
-        if self.failing.is_none_or(|since| now < since + FAILING) {
-            return false;
-        }
-        let living = self.living.get_or_insert(Bucket { store: 0.0, at: self.told });
-        living.refill(now, self.quota.rate * self.share, (self.quota.burst * self.share).max(1.0));
-        if living.store < 1.0 {
+        if self.left(now) < 1.0 {
             return false;
         }
+        let Some(living) = &mut self.living else { return false };
         living.store -= 1.0;
         self.spent += 1.0;
         self.lately += 1.0;
@@ -162,11 +180,10 @@
         true
     }
 
-    /// The share counts from now, however old the answer is: the count has heard this proxy since it was asked, and takes
-    /// out of the rate what is spent after that alone.
-    fn heard(&mut self, now: Micros, share: f64) {
+    /// A share counts from when it was asked for: by then the count had not given it to others.
+    fn heard(&mut self, asked: Micros, share: f64) {
         (self.failing, self.living, self.lately) = (None, None, 0.0);
-        (self.share, self.told) = (share, now);
+        (self.share, self.told) = (share, asked);
     }
 
     /// How many units it should hold.
@@ -280,7 +297,7 @@
             if want >= 1.0 {
                 pouch.asked = Some(now);
             }
-            let back = std::mem::take(&mut pouch.back);
+            let (back, left) = (std::mem::take(&mut pouch.back), pouch.left(now));
             asks.push(Ask {
                 tenant: tenant.clone(),
                 want: want.max(0.0),
@@ -289,6 +306,7 @@
                 holds: pouch.share,
                 spent: pouch.spent,
                 lately: pouch.lately,
+                left,
             });
         }
         asks
@@ -320,11 +338,11 @@
                 if pouch.fence != fence {
                     (pouch.fence, pouch.back) = (fence, 0.0);
                 }
-                pouch.heard(now, share);
+                pouch.heard(asked, share);
             }
             Grant::Dry { wait, share } => {
                 pouch.dry = now + wait.max(DRY);
-                pouch.heard(now, share);
+                pouch.heard(asked, share);
             }
             Grant::Elsewhere => {
                 pouch.rest = now + DRY;
@@ -410,10 +428,20 @@
 
     const QUOTA: Quota = Quota { rate: 94.0, burst: 94.0 };
 
+    #[derive(Debug, Clone, Copy, PartialEq)]
+    enum Troubles {
+        None,
+        /// While a count is new nobody is cut off.
+        Alone,
+        /// Whatever comes.
+        Many,
+    }
+
     /// Proxies that lease from one count, over a way that takes some milliseconds; some are cut off for a while, freeze,
     /// or die with what they hold; the count's process ends at times, and a new one knows nothing. Tells what ran, when,
     /// and how many were asked for.
-    fn play(seed: u64, nodes: usize, asked_per_s: f64, troubles: bool) -> (Vec<Micros>, u64) {
+    fn play(seed: u64, nodes: usize, asked_per_s: f64, troubles: Troubles) -> (Vec<Micros>, u64) {
+        let some = troubles != Troubles::None;
         let bounds = Bounds::default();
         let mut random = seed;
         let mut dice = |most: f64| lot(&mut random) * most;
@@ -430,28 +458,36 @@
         type Way = Vec<(Micros, usize, Micros, Grant)>;
         let (mut way, mut runs, mut arrivals): (Way, Vec<Micros>, u64) = Default::default();
         for now in (3_000_000..33_000_000_u64).step_by(1_000) {
-            // One trouble at a time: a new count does not know who is cut off.
-            if troubles && now > down + 6_000_000 && dice(1.0) < 0.0005 {
+            // One trouble at a time: who is cut off holds shares that this count has told.
+            let calm = troubles == Troubles::Many || now > down + 6_000_000;
+            if some && calm && dice(1.0) < 0.0005 {
                 cut[dice(nodes as f64) as usize] = now + dice(8e6) as Micros;
             }
-            if troubles && dice(1.0) < 0.0005 {
+            if some && dice(1.0) < 0.0005 {
                 frozen[dice(nodes as f64) as usize] = now + dice(2e6) as Micros;
             }
-            if troubles && dice(1.0) < 0.0003 {
+            if some && dice(1.0) < 0.0003 {
                 deaf[dice(nodes as f64) as usize] = now + dice(4e6) as Micros;
             }
-            if troubles && dice(1.0) < 0.0003 {
+            if some && dice(1.0) < 0.0003 {
                 let node = dice(nodes as f64) as usize;
                 purses[node] = Purse::new();
                 purses[node].shared_by(nodes);
                 well.ended(now, &name[node]);
             }
-            if troubles && dice(1.0) < 0.0001 && cut.iter().all(|until| now > *until) {
+            if some
+                && (troubles == Troubles::Many || cut.iter().all(|until| now > *until))
+                && dice(1.0) < 0.0001
+            {
                 down = now + dice(3e6) as Micros;
                 fence += 1;
                 well = Well::new(down, QUOTA);
-                heard.fill(down);
             }
+            if name.iter().all(|node| well.knows(node)) {
+                well.knows_all();
+            }
+            let silent = |node: usize| now > heard[node] + 650_000;
+            let strangers = (0..nodes).any(|node| silent(node) && !well.knows(&name[node]));
             let due: Way = way.iter().filter(|w| w.0 <= now).cloned().collect();
             way.retain(|w| w.0 > now);
             let mut ended = Vec::new();
@@ -483,7 +519,7 @@
                     if linked {
                         heard[node] = now;
                         let back = if ask.fence == fence { ask.back } else { 0.0 };
-                        let drawn = well.draw(now, &name[node], 0.0, &Call { back, ..ask.call() });
+                        let drawn = well.draw(now, &name[node], strangers, &Call { back, ..ask.call() });
                         let share = drawn.share;
                         let grant = match drawn.units {
                             Ok(units) => Grant::Block { units, life: bounds.life(QUOTA), fence, share },
@@ -516,8 +552,10 @@
     fn whatever_is_cut_off_frozen_or_dies_the_quota_holds_in_every_window() {
         let bound = (QUOTA.rate * 5.0 + QUOTA.burst) * 1.1 + 20.0;
         for seed in 0..12 {
-            let (runs, _) = play(seed, 11, 500.0, true);
-            expect_that!(most_in_a_window(&runs) as f64, le(bound), "seed {seed}");
+            for troubles in [Troubles::Alone, Troubles::Many] {
+                let (runs, _) = play(seed, 11, 500.0, troubles);
+                expect_that!(most_in_a_window(&runs) as f64, le(bound), "seed {seed}, {troubles:?}");
+            }
         }
     }
 
@@ -542,16 +580,16 @@
 
     #[gtest]
     fn a_quota_that_all_ask_for_is_used_and_one_that_few_ask_for_refuses_nobody() {
-        let (runs, _) = play(1, 11, 500.0, false);
+        let (runs, _) = play(1, 11, 500.0, Troubles::None);
         let rate = runs.len() as f64 / 30.0;
         expect_that!(rate, gt(0.93 * QUOTA.rate));
         // The count's process ends now and then, and proxies are cut off.
-        let (runs, arrivals) = play(5, 11, 60.0, true);
+        let (runs, arrivals) = play(5, 11, 60.0, Troubles::Alone);
         expect_that!(runs.len() as f64, gt(0.93 * arrivals as f64));
-        let (runs, arrivals) = play(2, 11, 60.0, false);
+        let (runs, arrivals) = play(2, 11, 60.0, Troubles::None);
         expect_that!(runs.len() as f64, gt(0.985 * arrivals as f64));
         // Thin: a unit every other second at each of many nodes.
-        let (runs, arrivals) = play(3, 85, 60.0, false);
+        let (runs, arrivals) = play(3, 85, 60.0, Troubles::None);
         expect_that!(runs.len() as f64, gt(0.97 * arrivals as f64));
     }
 
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -12,7 +12,7 @@
 use pinerelay_cells::{Cells, Item, Key, Kind};
 use pinerelay_nectar::fence::{Fence, SLICES};
 use pinerelay_nectar::terms::Bounds;
-use pinerelay_nectar::well::Well;
+use pinerelay_nectar::well::{Well, SHARE_LIFE};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
 use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech, Standing};
@@ -26,7 +26,7 @@
 const PATIENCE: Micros = 950_000;
 /// A proxy that says nothing for so long counts as cut off, and for so long at the most.
 const QUIET: Micros = 650_000;
-const MISSED: Micros = 60_000_000;
+const MISSED: Micros = SHARE_LIFE;
 /// A registry whose machine's store has not been there for so long goes to another.
 const OWN_STORE: Micros = 1_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
@@ -484,7 +484,7 @@
         self.duties(now, out);
         self.quiet(now);
         self.overdue(now, out);
-        self.missing.retain(|_, since| now < *since + MISSED);
+        self.forget(now);
         let late: Vec<u64> =
             self.passed.iter().filter(|(_, (_, at))| now >= *at + PATIENCE).map(|(&n, _)| n).collect();
         for number in late {
@@ -504,6 +504,7 @@
         self.realms[1].forget_if(|item| Server::past(item, wall));
         self.held.retain(|id| self.realms[1].get(&Key::new(Kind::Server, id.as_str())).is_some());
         self.place(out);
+        self.all_known(now);
         let heard = self.heard_here(now);
         out.push(Output::SayAll(scouts.into_values().collect(), Speech::Beats(heard)));
         out.push(Output::SayAll(self.own_store().into_iter().collect(), Speech::Digest(self.digests())));
--- a/crates/scout/src/registry/counts.rs
+++ b/crates/scout/src/registry/counts.rs
@@ -8,12 +8,9 @@
 use pinerelay_nectar::terms::Quota;
 use pinerelay_nectar::well::{Call, Well};
 use pinerelay_nectar::Micros;
-use pinerelay_propolis::speech::Speech;
+use pinerelay_propolis::speech::{Role, Speech};
 
-use super::{Output, Registry, QUIET};
-
-/// A count is young for so long after the duty was gained: cut-off proxies may live on shares told by who had it before.
-const YOUNG: Micros = 12_000_000;
+use super::{Output, Registry, MISSED, QUIET};
 
 /// News that was told before a duty was gained has come by so much later. At the system's first start nobody can have had a
 /// duty and lost it within the time of a promise.
@@ -101,6 +98,13 @@
         }
     }
 
+    /// Proxies that have been silent for as long as they may live on a share: what is kept back for them is free.
+    pub(super) fn forget(&mut self, now: Micros) {
+        let gone = self.missing.iter().filter(|(_, since)| now >= **since + MISSED);
+        let gone: Vec<String> = gone.map(|(node, _)| node.clone()).collect();
+        gone.iter().for_each(|node| self.over(now, node));
+    }
+
     /// A proxy is heard.
     pub(super) fn loud(&mut self, now: Micros, node: &str) {
         if self.missing.remove(node).is_some() {
@@ -121,17 +125,28 @@
         self.wells.values_mut().for_each(|well| well.ended(now, node));
     }
 
-    /// The part of a rate that is kept back for cut-off proxies that a new count has never heard of: who had the duty before
-    /// may have told them a share.
-    fn reserved(&self, now: Micros, slice: usize, tenant: &str) -> f64 {
-        let young = self.gained.get(&slice).is_some_and(|(_, since)| now < *since + YOUNG);
-        if !young {
-            return 0.0;
-        }
-        let unknown =
-            self.missing.keys().filter(|node| self.wells.get(tenant).is_none_or(|well| !well.knows(node)));
+    /// Whether proxies are cut off that a tenant's count has never heard of: who had the duty before may have told them a
+    /// share.
+    fn strangers(&self, tenant: &str) -> bool {
+        let known = |node: &String| self.wells.get(tenant).is_some_and(|well| well.knows(node));
         let elsewhere = self.foragers().saturating_sub(self.linked() + self.missing.len());
-        (unknown.count() + elsewhere) as f64 / self.foragers().max(1) as f64
+        // Before its machine's store has told what it had kept, a registry does not know who was cut off when it began.
+        self.kept.is_none() || elsewhere > 0 || self.missing.keys().any(|node| !known(node))
+    }
+
+    /// Counts that have heard of every proxy since they began keep back nothing for others.
+    pub(super) fn all_known(&mut self, now: Micros) {
+        let foragers = self.peers.values().filter(|hello| hello.role == Role::Forager);
+        let nodes: BTreeSet<&String> = foragers.map(|hello| &hello.node).chain(self.missing.keys()).collect();
+        if self.kept.is_none() || nodes.len() < self.foragers() {
+            return;
+        }
+        for well in self.wells.values_mut() {
+            let some = well.keeps_back(now).is_some_and(|known| known >= nodes.len());
+            if some && nodes.iter().all(|node| well.knows(node)) {
+                well.knows_all();
+            }
+        }
     }
 
     pub(super) fn draw(&mut self, now: Micros, node: &str, asks: Vec<Ask>) -> Vec<(String, Grant)> {
@@ -145,11 +160,11 @@
             let grant = match tenant {
                 Some(tenant) if slice < SLICES && self.fence.holds(now, slice) => {
                     let quota = quota(&tenant);
-                    let reserved = self.reserved(now, slice, &ask.tenant);
+                    let strangers = self.strangers(&ask.tenant);
                     let well = self.wells.entry(ask.tenant.clone()).or_insert_with(|| Well::new(now, quota));
                     let (fence, _) = self.gained.get(&slice).copied().unwrap_or_default();
                     let back = if ask.fence == fence { ask.back } else { 0.0 };
-                    let drawn = well.draw(now, node, reserved, &Call { back, ..ask.call() });
+                    let drawn = well.draw(now, node, strangers, &Call { back, ..ask.call() });
                     let share = drawn.share;
                     match drawn.units {
                         Ok(units) => {
