--- /dev/null
+++ b/crates/cells/examples/catch_up.rs
@@ -0,0 +1,92 @@
+//! What it costs to catch up and to judge, in bytes and microseconds, at the target's size and at a small one.
+//!
+//! `cargo run --release -p pinerelay-cells --example catch_up`
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use pinerelay_cells::routes::Table;
+use pinerelay_cells::{judge, Cells, Item, Key, Kind};
+
+fn route(n: usize, revision: u64) -> Item {
+    let text = format!(
+        r#"{{"host":"h{}.example","name":"route-{n}","path_prefix":"/p{n}/","priority":1,"retries":2,"revision":{revision},
+        "route_type":"safe","service":"service-{}","target":"400ms","timeout":"2500ms"}}"#,
+        n % 97,
+        n % 100
+    );
+    Item::sourced(Key::new(Kind::Route, format!("route-{n}")), revision, Some(text.into_bytes()))
+}
+
+fn tenant(n: usize, revision: u64) -> Item {
+    let text = format!(
+        r#"{{"api_keys":["key-{n}-{:016x}"],"burst":40,"name":"tenant-{n}","rate":20,"revision":{revision}}}"#,
+        n * 7_919
+    );
+    Item::sourced(Key::new(Kind::Tenant, format!("tenant-{n}")), revision, Some(text.into_bytes()))
+}
+
+fn service(n: usize) -> Item {
+    let text = format!(r#"{{"name":"service-{n}","revision":1}}"#);
+    Item::sourced(Key::new(Kind::Service, format!("service-{n}")), 1, Some(text.into_bytes()))
+}
+
+/// So many tenants and routes, and 100 services.
+fn copy(tenants: usize, routes: usize) -> Cells {
+    let mut cells = Cells::default();
+    cells.merge_all((0..100).map(service));
+    cells.merge_all((0..routes).map(|n| route(n, 1)));
+    cells.merge_all((0..tenants).map(|n| tenant(n, 1)));
+    cells
+}
+
+fn bytes<T: bincode::Encode>(value: &T) -> usize {
+    bincode::encode_to_vec(value, bincode::config::standard()).expect("bytes").len()
+}
+
+fn timed<T>(what: &str, times: u32, mut act: impl FnMut() -> T) {
+    let begun = Instant::now();
+    (0..times).for_each(|_| drop(black_box(act())));
+    println!("{what}: {:.1} us", begun.elapsed().as_secs_f64() * 1e6 / f64::from(times));
+}
+
+/// The old one mends itself by the new one's word: a digest that differs, and all that follows.
+fn mend(old: &Cells, new: &Cells, what: &str) {
+    let mut old = old.clone();
+    let begun = Instant::now();
+    let lines = old.summary();
+    let (news, _) = new.beside(&lines);
+    let (news_bytes, most) = (bytes(&news), bytes(&news).max(bytes(&lines)));
+    let all = bytes(&lines) + news_bytes;
+    old.merge_all(news);
+    assert_eq!(old.digest(), new.digest());
+    let micros = begun.elapsed().as_micros();
+    println!("{what}: {all} bytes, {news_bytes} of them items, the longest message {most}, 2 messages, {micros} us");
+}
+
+fn main() {
+    for (tenants, routes) in [(38_000, 3_900), (0, 0)] {
+        let new = copy(tenants, routes);
+        println!("{} items", new.len());
+        let all = tenants.max(100);
+        let changed = |count: usize| {
+            let mut next = new.clone();
+            next.merge_all((0..count).map(|n| tenant(n * all / count, 2)));
+            next
+        };
+        mend(&new, &changed(1), "one change");
+        mend(&new, &changed(100), "100 changes");
+        mend(&new, &changed(500), "500 changes");
+        mend(&Cells::default(), &new, "from nothing");
+        let mut cells = new.clone();
+        let mut revision = 10;
+        timed("merge of one changed tenant", 1_000, || {
+            revision += 1;
+            cells.merge(tenant(all / 2, revision))
+        });
+        timed("clone", 10, || cells.clone());
+        let call = [tenant(7, 1_000_000)];
+        timed("judge::taken of one changed tenant", 10, || judge::taken(&cells, &call).expect("fits"));
+        timed("Table::of", 10, || Table::of(&cells));
+    }
+}
