Copies that differ find it by a Merkle tree over ranges of keys, in pieces

A digest was one number over everything: where two differed, each side listed a line for every item and got all news in one message. Cells now keeps a tree of digests by ranges of the keys' numbers: 16 branches, leaves of 16 items at most, one path to a change. Word::Mend and Speech::Mend, in place of Summary, say the digests of a range's branches, the lines of a small range, or which items are wanted; each is answered by itself. An answer ends after 64 KiB and tells of the rest by digests, so that one piece is on its way and heartbeats are in time; what would be a longer push is a digest. An answer that brings nothing new is not gone on with, so that two talks about the same become one.

Weighed and left: versions by node (operators' nodes come and go), positions in a log (there is none), Bloom filters (bytes by all items, and false positives need a second way).

Tests and checks changed: the simulator's defect News now leaves the items of Mend out, too, as it did where they came as News; the loopback stand-in for a registry answers Mend in place of Summary, checked as strictly.

--- a/crates/cells/examples/catch_up.rs
+++ b/crates/cells/examples/catch_up.rs
@@ -52,16 +52,25 @@
 
 /// The old one mends itself by the new one's word: a digest that differs, and all that follows.
 fn mend(old: &Cells, new: &Cells, what: &str) {
-    let mut old = old.clone();
+    let (mut old, mut new) = (old.clone(), new.clone());
     let begun = Instant::now();
-    let lines = old.summary();
-    let (news, _) = new.beside(&lines);
-    let (news_bytes, most) = (bytes(&news), bytes(&news).max(bytes(&lines)));
-    let all = bytes(&lines) + news_bytes;
-    old.merge_all(news);
+    let (mut all, mut items, mut most, mut messages) = (bytes(&new.digest()), 0, 0, 1);
+    let (mut from, mut to) = (&mut old, &mut new);
+    let mut said = (Vec::new(), from.compare());
+    while !(said.0.is_empty() && said.1.is_empty()) {
+        let size = [bytes(&said.0), bytes(&said.1)];
+        all += size[0] + size[1];
+        items += size[0];
+        most = most.max(size[0] + size[1]);
+        messages += 1;
+        to.merge_all(said.0);
+        let answer = to.answer(&said.1);
+        said = (answer.items, answer.parts);
+        std::mem::swap(&mut from, &mut to);
+    }
     assert_eq!(old.digest(), new.digest());
     let micros = begun.elapsed().as_micros();
-    println!("{what}: {all} bytes, {news_bytes} of them items, the longest message {most}, 2 messages, {micros} us");
+    println!("{what}: {all} bytes, {items} of them items, the longest message {most}, {messages} messages, {micros} us");
 }
 
 fn main() {
--- a/crates/cells/src/item.rs
+++ b/crates/cells/src/item.rs
@@ -1,10 +1,15 @@
 //! Items, each with its own version, and copies of them that merge one by one.
 
-use std::collections::BTreeMap;
+use std::borrow::Borrow;
+use std::cmp::Ordering;
+use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
 
 use bincode::{Decode, Encode};
 
 use crate::hash;
+use crate::merkle::Tree;
 
 /// What an item is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
@@ -48,7 +53,7 @@
         Key { kind, name: name.into() }
     }
 
-    /// A number that stands for it in summaries.
+    /// A number that stands for it in lines, and its place in the tree of digests.
     pub fn number(&self) -> u64 {
         hash::of(&[&[self.kind as u8], self.name.as_bytes()])
     }
@@ -77,30 +82,77 @@
         Item { key, version: Version(revision, tie), value }
     }
 
-    fn mark(&self) -> u64 {
-        mark(self.key.number(), self.version)
+    /// What it adds to the digests of the ranges that it is in.
+    pub(crate) fn mark(&self) -> u64 {
+        let Version(number, tie) = self.version;
+        hash::mix(self.key.number() ^ hash::mix(number ^ hash::mix(tie)))
     }
 }
 
-fn mark(number: u64, version: Version) -> u64 {
-    hash::mix(number ^ hash::mix(version.0 ^ hash::mix(version.1)))
+/// What tells of an item: its key's number and its version.
+pub type Line = (u64, Version);
+
+/// An item in the order of its key.
+#[derive(Debug, Clone)]
+struct ByKey(Arc<Item>);
+
+impl Borrow<Key> for ByKey {
+    fn borrow(&self) -> &Key {
+        &self.0.key
+    }
 }
 
-/// A line of a summary: an item's number and its version.
-pub type Line = (u64, Version);
+impl PartialEq for ByKey {
+    fn eq(&self, other: &ByKey) -> bool {
+        self.0.key == other.0.key
+    }
+}
+
+impl Eq for ByKey {}
+
+impl PartialOrd for ByKey {
+    fn partial_cmp(&self, other: &ByKey) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ByKey {
+    fn cmp(&self, other: &ByKey) -> Ordering {
+        self.0.key.cmp(&other.0.key)
+    }
+}
 
 /// A copy of the items.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Default)]
 pub struct Cells {
-    items: BTreeMap<Key, Item>,
-    /// The sum of all items' marks: equal copies have equal sums, whatever the order in which items came.
-    digest: u64,
+    items: BTreeSet<ByKey>,
+    /// The same items, by ranges of their keys' numbers. Equal copies have equal trees, whatever the order in which items
+    /// came.
+    tree: Tree,
+}
+
+impl PartialEq for Cells {
+    fn eq(&self, other: &Cells) -> bool {
+        self.digest() == other.digest() && self.all().eq(other.all())
+    }
+}
+
+impl Eq for Cells {}
+
+impl Hash for Cells {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.all().for_each(|item| item.hash(state));
+    }
 }
 
 impl Cells {
     /// What stands for all of it: copies with the same items have the same digest.
     pub fn digest(&self) -> u64 {
-        self.digest
+        self.tree.digest()
+    }
+
+    pub(crate) fn tree(&self) -> &Tree {
+        &self.tree
     }
 
     /// How many items there are, dropped ones too.
@@ -115,29 +167,29 @@
 
     /// An item, dropped or not.
     pub fn get(&self, key: &Key) -> Option<&Item> {
-        self.items.get(key)
+        self.items.get(key).map(|item| &*item.0)
     }
 
     /// All items, dropped ones too, in the order of their keys.
     pub fn all(&self) -> impl Iterator<Item = &Item> {
-        self.items.values()
+        self.items.iter().map(|item| &*item.0)
     }
 
     /// The items of a kind that stand: their names and what they hold.
     pub fn standing(&self, kind: Kind) -> impl Iterator<Item = (&str, &[u8])> {
-        let of_kind = self.items.range(Key::new(kind, "")..).take_while(move |(key, _)| key.kind == kind);
-        of_kind.filter_map(|(key, item)| Some((key.name.as_str(), item.value.as_deref()?)))
+        let of_kind = self.items.range(Key::new(kind, "")..).map(|item| &*item.0);
+        let of_kind = of_kind.take_while(move |item| item.key.kind == kind);
+        of_kind.filter_map(|item| Some((item.key.name.as_str(), item.value.as_deref()?)))
     }
 
     /// Takes an item that is newer than what is here; tells whether it was.
     pub fn merge(&mut self, item: Item) -> bool {
-        match self.items.get(&item.key) {
-            Some(old) if old.version >= item.version => return false,
-            Some(old) => self.digest = self.digest.wrapping_sub(old.mark()),
-            None => {}
+        if self.get(&item.key).is_some_and(|old| old.version >= item.version) {
+            return false;
         }
-        self.digest = self.digest.wrapping_add(item.mark());
-        self.items.insert(item.key.clone(), item);
+        let item = Arc::new(item);
+        self.tree.put(item.clone());
+        self.items.replace(ByKey(item));
         true
     }
 
@@ -148,44 +200,16 @@
 
     /// Forgets an item, as if it had never been here.
     pub fn forget(&mut self, key: &Key) {
-        if let Some(item) = self.items.remove(key) {
-            self.digest = self.digest.wrapping_sub(item.mark());
+        if let Some(item) = self.items.take(key) {
+            self.tree.remove(&item.0);
         }
     }
 
     /// Forgets all that this says so of.
     pub fn forget_if(&mut self, is: impl Fn(&Item) -> bool) {
-        let keys: Vec<Key> =
-            self.items.values().filter(|item| is(item)).map(|item| item.key.clone()).collect();
+        let keys: Vec<Key> = self.all().filter(|item| is(item)).map(|item| item.key.clone()).collect();
         keys.iter().for_each(|key| self.forget(key));
     }
-
-    /// What there is here, in short.
-    pub fn summary(&self) -> Vec<Line> {
-        self.items.values().map(|item| (item.key.number(), item.version)).collect()
-    }
-
-    /// Beside another's summary: the items that are newer here or unknown there, and whether it has any that is newer
-    /// there or unknown here.
-    pub fn beside(&self, theirs: &[Line]) -> (Vec<Item>, bool) {
-        let theirs: BTreeMap<u64, Version> = theirs.iter().copied().collect();
-        let mut known = 0;
-        let mut behind = false;
-        let mut newer = Vec::new();
-        for item in self.items.values() {
-            match theirs.get(&item.key.number()) {
-                Some(&there) => {
-                    known += 1;
-                    behind |= there > item.version;
-                    if there < item.version {
-                        newer.push(item.clone());
-                    }
-                }
-                None => newer.push(item.clone()),
-            }
-        }
-        (newer, behind || known < theirs.len())
-    }
 }
 
 #[cfg(test)]
@@ -220,13 +244,14 @@
             let second = copy(&again);
             prop_assert_eq!(first.digest(), second.digest());
             prop_assert!(first.all().eq(second.all()));
-            // A digest that differs is mended by a summary each way, and nothing that is newer is lost.
+            // A digest that differs is mended by words each way, and nothing that is newer is lost.
             let (mut left, mut right) = (first, copy(&other));
-            let (news, behind) = left.beside(&right.summary());
-            right.merge_all(news);
-            if behind {
-                let (news, _) = right.beside(&left.summary());
-                left.merge_all(news);
+            let mut parts = if left.digest() == right.digest() { Vec::new() } else { left.compare() };
+            while !parts.is_empty() {
+                let answer = right.answer(&parts);
+                left.merge_all(answer.items);
+                parts = answer.parts;
+                std::mem::swap(&mut left, &mut right);
             }
             prop_assert_eq!(left.digest(), right.digest());
             prop_assert!(left.all().eq(right.all()));
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod hash;
 pub mod item;
 pub mod judge;
+pub mod merkle;
 pub mod routes;
 pub mod server;
 pub mod span;
--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -228,21 +228,16 @@
                 let key = Key::new(Kind::Node, PROXIES);
                 self.unkept.push(Item::sourced(key, self.proxies.0, Some(text)));
             }
-            Speech::Summary { realm, lines, answer } if hello.role == Role::Scout => {
-                let cells = if realm == 0 { self.store.cells() } else { &self.hive };
+            Speech::Mend { realm, items, parts } if hello.role == Role::Scout => {
+                let ip = hello.ip.clone();
                 // What a registry has settled items of, this store may have missed.
-                out.extend(mend(cells, realm, &lines, answer).map(|speech| Output::Say(peer, speech)));
+                let goes_on = items.is_empty() || self.merge(now, &ip, items, out);
+                let cells = if realm == 0 { self.store.cells() } else { &self.hive };
+                out.extend(mend(cells, realm, &parts).filter(|_| goes_on).map(|s| Output::Say(peer, s)));
             }
             Speech::News(items) if hello.role == Role::Scout => {
-                let from = hello.ip.clone();
-                let (items, others): (Vec<_>, Vec<_>) =
-                    items.into_iter().partition(|item| item.key.kind.is_config());
-                let wall = self.wall_at(now);
-                let others = others.into_iter().filter(|item| !Server::past(item, wall));
-                self.unkept.extend(self.hive.merge_all(others));
-                if !items.is_empty() {
-                    self.give(now, Input::Heard(from, pinerelay_dance::Word::News(items)), out);
-                }
+                let ip = hello.ip.clone();
+                self.merge(now, &ip, items, out);
             }
             Speech::Pass(number, passed) if hello.role == Role::Scout => {
                 let mut answer = |status, why: &str| {
@@ -265,6 +260,21 @@
         }
     }
 
+    /// Takes what a registry has, and tells whether any of it is news.
+    fn merge(&mut self, now: Micros, from: &str, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
+        let (items, others): (Vec<_>, Vec<_>) = items.into_iter().partition(|item| item.key.kind.is_config());
+        let wall = self.wall_at(now);
+        let others = others.into_iter().filter(|item| !Server::past(item, wall));
+        let others = self.hive.merge_all(others);
+        let before = self.store.cells().digest();
+        if !items.is_empty() {
+            self.give(now, Input::Heard(from.into(), pinerelay_dance::Word::News(items)), out);
+        }
+        let news = !others.is_empty() || self.store.cells().digest() != before;
+        self.unkept.extend(others);
+        news
+    }
+
     fn give(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         let mut wants = Vec::new();
         self.store.on(now, input, &mut wants);
@@ -296,6 +306,11 @@
                     };
                     out.push(Output::Say(peer, Speech::Answer(number, Answered { status, body })));
                 }
+                // More would hold up what is said behind it: the registries ask for it in pieces.
+                Wants::News(items) if !Cells::are_few(&items) => {
+                    let digests = [self.store.cells().digest(), self.hive.digest()];
+                    out.push(Output::SayAll(self.of(Role::Scout), Speech::Digest(digests)));
+                }
                 Wants::News(items) => out.push(Output::SayAll(self.of(Role::Scout), Speech::News(items))),
             }
         }
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use pinerelay_cells::item::Line;
+use pinerelay_cells::merkle::Part;
 use pinerelay_cells::{hash, Cells, Item};
 
 use crate::caller::{Caller, Step};
@@ -335,7 +335,8 @@
                     self.say(from.into(), Word::Members(self.membership.clone()), out);
                 }
                 if digest != own {
-                    self.say(from.into(), Word::Summary { lines: self.cells().summary(), answer: true }, out);
+                    let word = Word::Mend { items: Vec::new(), parts: self.cells().compare() };
+                    self.say(from.into(), word, out);
                 }
             }
             Word::Seen { life, sent, digest, epoch, incarnation, pends } if life == self.birth.life => {
@@ -345,7 +346,7 @@
                 }
             }
             Word::Seen { .. } => {}
-            Word::Summary { lines, answer } => self.summary(from, &lines, answer, out),
+            Word::Mend { items, parts } => self.mend(from, items, &parts, out),
             Word::News(items) => {
                 let merged = self.voter.merge(items);
                 self.news(merged, out);
@@ -353,14 +354,16 @@
         }
     }
 
-    /// Another's summary: what is newer here goes there, and what is newer there is asked for.
-    fn summary(&mut self, from: &str, lines: &[Line], answer: bool, out: &mut Vec<Output>) {
-        let (newer, behind) = self.cells().beside(lines);
-        if !newer.is_empty() {
-            self.say(from.into(), Word::News(newer), out);
-        }
-        if behind && answer {
-            self.say(from.into(), Word::Summary { lines: self.cells().summary(), answer: false }, out);
+    /// Takes what is newer there, and says what is newer here or is to be compared next.
+    fn mend(&mut self, from: &str, items: Vec<Item>, parts: &[Part], out: &mut Vec<Output>) {
+        let asked = items.is_empty();
+        let merged = self.voter.merge(items);
+        // Items that bring nothing are of a second talk about the same: the first goes on.
+        let goes_on = asked || !merged.0.is_empty();
+        self.news(merged, out);
+        let answer = self.cells().answer(parts);
+        if goes_on && !answer.is_empty() {
+            self.say(from.into(), Word::Mend { items: answer.items, parts: answer.parts }, out);
         }
     }
 
--- a/crates/dance/src/word.rs
+++ b/crates/dance/src/word.rs
@@ -1,7 +1,7 @@
 //! What stores say to each other.
 
 use bincode::{Decode, Encode};
-use pinerelay_cells::item::Line;
+use pinerelay_cells::merkle::Part;
 use pinerelay_cells::Item;
 
 /// A store's name: the address of its machine.
@@ -151,12 +151,12 @@
         /// It holds what it does not know to be agreed on.
         pends: bool,
     },
-    /// What settled items there are.
-    Summary {
-        /// Item by item.
-        lines: Vec<Line>,
-        /// The other's summary is wanted, too.
-        answer: bool,
+    /// Of anti-entropy between copies of the settled items.
+    Mend {
+        /// Newer or unknown, as far as the speaker knows.
+        items: Vec<Item>,
+        /// What is to be compared or wanted next.
+        parts: Vec<Part>,
     },
     /// Settled items.
     News(Vec<Item>),
--- a/crates/dance/tests/model.rs
+++ b/crates/dance/tests/model.rs
@@ -331,7 +331,7 @@
                 Output::Say(to, word) => {
                     let mends = matches!(
                         word,
-                        Word::Digest { .. } | Word::Seen { .. } | Word::Summary { .. } | Word::News(_)
+                        Word::Digest { .. } | Word::Seen { .. } | Word::Mend { .. } | Word::News(_)
                     );
                     let Some(to) = (0..self.cores).find(|n| name(*n) == to) else { continue };
                     if let (true, Word::Digest { sent, .. }) = (self.digests, &word) {
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -12,7 +12,7 @@
 use pinerelay_nectar::purse::{Admission, Grant, Purse};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{mend, Hello, Role, Speech, Standing};
+use pinerelay_propolis::speech::{compare, mend, Hello, Role, Speech, Standing};
 
 /// How often it says what it has, and that it is there: the counts keep back the share of one that is not heard.
 const PULSE: Micros = 600_000;
@@ -45,6 +45,8 @@
     digest: Option<u64>,
     /// When units were asked for there, of asks without an answer: answers come in the same order.
     draws: VecDeque<Micros>,
+    /// When it said something of anti-entropy last.
+    mended: Option<Micros>,
 }
 
 /// What is heard.
@@ -166,7 +168,8 @@
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
-            let registry = Registry { hello, standing: None, digest: None, draws: VecDeque::new() };
+            let registry =
+                Registry { hello, standing: None, digest: None, draws: VecDeque::new(), mended: None };
             self.registries.insert(peer, registry);
             out.push(Output::Say(peer, Speech::Digest(self.digests())));
             return;
@@ -184,27 +187,30 @@
                 self.purse.shared_by(nodes as usize);
                 out.push(Output::Placed(me, nodes));
             }
-            Speech::News(items) => self.merge(items, out),
+            Speech::News(items) => {
+                self.merge(items, out);
+            }
             Speech::Digest(digests) => {
                 registry.digest = Some(digests[0]);
                 let own = [self.realms[0].digest(), self.realms[1].digest()];
                 if digests == own {
                     self.agreed = now;
                 }
+                // A talk that is under way goes on by itself.
+                let at_it = registry.mended.is_some_and(|at| now < at + PULSE / 2);
                 for realm in 0..2 {
-                    if digests[realm] != own[realm] {
-                        let lines = self.realms[realm].summary();
-                        out.push(Output::Say(
-                            peer,
-                            Speech::Summary { realm: realm as u8, lines, answer: true },
-                        ));
+                    if !at_it && digests[realm] != own[realm] {
+                        out.push(Output::Say(peer, compare(&self.realms[realm], realm as u8)));
                     }
                 }
                 self.look();
             }
-            Speech::Summary { realm, lines, answer } => {
-                let Some(cells) = self.realms.get(usize::from(realm)) else { return };
-                out.extend(mend(cells, realm, &lines, answer).map(|speech| Output::Say(peer, speech)));
+            Speech::Mend { realm, items, parts } => {
+                registry.mended = Some(now);
+                let goes_on = items.is_empty() || self.merge(items, out);
+                if let Some(cells) = self.realms.get(usize::from(realm)).filter(|_| goes_on) {
+                    out.extend(mend(cells, realm, &parts).map(|speech| Output::Say(peer, speech)));
+                }
             }
             Speech::Drawn(grants) => {
                 let Some(asked) = registry.draws.pop_front() else { return out.push(Output::Cut(peer)) };
@@ -239,14 +245,15 @@
         }
     }
 
-    fn merge(&mut self, items: Vec<Item>, out: &mut Vec<Output>) {
-        let mut configured = false;
+    /// Tells whether any of it is news.
+    fn merge(&mut self, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
+        let (mut news, mut configured) = (false, false);
         for item in items {
             let config = item.key.kind.is_config();
             if !self.realms[usize::from(!config)].merge(item.clone()) {
                 continue;
             }
-            configured |= config;
+            (news, configured) = (true, configured | config);
             if item.key.kind == Kind::Server {
                 let server = item.value.as_deref().and_then(Server::read);
                 let server = server.filter(|server| !matches!(server.state, State::Lost | State::Gone));
@@ -257,6 +264,7 @@
             self.look();
             out.push(Output::Configured(Arc::new(Table::of(&self.realms[0]))));
         }
+        news
     }
 
     /// Asks for the units that are wanted now, each at the registry whose duty it is.
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -3,7 +3,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use pinerelay_cells::item::Line;
+use pinerelay_cells::merkle::Part;
 use pinerelay_cells::{Cells, Item};
 pub use pinerelay_dance::store::CURRENT;
 use pinerelay_dance::{Membership, Word};
@@ -112,14 +112,14 @@
     News(Vec<Item>),
     /// What the speaker's items come to: the configuration's, and all others.
     Digest([u64; 2]),
-    /// What items it has.
-    Summary {
+    /// Of anti-entropy: items as in [`Speech::News`], and what is to be compared or wanted next.
+    Mend {
         /// 0: the configuration's; 1: all others.
         realm: u8,
-        /// Item by item.
-        lines: Vec<Line>,
-        /// The other's is wanted, too.
-        answer: bool,
+        /// Newer or unknown, as far as the speaker knows.
+        items: Vec<Item>,
+        /// What the speaker has.
+        parts: Vec<Part>,
     },
     /// Items that must not get lost with the speaker; [`Speech::Held`] with the same number is wanted.
     Hold {
@@ -204,14 +204,15 @@
     out.freeze()
 }
 
-/// What is said to one whose summary this is: the items that are newer here, and this side's summary, if it is wanted and the
-/// other has any that are newer.
-pub fn mend(cells: &Cells, realm: u8, theirs: &[Line], answer: bool) -> impl Iterator<Item = Speech> + use<> {
-    let (newer, behind) = cells.beside(theirs);
-    let news = (!newer.is_empty()).then_some(Speech::News(newer));
-    let lines = (behind && answer).then(|| cells.summary());
-    let summary = lines.map(|lines| Speech::Summary { realm, lines, answer: false });
-    news.into_iter().chain(summary)
+/// What is said to one whose digest differs.
+pub fn compare(cells: &Cells, realm: u8) -> Speech {
+    Speech::Mend { realm, items: Vec::new(), parts: cells.compare() }
+}
+
+/// What is said to another copy's parts, if there is anything to be said.
+pub fn mend(cells: &Cells, realm: u8, theirs: &[Part]) -> Option<Speech> {
+    let answer = cells.answer(theirs);
+    (!answer.is_empty()).then_some(Speech::Mend { realm, items: answer.items, parts: answer.parts })
 }
 
 /// What has come on a connection, taken apart: a greeting, then messages.
--- a/crates/propolis/src/visit.rs
+++ b/crates/propolis/src/visit.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddrV4;
 
 use bytes::BytesMut;
-use pinerelay_cells::Item;
+use pinerelay_cells::merkle::Part;
+use pinerelay_cells::{Cells, Item};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::speech::{self, Garbled, Hello, Incoming, Role, Rolled, Speech, GREETING};
+use crate::speech::{self, mend, Garbled, Hello, Incoming, Role, Rolled, Speech, GREETING};
 
 /// Why a visit has brought nothing.
 #[derive(Debug, Error)]
@@ -66,15 +67,16 @@
     say(Speech::Hello(me.clone()));
     if role == Role::Scout {
         if servers {
-            // Beside an empty summary all items are news.
-            say(Speech::Summary { realm: 1, lines: Vec::new(), answer: false });
+            say(Speech::Mend { realm: 1, items: Vec::new(), parts: vec![Part::nothing()] });
         }
         say(Speech::Roll);
     }
     say(Speech::Ask);
     stream.write_all(&said).await?;
     let (mut come, mut bytes) = (Incoming::default(), said.len() as u64);
-    let (mut hello, mut rolled, mut items) = (None, None, Vec::new());
+    let (mut hello, mut rolled, mut items) = (None, None, Cells::default());
+    // What is said to the piece of items that came since the last question.
+    let mut next = None;
     loop {
         let more = stream.read_buf(come.room()).await? as u64;
         bytes += more;
@@ -85,12 +87,23 @@
             match heard {
                 Speech::Hello(who) => hello = Some(who),
                 Speech::Rolled(roll) => rolled = Some(roll),
-                Speech::News(news) => items.extend(news),
-                // The last that is asked for; answers come in the order of what was asked.
-                Speech::Figures(figures) => {
-                    let hello = hello.ok_or(VisitError::Unanswered)?;
-                    return Ok(Told { hello, figures, rolled, items, bytes });
+                Speech::Mend { realm: 1, items: news, parts } => {
+                    let progress = !items.merge_all(news).is_empty();
+                    next = mend(&items, 1, &parts).filter(|_| progress);
                 }
+                // The last that is asked for; answers come in the order of what was asked.
+                Speech::Figures(figures) => match next.take() {
+                    Some(speech) => {
+                        let said = [speech::write(&speech), speech::write(&Speech::Ask)].concat();
+                        bytes += said.len() as u64;
+                        stream.write_all(&said).await?;
+                    }
+                    None => {
+                        let hello = hello.ok_or(VisitError::Unanswered)?;
+                        let items = items.all().cloned().collect();
+                        return Ok(Told { hello, figures, rolled, items, bytes });
+                    }
+                },
                 _ => {}
             }
         }
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -6,7 +6,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pinerelay_cells::item::Line;
 use pinerelay_cells::routes::Table;
 use pinerelay_cells::server::Server;
 use pinerelay_cells::{Cells, Item, Key, Kind};
@@ -15,7 +14,7 @@
 use pinerelay_nectar::well::Well;
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech, Standing};
+use pinerelay_propolis::speech::{compare, mend, Answered, Hello, Passed, Role, Speech, Standing};
 
 use crate::dispatch::Call;
 use servers::{Beaten, Holding};
@@ -90,6 +89,8 @@
     stored: BTreeMap<Peer, u64>,
     /// When each store last said something.
     spoke: BTreeMap<Peer, Micros>,
+    /// When a peer said something of anti-entropy last.
+    mended: BTreeMap<Peer, Micros>,
     beaten: BTreeMap<String, Beaten>,
     /// Servers that are lost, and since when.
     lost: BTreeMap<String, Micros>,
@@ -146,6 +147,7 @@
             stores: BTreeMap::new(),
             stored: BTreeMap::new(),
             spoke: BTreeMap::new(),
+            mended: BTreeMap::new(),
             beaten: BTreeMap::new(),
             lost: BTreeMap::new(),
             numbers: BTreeMap::new(),
@@ -228,6 +230,7 @@
         self.stores.remove(&peer);
         self.stored.remove(&peer);
         self.spoke.remove(&peer);
+        self.mended.remove(&peer);
         let Some(hello) = self.peers.remove(&peer) else { return };
         self.reoffer(now, peer, out);
         self.not_held_by(peer, &hello.ip, out);
@@ -264,9 +267,18 @@
             }
             // A visitor looks on, and brings nothing.
             (Role::Visitor, Speech::News(_)) => {}
-            (_, Speech::News(items)) => self.merge(peer, &hello, items, out),
+            (_, Speech::News(items)) => {
+                self.merge(peer, &hello, items, out);
+            }
             (_, Speech::Digest(digests)) => self.digest(peer, &hello, digests, out),
-            (_, Speech::Summary { realm, lines, answer }) => self.summary(peer, realm, &lines, answer, out),
+            (_, Speech::Mend { realm, items, parts }) => {
+                self.mended.insert(peer, self.ticked);
+                let items = if hello.role == Role::Visitor { Vec::new() } else { items };
+                let goes_on = items.is_empty() || self.merge(peer, &hello, items, out);
+                if let Some(cells) = self.realms.get(usize::from(realm)).filter(|_| goes_on) {
+                    out.extend(mend(cells, realm, &parts).map(|speech| Output::Say(peer, speech)));
+                }
+            }
             (Role::Scout, Speech::Hold { number, items }) => {
                 self.merge(peer, &hello, items, out);
                 out.push(Output::Say(peer, Speech::Held(number)));
@@ -391,8 +403,9 @@
         (0..SLICES).filter(|&slice| self.fence.holds(now, slice)).fold(0, |bits, slice| bits | 1 << slice)
     }
 
-    /// Takes items that are news, and passes them on to those who have not heard them from their source.
-    fn merge(&mut self, from: Peer, hello: &Hello, items: Vec<Item>, out: &mut Vec<Output>) {
+    /// Takes items that are news, and passes them on to those who have not heard them from their source; tells whether there
+    /// were any.
+    fn merge(&mut self, from: Peer, hello: &Hello, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
         let mut news = Vec::new();
         let wall = self.wall(self.ticked);
         for item in items.into_iter().filter(|item| !Server::past(item, wall)) {
@@ -403,7 +416,7 @@
             }
         }
         if news.is_empty() {
-            return;
+            return false;
         }
         if news.iter().any(|item| item.key.kind.is_config()) {
             self.table = Table::of(&self.realms[0]);
@@ -420,7 +433,10 @@
             to.extend(self.own_store());
         }
         to.retain(|peer| *peer != from);
-        out.push(Output::SayAll(to, Speech::News(news)));
+        // More would hold up what is said behind it: the others ask for it in pieces.
+        let speech = if Cells::are_few(&news) { Speech::News(news) } else { Speech::Digest(self.digests()) };
+        out.push(Output::SayAll(to, speech));
+        true
     }
 
     fn digest(&mut self, peer: Peer, hello: &Hello, digests: [u64; 2], out: &mut Vec<Output>) {
@@ -428,10 +444,11 @@
         if matches!(hello.role, Role::Comb | Role::Scout) && digests == own {
             self.agreed = self.ticked;
         }
+        // A talk that is under way goes on by itself.
+        let at_it = self.mended.get(&peer).is_some_and(|at| self.ticked < at + PULSE / 2);
         for (realm, digest) in digests.into_iter().enumerate() {
-            if digest != self.realms[realm].digest() {
-                let lines = self.realms[realm].summary();
-                out.push(Output::Say(peer, Speech::Summary { realm: realm as u8, lines, answer: true }));
+            if !at_it && digest != self.realms[realm].digest() {
+                out.push(Output::Say(peer, compare(&self.realms[realm], realm as u8)));
             }
         }
         if hello.role == Role::Comb {
@@ -452,11 +469,6 @@
         }
     }
 
-    fn summary(&self, peer: Peer, realm: u8, lines: &[Line], answer: bool, out: &mut Vec<Output>) {
-        let Some(cells) = self.realms.get(usize::from(realm)) else { return };
-        out.extend(mend(cells, realm, lines, answer).map(|speech| Output::Say(peer, speech)));
-    }
-
     /// A call from outside, under a number that comes back with the answer.
     pub fn call(&mut self, now: Micros, number: u64, call: Call, out: &mut Vec<Output>) {
         match call {
--- a/crates/smoker/src/figures.rs
+++ b/crates/smoker/src/figures.rs
@@ -64,7 +64,7 @@
     match speech {
         Speech::News(_) => "news",
         Speech::Digest(_) => "digest",
-        Speech::Summary { .. } => "summary",
+        Speech::Mend { .. } => "mend",
         Speech::Hold { .. } | Speech::Held(_) => "hold",
         Speech::Beats(_) => "beats",
         Speech::Standing(_) | Speech::StoreStands { .. } => "standing",
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -340,7 +340,11 @@
             }
             _ => None,
         };
-        let news = matches!(speech, Speech::News(_)) && broken == Some(Broken::News);
+        let news = match &speech {
+            Speech::News(_) => broken == Some(Broken::News),
+            Speech::Mend { items, .. } => !items.is_empty() && broken == Some(Broken::News),
+            _ => false,
+        };
         let speech = Rc::new(speech);
         for peer in peers {
             let Some(&(connection, end)) = self.procs[proc].lines.get(peer) else { continue };
--- a/crates/waggle/tests/loopback.rs
+++ b/crates/waggle/tests/loopback.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use pinerelay_cells::merkle::Part;
 use pinerelay_cells::server::{Server, State};
 use pinerelay_cells::{call, judge, Cells};
 use pinerelay_propolis::speech::{self, Hello, Role, Rolled, Speech, GREETING};
@@ -48,7 +49,7 @@
                     missing: vec!["edge-9".into()],
                     core: vec![ME.to_string()],
                 }),
-                Speech::Summary { realm: 1, lines, answer: false } if lines.is_empty() => {
+                Speech::Mend { realm: 1, items, parts } if items.is_empty() && parts == [Part::nothing()] => {
                     let server = |port, state| Server {
                         service: "s1".into(),
                         address: SocketAddrV4::new(ME, port),
@@ -59,7 +60,8 @@
                         warmup_ms: 0,
                     };
                     let ready = server(1, State::Ready).item("i1", 1);
-                    Speech::News(vec![ready, server(2, State::Lost).item("i2", 1), Server::left("i3", 9)])
+                    let items = vec![ready, server(2, State::Lost).item("i2", 1), Server::left("i3", 9)];
+                    Speech::Mend { realm: 1, items, parts: Vec::new() }
                 }
                 Speech::Ask => {
                     let figures =
