--- a/crates/cells/examples/catch_up.rs
+++ b/crates/cells/examples/catch_up.rs
@@ -96,6 +96,11 @@
         timed("clone", 10, || cells.clone());
         let call = [tenant(7, 1_000_000)];
         timed("judge::taken of one changed tenant", 10, || judge::taken(&cells, &call).expect("fits"));
+        timed("judge::Standing::new", 10, || judge::Standing::new(cells.clone()));
+        let standing = judge::Standing::new(cells.clone());
+        timed("judge::Standing::taken of one changed tenant", 10_000, || {
+            standing.taken(&call).expect("fits")
+        });
         timed("Table::of", 10, || Table::of(&cells));
     }
 }
