One change of the configuration costs the registry and the proxy that change

Table::change takes one item; keys stand in 256 shared maps and routes by host, so that a table that requests still hold is copied only where it changes.

--- a/crates/cells/examples/catch_up.rs
+++ b/crates/cells/examples/catch_up.rs
@@ -102,5 +102,16 @@
             standing.taken(&call).expect("fits")
         });
         timed("Table::of", 10, || Table::of(&cells));
+        let mut table = Table::of(&cells);
+        timed("Table::change of one tenant", 1_000, || {
+            revision += 1;
+            table.change(&tenant(all / 2, revision))
+        });
+        timed("Table::change of one tenant, beside a clone that others hold", 100, || {
+            let held = table.clone();
+            revision += 1;
+            table.change(&tenant(all / 2, revision));
+            held
+        });
     }
 }
--- a/crates/cells/src/routes.rs
+++ b/crates/cells/src/routes.rs
@@ -8,7 +8,8 @@
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 use crate::call::{Unfit, LIMITS};
-use crate::item::{Cells, Key, Kind};
+use crate::hash;
+use crate::item::{Cells, Item, Kind, Version};
 use crate::span;
 
 /// How much longer than its route's time-out an aim must not be.
@@ -259,15 +260,25 @@
     }
 }
 
-/// All of it, ready to be asked.
-#[derive(Debug, Default)]
+/// Keys are kept in so many maps, so that a change copies one of them.
+const SHARDS: usize = 256;
+
+fn shard(key: &str) -> usize {
+    hash::of(&[key.as_bytes()]) as usize % SHARDS
+}
+
+/// Whose a key is: of the tenant with the newest version, and at last of the others that name it, too.
+type Claims = Vec<(Version, Arc<Tenant>)>;
+
+/// All of it, ready to be asked. A clone shares what neither changes.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Table {
     /// By host, the longest prefix first.
-    routes: HashMap<String, Vec<Arc<Route>>>,
+    routes: HashMap<String, Arc<Vec<Arc<Route>>>>,
     /// In the order of their names.
     tenants: Vec<Arc<Tenant>>,
-    /// Which tenant a key is of.
-    keys: HashMap<String, Arc<Tenant>>,
+    /// Which tenant a key is of; empty, or [`SHARDS`] maps.
+    keys: Vec<Arc<HashMap<String, Claims>>>,
     /// By name.
     pub services: BTreeMap<String, Service>,
     /// What clients may send.
@@ -278,32 +289,91 @@
     /// What the items that stand make. What can't be read, which no checked call brings, is left out.
     pub fn of(cells: &Cells) -> Table {
         let mut table = Table::default();
-        for route in cells.standing(Kind::Route).filter_map(|(name, text)| Route::read(name, text).ok()) {
-            table.routes.entry(route.host.clone()).or_default().push(Arc::new(route));
+        for item in cells.all().filter(|item| item.key.kind.is_config()) {
+            table.put(item);
+        }
+        table
+    }
+
+    /// Takes a change of an item, at the cost of what the item holds; after the change of each item that stands the table is
+    /// that of all.
+    pub fn change(&mut self, item: &Item) {
+        let name = &item.key.name;
+        match item.key.kind {
+            Kind::Route => self.drop_route(name),
+            Kind::Tenant => self.drop_tenant(name),
+            Kind::Service => drop(self.services.remove(name)),
+            Kind::Limits => self.limits = Limits::default(),
+            Kind::Server | Kind::Node => {}
         }
-        for routes in table.routes.values_mut() {
-            routes.sort_by(|a, b| (b.prefix.len(), &a.name).cmp(&(a.prefix.len(), &b.name)));
+        self.put(item);
+    }
+
+    fn put(&mut self, item: &Item) {
+        let (name, Some(text)) = (&item.key.name, item.value.as_deref()) else { return };
+        match item.key.kind {
+            Kind::Route => {
+                let Ok(route) = Route::read(name, text) else { return };
+                let routes = Arc::make_mut(self.routes.entry(route.host.clone()).or_default());
+                let place = |route: &Route| (Reverse(route.prefix.len()), route.name.clone());
+                let at = routes.partition_point(|other| place(other) < place(&route));
+                routes.insert(at, Arc::new(route));
+            }
+            Kind::Tenant => {
+                let Ok(tenant) = Tenant::read(name, text) else { return };
+                let tenant = Arc::new(tenant);
+                let at = self.tenants.partition_point(|other| other.name < *name);
+                self.tenants.insert(at, tenant.clone());
+                self.keys.resize_with(SHARDS, Default::default);
+                for key in &tenant.keys {
+                    let claims = Arc::make_mut(&mut self.keys[shard(key)]).entry(key.clone()).or_default();
+                    // A key that has moved while the tenant that gave it up is still known as it was: the newer word holds.
+                    let place = |version: Version, tenant: &Tenant| (Reverse(version), tenant.name.clone());
+                    let own = place(item.version, &tenant);
+                    let at = claims.partition_point(|(version, other)| place(*version, other) < own);
+                    if claims.get(at).is_none_or(|(_, other)| other.name != *name) {
+                        claims.insert(at, (item.version, tenant.clone()));
+                    }
+                }
+            }
+            Kind::Service => {
+                if let Ok(service) = Service::read(name, text) {
+                    self.services.insert(name.clone(), service);
+                }
+            }
+            Kind::Limits if name == LIMITS => self.limits = Limits::read(text).unwrap_or_default(),
+            Kind::Limits | Kind::Server | Kind::Node => {}
         }
-        let version = |tenant: &Tenant| {
-            cells.get(&Key::new(Kind::Tenant, tenant.name.as_str())).map(|item| item.version)
+    }
+
+    fn drop_route(&mut self, name: &str) {
+        let mut hosts = self.routes.iter();
+        let Some((host, _)) = hosts.find(|(_, routes)| routes.iter().any(|route| route.name == name)) else {
+            return;
         };
-        let tenants = cells.standing(Kind::Tenant).filter_map(|(name, text)| Tenant::read(name, text).ok());
-        table.tenants = tenants.map(Arc::new).collect();
-        // A key that has moved while the tenant that gave it up is still known as it was: the newer word holds.
-        let mut by_age: Vec<&Arc<Tenant>> = table.tenants.iter().collect();
-        by_age.sort_by_key(|tenant| Reverse(version(tenant)));
-        for tenant in by_age {
-            for key in &tenant.keys {
-                table.keys.entry(key.clone()).or_insert_with(|| tenant.clone());
+        let host = host.clone();
+        if let Some(routes) = self.routes.get_mut(&host) {
+            Arc::make_mut(routes).retain(|route| route.name != name);
+            if routes.is_empty() {
+                self.routes.remove(&host);
             }
         }
-        for service in cells.standing(Kind::Service).filter_map(|(name, text)| Service::read(name, text).ok())
-        {
-            table.services.insert(service.name.clone(), service);
+    }
+
+    fn drop_tenant(&mut self, name: &str) {
+        let Ok(at) = self.tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name)) else { return };
+        for key in &self.tenants.remove(at).keys {
+            let shard = Arc::make_mut(&mut self.keys[shard(key)]);
+            if let Some(claims) = shard.get_mut(key) {
+                claims.retain(|(_, tenant)| tenant.name != name);
+                if claims.is_empty() {
+                    shard.remove(key);
+                }
+            }
+        }
+        if self.tenants.is_empty() {
+            self.keys.clear();
         }
-        let limits = cells.get(&Key::new(Kind::Limits, LIMITS)).and_then(|item| item.value.as_deref());
-        table.limits = limits.and_then(|text| Limits::read(text).ok()).unwrap_or_default();
-        table
     }
 
     /// The route of a host and path: the one with the longest prefix.
@@ -316,7 +386,8 @@
 
     /// The tenant that a key is of.
     pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
-        self.keys.get(key)
+        let claims = self.keys.get(shard(key))?.get(key)?;
+        claims.first().map(|(_, tenant)| tenant)
     }
 
     /// The tenant of a name.
@@ -337,6 +408,6 @@
 
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.values().flatten()
+        self.routes.values().flat_map(|routes| routes.iter())
     }
 }
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -55,6 +55,8 @@
     seeds: Vec<String>,
     known: BTreeSet<String>,
     realms: [Cells; 2],
+    /// What the configuration's items make.
+    table: Arc<Table>,
     /// The tenants' units that are here.
     pub purse: Purse,
     registries: BTreeMap<Peer, Registry>,
@@ -79,6 +81,7 @@
             known: BTreeSet::new(),
             seeds,
             realms: Default::default(),
+            table: Arc::default(),
             purse: Purse::new(),
             registries: BTreeMap::new(),
             whole: false,
@@ -254,6 +257,9 @@
                 continue;
             }
             (news, configured) = (true, configured | config);
+            if config {
+                Arc::make_mut(&mut self.table).change(&item);
+            }
             if item.key.kind == Kind::Server {
                 let server = item.value.as_deref().and_then(Server::read);
                 let server = server.filter(|server| !matches!(server.state, State::Lost | State::Gone));
@@ -262,7 +268,7 @@
         }
         if configured {
             self.look();
-            out.push(Output::Configured(Arc::new(Table::of(&self.realms[0]))));
+            out.push(Output::Configured(self.table.clone()));
         }
         news
     }
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -419,7 +419,7 @@
             return false;
         }
         if news.iter().any(|item| item.key.kind.is_config()) {
-            self.table = Table::of(&self.realms[0]);
+            news.iter().for_each(|item| self.table.change(item));
             self.look();
         }
         // What another registry says it has told its proxies itself; digests mend what they have missed.
