--- a/crates/cells/examples/catch_up.rs
+++ b/crates/cells/examples/catch_up.rs
@@ -73,7 +73,43 @@
     println!("{what}: {all} bytes, {items} of them items, the longest message {most}, {messages} messages, {micros} us");
 }
 
+/// The same over a link of 2 Mbit/s and 20 ms each way: how long it takes, and the longest that a heartbeat
+/// waits behind a message.
+fn mend_over_a_link(old: &Cells, new: &Cells, what: &str) {
+    let (mut copies, mut said) = ([old.clone(), new.clone()], (Vec::new(), old.compare()));
+    let on_the_way = |bytes: usize| bytes as f64 / 250_000.0 + 0.02;
+    let (mut now, mut longest, mut to) = (0.0, 0.0_f64, 1);
+    while !(said.0.is_empty() && said.1.is_empty()) {
+        // Nothing else of the talk is on the link: at worst a heartbeat comes right behind the message.
+        let took = on_the_way(bytes(&said.0) + bytes(&said.1));
+        (now, longest) = (now + took, longest.max(took));
+        copies[to].merge_all(said.0);
+        let answer = copies[to].answer(&said.1);
+        said = (answer.items, answer.parts);
+        to = 1 - to;
+    }
+    println!("{what} at 2 Mbit/s, 20 ms away: {now:.2} s, a heartbeat waits for {longest:.2} s at most");
+}
+
+/// Pages in memory, in bytes.
+fn resident() -> usize {
+    let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: usize = pages.split(' ').nth(1).and_then(|n| n.parse().ok()).unwrap_or(0);
+    pages * 4_096
+}
+
 fn main() {
+    let before = resident();
+    let mut dropped = Cells::default();
+    for n in 0..100_000 {
+        dropped.merge(Item::sourced(Key::new(Kind::Tenant, format!("tenant-{n}")), 7, None));
+    }
+    let all: Vec<&Item> = dropped.all().collect();
+    println!(
+        "1,000 dropped items: {} bytes in memory, {} bytes on the wire",
+        (resident() - before) / 100,
+        bytes(&all) / 100
+    );
     for (tenants, routes) in [(38_000, 3_900), (0, 0)] {
         let new = copy(tenants, routes);
         println!("{} items", new.len());
@@ -87,6 +123,8 @@
         mend(&new, &changed(100), "100 changes");
         mend(&new, &changed(500), "500 changes");
         mend(&Cells::default(), &new, "from nothing");
+        mend_over_a_link(&new, &changed(500), "500 changes");
+        mend_over_a_link(&Cells::default(), &new, "from nothing");
         let mut cells = new.clone();
         let mut revision = 10;
         timed("merge of one changed tenant", 1_000, || {
