A turn's ranges come from the tree, and cost no hash of every item

Each store hashed all items for each turn's 128 digests. The tree has them: 256, at its second depth, and the items of a range without going through all. tests/catch_up.rs: they are those of the items whatever came and went.

--- a/crates/cells/src/merkle.rs
+++ b/crates/cells/src/merkle.rs
@@ -437,6 +437,30 @@
         out
     }
 
+    /// The digests of the [`Cells::RANGES`] ranges at the second depth.
+    pub fn digests(&self) -> Vec<u64> {
+        (0..Cells::RANGES).map(|n| self.tree().sum(Cells::range(n))).collect()
+    }
+
+    /// The items of one of those ranges.
+    pub fn of_range(&self, n: usize) -> Vec<&Item> {
+        let range = Cells::range(n);
+        let mut all = Vec::new();
+        self.tree().node(range).0.each(&mut |number, item| {
+            if range.contains(number) {
+                all.push(&**item);
+            }
+        });
+        all
+    }
+
+    /// How many ranges there are at the second depth.
+    pub const RANGES: usize = 256;
+
+    fn range(n: usize) -> Range {
+        Range { first: (n as u64) << 56, depth: 2 }
+    }
+
     /// Whether items are few enough to be pushed at once: more are asked for piece by piece.
     pub fn are_few(items: &[Item]) -> bool {
         items.iter().map(size).sum::<usize>() <= PIECE / 2
--- a/crates/cells/tests/catch_up.rs
+++ b/crates/cells/tests/catch_up.rs
@@ -139,6 +139,13 @@
         }
         let again = copy(cells.all().cloned());
         prop_assert_eq!(told(&cells), told(&again));
+        let digests = cells.digests();
+        prop_assert_eq!(digests.iter().fold(0, |sum: u64, d| sum.wrapping_add(*d)), cells.digest());
+        for (n, digest) in digests.into_iter().enumerate() {
+            let of_range = cells.of_range(n);
+            prop_assert!(of_range.iter().all(|item| (item.key.number() >> 56) as usize == n));
+            prop_assert_eq!(copy(of_range.into_iter().cloned()).digest(), digest);
+        }
     }
 
     #[test]
