Merge who is current, and duties over a change of voters

With it: after a change of the members' names the stores propose no other for 4.4 s, since registries act by leases of an epoch and are to think of two at once at the most; the lease of a store's copy is 2 s (2.5 s), so that a newcomer still votes within 4 s of its start, machine after machine.

--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -239,6 +239,10 @@
                 let ip = hello.ip.clone();
                 self.merge(now, &ip, items, out);
             }
+            Speech::Confirm(asked) if hello.role == Role::Scout && self.store.current(now) => {
+                let (epoch, digest) = (self.store.membership().epoch, self.store.cells().digest());
+                out.push(Output::Say(peer, Speech::Confirmed { asked, epoch, digest }));
+            }
             Speech::Pass(number, passed) if hello.role == Role::Scout => {
                 let mut answer = |status, why: &str| {
                     let answered = Answered { status, body: error(why) };
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -12,12 +12,15 @@
 use crate::word::{Ballot, Batch, Member, Membership, Name, Word};
 
 /// A copy counts as current for so long after a quorum has confirmed that it is.
-pub const CURRENT: Micros = 2_500_000;
+pub const CURRENT: Micros = 2_000_000;
 /// How often digests are told, and how often by one that is not current, or does not vote and should.
 const DIGEST: Micros = 500_000;
 const LOST: Micros = 100_000;
 /// What is pending for so long is settled by whoever holds it.
 const PENDS: Micros = 500_000;
+/// After a change of the members' names the next change waits so long: whoever acts by the word of the one before has stopped
+/// by then, so that two epochs at once are all that others have to think of.
+pub const PACE: Micros = 4_400_000;
 /// A change of who votes waits so long for each member before this one, so that not all propose it at once.
 const TURNS: Micros = 300_000;
 /// The calls that a store makes itself have this number.
@@ -80,6 +83,8 @@
 pub struct Store {
     birth: Birth,
     membership: Membership,
+    /// When it was learned.
+    learned: Micros,
     voter: Voter,
     caller: Caller,
     presence: Presence,
@@ -112,6 +117,7 @@
         let mut store = Store {
             caller: Caller::new(tie, birth.losses),
             membership: Membership::default(),
+            learned: 0,
             voter: Voter::new(kept),
             presence: Presence::new(birth.me.clone()),
             after: BTreeMap::new(),
@@ -124,7 +130,7 @@
             inner: VecDeque::new(),
             birth,
         };
-        store.adopt(membership);
+        store.adopt(0, membership);
         // It must not vote before it would know after an end that it has begun.
         let mut change = store.voter.rise().unwrap_or_default();
         if fresh {
@@ -137,20 +143,21 @@
         store
     }
 
-    fn adopt(&mut self, membership: Membership) -> bool {
+    fn adopt(&mut self, now: Micros, membership: Membership) -> bool {
         if membership.epoch <= self.membership.epoch {
             return false;
         }
         self.caller.elect(membership.clone());
         self.membership = membership;
+        self.learned = now;
         self.confirmed.clear();
         self.due = None;
         true
     }
 
     /// Takes a membership that has been agreed on.
-    fn learn(&mut self, membership: Membership, out: &mut Vec<Output>) {
-        if self.adopt(membership) {
+    fn learn(&mut self, now: Micros, membership: Membership, out: &mut Vec<Output>) {
+        if self.adopt(now, membership) {
             let change = Change { membership: Some(self.membership.clone()), ..Change::default() };
             self.write(change, None, out);
         }
@@ -279,7 +286,7 @@
                 if membership.epoch < self.membership.epoch {
                     return self.say(from.into(), Word::Members(self.membership.clone()), out);
                 }
-                self.learn(membership, out);
+                self.learn(now, membership, out);
                 match self.voter.ask(ballot, &ranges) {
                     Asked::Answer(answer) => self.say(from.into(), answer, out),
                     Asked::After(change) => {
@@ -300,9 +307,9 @@
             },
             Word::Settle { ballot, membership, batch } => {
                 // Danger: it may take the place of a change that is pending here. What makes the epoch must not get lost.
-                self.learn(membership, out);
+                self.learn(now, membership, out);
                 if let Some(membership) = batch.membership {
-                    self.learn(membership, out);
+                    self.learn(now, membership, out);
                 }
                 let settled = self.voter.settle(ballot, batch.items);
                 self.news(settled, out);
@@ -317,7 +324,7 @@
             Word::Deny { .. } | Word::Kept { .. } => {
                 self.caller.heard(now, from, word, self.voter.cells(), steps);
             }
-            Word::Members(membership) => self.learn(membership, out),
+            Word::Members(membership) => self.learn(now, membership, out),
             Word::Digest { life, sent, digest, epoch, incarnation, highest } => {
                 self.caller.know(highest);
                 let own = self.cells().digest();
@@ -430,7 +437,10 @@
 
     /// Proposes who is to vote, where a member has lost its disk or has gone and another is there.
     fn members(&mut self, now: Micros, rank: Micros, steps: &mut Vec<Step>) {
-        let next = self.votes().then(|| self.presence.next(now, &self.membership.members)).flatten();
+        let Membership { before, .. } = &self.membership;
+        let paced = before.is_empty() || *before == self.membership.names() || now >= self.learned + PACE;
+        let next =
+            (paced && self.votes()).then(|| self.presence.next(now, &self.membership.members)).flatten();
         let Some(next) = next else {
             self.due = None;
             return;
