--- a/crates/smoker/src/check.rs
+++ b/crates/smoker/src/check.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use pinerelay_cells::item::Version;
 use pinerelay_cells::{call, judge, Cells, Item, Key};
 use thiserror::Error;
 
 use crate::figures::Figures;
+use crate::orders::Orders;
 use crate::plan::{Micros, SECOND};
 use crate::process::Proc;
 
@@ -37,6 +39,49 @@
     OneDuty,
     /// After the faults all copies are the same, and every proxy is ready.
     Heals,
+    /// What was confirmed is on enough synced disks at every moment.
+    Copies,
+    /// Under one revision one content is confirmed.
+    OneContent,
+    /// An order that was taken is never refused.
+    NeverRefused,
+    /// Each answer belongs to a call of this life of its process, and none is answered twice.
+    WhoseAnswer,
+    /// Who is cut off from the core confirms and refuses no order, read or leaving.
+    CutOff,
+    /// Who has been cut off from the core for a while confirms no heartbeats.
+    Beats,
+    /// A proxy that begins does not call a configuration whole that lacks what was acknowledged a while ago.
+    NeverOld,
+    /// A machine that comes back has all that it missed within the time that it counts as lost.
+    CaughtUp,
+}
+
+impl Invariant {
+    /// All of them.
+    pub const ALL: [Invariant; 16] = [
+        Invariant::Stands,
+        Invariant::Valid,
+        Invariant::NeverBack,
+        Invariant::Applied,
+        Invariant::Drained,
+        Invariant::Quota,
+        Invariant::OneDuty,
+        Invariant::Heals,
+        Invariant::Copies,
+        Invariant::OneContent,
+        Invariant::NeverRefused,
+        Invariant::WhoseAnswer,
+        Invariant::CutOff,
+        Invariant::Beats,
+        Invariant::NeverOld,
+        Invariant::CaughtUp,
+    ];
+
+    /// The one of this name.
+    pub fn named(name: &str) -> Option<Invariant> {
+        Invariant::ALL.into_iter().find(|invariant| format!("{invariant:?}") == name)
+    }
 }
 
 /// What was broken, and when.
@@ -67,11 +112,17 @@
 pub struct Ledger {
     /// The first breach.
     pub breach: Option<(Invariant, String)>,
+    /// Breaches of these are counted and end nothing.
+    counts: Vec<Invariant>,
+    /// How many of these there were.
+    pub counted: BTreeMap<Invariant, u64>,
+    /// What was acknowledged, and when.
+    acks: Vec<(Micros, Key, u64)>,
     /// Of each item the newest version that was acknowledged.
     pub newest: BTreeMap<Key, u64>,
     /// Of each item the newest drop that was called for.
     drops: BTreeMap<Key, u64>,
-    refused: BTreeSet<(Key, u64)>,
+    refused: BTreeSet<(Key, Version)>,
     changes: Vec<Due<Vec<(Key, u64)>>>,
     leaving: Vec<Due<String>>,
     /// What each proxy has had in force in this life.
@@ -82,8 +133,17 @@
 }
 
 impl Ledger {
-    /// Notes a breach, if it is the first.
+    /// One that counts breaches of these.
+    pub fn counting(counts: Vec<Invariant>) -> Ledger {
+        Ledger { counts, ..Ledger::default() }
+    }
+
+    /// Notes a breach, if it is the first, or counts it.
     pub fn broken(&mut self, invariant: Invariant, what: String) {
+        if self.counts.contains(&invariant) {
+            *self.counted.entry(invariant).or_default() += 1;
+            return;
+        }
         self.breach.get_or_insert((invariant, what));
     }
 
@@ -106,6 +166,7 @@
         for item in items {
             let newest = self.newest.entry(item.key.clone()).or_default();
             *newest = (*newest).max(item.version.0);
+            self.acks.push((now, item.key.clone(), item.version.0));
         }
         let what: Vec<(Key, u64)> = items.iter().map(|i| (i.key.clone(), i.version.0)).collect();
         let (early, waits): (Vec<_>, Vec<_>) = proxies.iter().partition(|(_, (_, cells))| has(cells, &what));
@@ -116,11 +177,27 @@
 
     /// These are refused for good.
     pub fn refused(&mut self, items: &[Item]) {
-        self.refused.extend(items.iter().map(|i| (i.key.clone(), i.version.0)));
+        self.refused.extend(items.iter().map(|i| (i.key.clone(), i.version)));
+    }
+
+    /// What of all that was acknowledged before a moment a copy lacks.
+    pub fn lacks(&self, before: Micros, cells: &Cells) -> Option<String> {
+        let past = |(at, key, version): &&(Micros, Key, u64)| {
+            *at < before && cells.get(key).is_none_or(|item| item.version.0 < *version)
+        };
+        let (at, key, version) = self.acks.iter().find(past)?;
+        Some(format!("{key:?} at {version}, acknowledged at {:.3} s", *at as f64 / 1e6))
+    }
+
+    /// A proxy calls its configuration whole.
+    pub fn whole(&mut self, now: Micros, proc: Proc, cells: &Cells) {
+        if let Some(what) = self.lacks(now.saturating_sub(CONTACT), cells) {
+            self.broken(Invariant::NeverOld, format!("proxy {proc} is whole without {what}"));
+        }
     }
 
     /// A read has been answered; `floor` had been acknowledged before it.
-    pub fn read(&mut self, floor: &BTreeMap<Key, u64>, text: &str) {
+    pub fn read(&mut self, floor: &BTreeMap<Key, u64>, text: &str, orders: &Orders) {
         let Ok(stands) = call::read(format!("{{\"upsert\":{text}}}").as_bytes()) else {
             return self.broken(Invariant::Stands, "a read can't be read".into());
         };
@@ -129,11 +206,16 @@
         if let Err(unfit) = judge::together(&all) {
             self.broken(Invariant::Valid, format!("a read: {unfit}"));
         }
+        if let Some(what) = orders.differs(&all) {
+            self.broken(Invariant::OneContent, what);
+        }
         self.in_force("a read", &all);
         for (key, newest) in floor {
             let there = all.get(key).map(|item| item.version.0);
             let dropped = self.drops.get(key).copied();
-            let stands = there.map_or(dropped >= Some(*newest), |version| version >= *newest);
+            // What was confirmed as set is absent only after a later drop.
+            let least = *newest + u64::from(orders.was_set(key, *newest));
+            let stands = there.map_or(dropped >= Some(least), |version| version >= *newest);
             if !stands {
                 self.broken(
                     Invariant::Stands,
@@ -144,7 +226,7 @@
     }
 
     fn in_force(&mut self, whose: &str, cells: &Cells) {
-        let bad = cells.all().find(|i| self.refused.contains(&(i.key.clone(), i.version.0)));
+        let bad = cells.all().find(|i| self.refused.contains(&(i.key.clone(), i.version)));
         if let Some(key) = bad.map(|item| item.key.clone()) {
             self.broken(Invariant::Valid, format!("{whose}: {key:?} was refused and is in force"));
         }
--- /dev/null
+++ b/crates/smoker/src/disk.rs
@@ -0,0 +1,120 @@
+//! The stores' disks: what is safe, what a loss of power may take, and when they stall or refuse.
+
+use pinerelay_cells::Key;
+use pinerelay_dance::voter::{Change, Kept};
+
+use crate::plan::{Lot, Micros};
+
+/// What a disk refuses is tried again after this, as `comb::disk` does.
+pub const AGAIN: Micros = 300_000;
+
+/// A store's disk, and the queue before it.
+///
+/// Each change counts as a transaction of its own. The real disk joins those that wait, so that what it may lose is one of
+/// the cases here.
+#[derive(Default)]
+pub struct Disk {
+    /// What is safe.
+    kept: Option<Kept>,
+    /// Transactions that a process which has ended had written and not synced: the next one reads them, and its first
+    /// sync makes them safe; a loss of power may take them.
+    cached: Vec<Change>,
+    /// What was given to it and is not safe yet.
+    unwritten: Vec<(u64, Change)>,
+    /// So many of them are on their way.
+    syncing: usize,
+    /// It answers nothing until then.
+    pub stalled: Micros,
+    /// It refuses each write until then.
+    pub refuses: Micros,
+    /// What was dropped is forgotten at once: a fault that is put in.
+    forgets: bool,
+}
+
+impl Disk {
+    /// An empty one.
+    pub fn new(forgets: bool) -> Disk {
+        Disk { forgets, ..Disk::default() }
+    }
+
+    /// Takes a change, behind all before.
+    pub fn give(&mut self, number: u64, change: Change) {
+        self.unwritten.push((number, change));
+    }
+
+    /// Begins to write all that waits, if anything does and nothing is on its way; tells how many changes that are.
+    pub fn begin(&mut self) -> Option<usize> {
+        if self.syncing > 0 || self.unwritten.is_empty() {
+            return None;
+        }
+        self.syncing = self.unwritten.len();
+        Some(self.syncing)
+    }
+
+    /// What was on its way is safe; tells the numbers.
+    pub fn synced(&mut self) -> Vec<u64> {
+        let kept = self.kept.get_or_insert_default();
+        self.cached.drain(..).for_each(|change| apply(kept, &change, self.forgets));
+        let done: Vec<(u64, Change)> = self.unwritten.drain(..std::mem::take(&mut self.syncing)).collect();
+        let numbers = done.iter().map(|(number, _)| *number).collect();
+        done.into_iter().for_each(|(_, change)| apply(kept, &change, self.forgets));
+        numbers
+    }
+
+    /// What was on its way is refused: it waits again.
+    pub fn refused(&mut self) {
+        self.syncing = 0;
+    }
+
+    /// What was on its way is refused and lost, and the numbers are told as if it were safe: a fault that is put in.
+    pub fn swallowed(&mut self) -> Vec<u64> {
+        self.unwritten.drain(..std::mem::take(&mut self.syncing)).map(|(number, _)| number).collect()
+    }
+
+    /// The process ends, and with the power goes what was not synced.
+    ///
+    /// The database's log holds transactions one behind the other, each with a checksum over all frames before it. So of
+    /// pages that reached the disk by themselves those count that stand before the first one torn: what is there is always a
+    /// first part of what was written, and the frames of a later commit don't count when an earlier one is torn.
+    pub fn ends(&mut self, lot: &mut Lot, power: bool) {
+        self.syncing = 0;
+        let written = self.cached.len();
+        self.cached.extend(self.unwritten.drain(..).map(|(_, change)| change));
+        let from = if power { 0 } else { written };
+        let all_gone = lot.chance(4);
+        let there =
+            from + if all_gone { 0 } else { lot.upto((self.cached.len() - from) as u64 + 1) as usize };
+        self.cached.truncate(there);
+        if power && there > 0 {
+            let kept = self.kept.get_or_insert_default();
+            self.cached.drain(..).for_each(|change| apply(kept, &change, self.forgets));
+        }
+    }
+
+    /// What a process that begins finds; none: the disk is empty.
+    pub fn read(&self) -> Option<Kept> {
+        if self.cached.is_empty() {
+            return self.kept.clone();
+        }
+        let mut kept = self.kept.clone().unwrap_or_default();
+        self.cached.iter().for_each(|change| apply(&mut kept, change, self.forgets));
+        Some(kept)
+    }
+
+    /// The newest revision of an item that is safe here, settled or pending.
+    pub fn holds(&self, key: &Key) -> Option<u64> {
+        let kept = self.kept.as_ref()?;
+        let settled = kept.cells.binary_search_by(|item| item.key.cmp(key)).ok();
+        let settled = settled.map(|n| kept.cells[n].version.0);
+        let pending = kept.pending.iter().flat_map(|batch| &batch.items).filter(|item| item.key == *key);
+        settled.max(pending.map(|item| item.version.0).max())
+    }
+}
+
+/// Puts a change on top of what is kept. The items stay in the order of their keys.
+fn apply(kept: &mut Kept, change: &Change, forgets: bool) {
+    kept.write(change);
+    if forgets {
+        kept.cells.retain(|item| item.value.is_some());
+    }
+}
--- a/crates/smoker/src/faults.rs
+++ b/crates/smoker/src/faults.rs
@@ -1,11 +1,14 @@
-//! What goes wrong: never more at once than is tolerated, and at the worst moments.
+//! What goes wrong by lot: never more at once than is tolerated, and at the worst moments.
 
 use crate::plan::{Broken, Micros, SECOND};
 use crate::process::Proc;
+use crate::trouble::{Trouble, Ways};
 use crate::world::{Event, World};
 
 /// A machine counts as lost for so long once it is back.
-const SYNC_TIME: Micros = 4 * SECOND;
+pub const SYNC_TIME: Micros = 4 * SECOND;
+/// Nothing stands still or is cut off for longer.
+const LONG: Micros = 20 * SECOND;
 
 /// A fault's turn.
 #[derive(Debug, Clone, Copy)]
@@ -14,12 +17,22 @@
     Core,
     /// The next trouble of proxies.
     Proxy,
+    /// The next trouble that makes no machine lost: a step of a clock, or resets.
+    Aside,
+    /// A disk is lost as soon as the one before is repaired.
+    Second,
+    /// From now on one disk is lost after the other, each right after an acknowledgement.
+    Chain,
+    /// This one, now.
+    Now(Trouble),
     /// A machine has power again.
     Power(usize),
     /// A process starts again.
     Start(Proc),
     /// The core was changed: it is not settled for a while.
     Stirred,
+    /// A machine's time of day is right again.
+    Set(usize),
     /// What was to happen right after an acknowledgement has found none.
     Disarm(u64),
 }
@@ -31,8 +44,8 @@
     Power,
     /// Its disk.
     Disk,
-    /// Its disk, and all others' power.
-    DiskAndPower,
+    /// Its disk, and all others' power; the proxies', too.
+    DiskAndPower(bool),
 }
 
 /// The state of all faults.
@@ -40,11 +53,14 @@
 pub struct Faults {
     armed: Option<(u64, Loss)>,
     turn: u64,
-    /// When the core was last stirred, and until when one is slowed.
-    stirred: Micros,
-    slowed: Micros,
+    /// Disks are lost one after the other.
+    chain: bool,
+    /// When the core was last stirred.
+    pub stirred: Micros,
+    /// Until when one of it is slowed.
+    pub slowed: Micros,
     /// Until when half of the core or more did not run.
-    halted: Micros,
+    pub halted: Micros,
 }
 
 impl Faults {
@@ -52,43 +68,48 @@
     pub fn core_trouble(&self, now: Micros) -> Micros {
         self.stirred.max(self.slowed.min(now))
     }
-
-    /// Until when half of the core or more did not run.
-    pub fn halted(&self) -> Micros {
-        self.halted
-    }
 }
 
 impl World {
-    /// Counts a fault, and keeps it for who asks what came before a breach.
-    fn note(&mut self, what: &'static str, whose: usize) {
-        self.figures.count(what);
-        self.trail.push((self.now, what, whose));
-    }
-
-    /// When something ends that lasts so long: with the faults at the latest.
-    fn until(&self, after: Micros) -> Micros {
-        (self.now + after).min(self.plan.calm_from())
-    }
-
     /// A fault's turn.
     pub fn fault(&mut self, fault: Fault) {
         match fault {
             Fault::Core => self.core_fault(),
             Fault::Proxy => self.proxy_fault(),
+            Fault::Aside => self.aside(),
+            Fault::Chain => {
+                self.faults.chain = true;
+                self.fault(Fault::Second);
+            }
+            Fault::Second if self.faults.chain => {
+                if self.left.len() < self.plan.spares && self.lot.chance(3) {
+                    let core = self.any_core();
+                    let back = self.befall(Trouble::Replace(core));
+                    return self.next_core_fault(back, true);
+                }
+                // Until something is acknowledged.
+                self.faults.armed = Some((self.faults.turn, Loss::Disk));
+            }
+            Fault::Second => {
+                let core = self.any_core();
+                let span = self.span();
+                let back = self.befall(Trouble::Wipe(core, span));
+                self.next_core_fault(back, true);
+            }
+            Fault::Now(trouble) => {
+                self.befall(trouble);
+            }
             Fault::Power(machine) => {
-                self.faults.stirred = self.now;
+                self.stir(machine);
                 self.net.machines[machine].off = false;
-                self.start(self.places.store(machine), false);
-                self.start(self.places.scout(machine), false);
+                self.places.on(machine).into_iter().for_each(|proc| self.start(proc, false));
             }
             Fault::Start(proc) => {
-                if proc < self.places.proxy(0) {
-                    self.faults.stirred = self.now;
-                }
+                self.stir(self.places.machine(proc));
                 self.start(proc, false);
             }
             Fault::Stirred => self.faults.stirred = self.now,
+            Fault::Set(machine) => self.net.machines[machine].skew = 0,
             Fault::Disarm(turn) => {
                 if self.faults.armed.is_some_and(|(armed, _)| armed == turn) {
                     self.faults.armed = None;
@@ -98,58 +119,82 @@
         }
     }
 
-    /// The core bears no other trouble before a while after this moment.
-    fn next_core_fault(&mut self, end: Micros) {
-        let pause = SYNC_TIME + self.lot.upto(SECOND);
-        if end + pause + SECOND < self.plan.calm_from() {
-            self.at(end + pause, Event::Fault(Fault::Core));
+    /// A machine that was changed: one of the core is not settled for a while.
+    pub fn stir(&mut self, machine: usize) {
+        if machine < self.places.cores {
+            self.faults.stirred = self.now;
         }
     }
 
-    fn lose(&mut self, core: usize, loss: Option<Loss>) -> Micros {
-        let back = self.lot.within(SECOND / 3, 3 * SECOND);
-        let back = self.until(back);
-        self.faults.stirred = self.now;
-        self.gap = Some(self.now);
-        let together = self.lot.chance(2);
-        if matches!(loss, Some(Loss::DiskAndPower)) {
-            self.faults.halted = self.until(3 * SECOND);
-            for other in (0..self.plan.cores).filter(|other| *other != core) {
-                self.power_off(other);
-                let alone = self.lot.within(SECOND / 5, 3 * SECOND);
-                let alone = self.until(alone);
-                self.at(if together { back } else { alone }, Event::Fault(Fault::Power(other)));
+    /// A machine of the core.
+    pub fn any_core(&mut self) -> usize {
+        self.core[self.lot.upto(self.core.len() as u64) as usize]
+    }
+
+    /// One of its processes, or both.
+    fn some_of(&mut self, core: usize) -> Vec<Proc> {
+        let mut procs = self.places.on(core);
+        match self.lot.upto(3) {
+            2 => {}
+            n => {
+                procs.remove(n as usize);
             }
         }
-        self.power_off(core);
-        if matches!(loss, Some(Loss::Disk | Loss::DiskAndPower)) {
-            self.note("disks lost", core);
-            self.disks[core] = Default::default();
+        procs
+    }
+
+    /// How long something lasts: mostly short, now and then for long.
+    fn span(&mut self) -> Micros {
+        if self.lot.chance(6) {
+            self.lot.within(3 * SECOND, LONG)
+        } else {
+            self.lot.within(SECOND / 3, 3 * SECOND)
         }
-        self.at(back, Event::Fault(Fault::Power(core)));
-        if loss.is_some() {
-            // What was acknowledged is asked for before others can have handed it over.
-            self.at(back + SECOND / 10, Event::ReadAll);
+    }
+
+    /// What a process that begins is told of the core: at the first start the same for all; later some list of any age.
+    pub fn seeds(&mut self, first: bool) -> Vec<String> {
+        let mut all = self.core.clone();
+        if !first && self.plan.faults && self.lot.chance(2) {
+            all.extend(&self.left);
+            for n in (1..all.len()).rev() {
+                all.swap(n, self.lot.upto(n as u64 + 1) as usize);
+            }
+            if all.iter().take(3).all(|machine| self.left.contains(machine)) {
+                all[0] = self.any_core();
+            }
         }
-        back
+        all.iter().take(3).map(|&machine| self.places.ip(machine)).collect()
     }
 
-    fn power_off(&mut self, machine: usize) {
-        self.note("power lost", machine);
-        self.net.machines[machine].off = true;
-        self.kill(self.places.store(machine), true);
-        self.kill(self.places.scout(machine), true);
+    /// The core bears no other trouble before a while after this moment. Right after a repair the next disk may be lost.
+    fn next_core_fault(&mut self, end: Micros, repaired: bool) {
+        let (pause, fault) = if self.faults.chain || repaired && self.lot.chance(3) {
+            (SYNC_TIME, Fault::Second)
+        } else {
+            (SYNC_TIME + self.lot.upto(SECOND), Fault::Core)
+        };
+        if end + pause + SECOND < self.plan.calm_from() {
+            self.at(end + pause, Event::Fault(fault));
+        }
     }
 
     /// A core has just acknowledged something to its caller.
     pub fn after_ack(&mut self, core: usize) {
-        if self.net.machines[core].off {
+        if self.net.machines[core].off || !self.core.contains(&core) {
             return;
         }
         if let Some((_, loss)) = self.faults.armed.take() {
             self.note("lost right after an acknowledgement", core);
-            let back = self.lose(core, Some(loss));
-            self.next_core_fault(back);
+            let span = self.lot.within(SECOND / 3, 3 * SECOND);
+            let back = self.befall(match loss {
+                Loss::Power => Trouble::Power(core, span),
+                Loss::Disk => Trouble::Wipe(core, span),
+                Loss::DiskAndPower(proxies) => Trouble::Dark { wiped: Some(core), proxies },
+            });
+            // What was acknowledged is asked for before others can have handed it over.
+            self.at(back + SECOND / 10, Event::ReadAll);
+            self.next_core_fault(back, !matches!(loss, Loss::Power));
         }
     }
 
@@ -157,86 +202,70 @@
         if self.now + SECOND >= self.plan.calm_from() {
             return;
         }
-        let core = self.lot.upto(self.plan.cores as u64) as usize;
-        let (store, scout) = (self.places.store(core), self.places.scout(core));
+        let core = self.any_core();
+        let other = self.core.iter().position(|c| *c == core).unwrap_or(0) + 1;
+        let other = other + self.lot.upto(self.core.len() as u64 - 1) as usize;
+        let other = self.core[other % self.core.len()];
+        let span = self.span();
+        let short = self.lot.within(SECOND / 5, SECOND);
         self.faults.turn += 1;
-        let end = match self.lot.upto(12) {
+        let end = match self.lot.upto(18) {
             n @ 0..=3 => {
-                let loss = [Loss::Power, Loss::Disk, Loss::Disk, Loss::DiskAndPower][n as usize];
+                let proxies = self.lot.chance(3);
+                let loss = [Loss::Power, Loss::Disk, Loss::Disk, Loss::DiskAndPower(proxies)][n as usize];
                 self.faults.armed = Some((self.faults.turn, loss));
                 return self.later(2 * SECOND, Event::Fault(Fault::Disarm(self.faults.turn)));
             }
-            4 => self.lose(core, None),
+            4 => self.befall(Trouble::Power(core, span)),
             5 => {
-                // One of its processes, or both.
-                let which = self.lot.upto(3);
-                let back = self.lot.within(SECOND / 5, SECOND);
-                let back = self.until(back);
-                for proc in [store, scout].into_iter().skip(usize::from(which == 1)).take(if which < 2 {
-                    1
-                } else {
-                    2
-                }) {
-                    self.kill(proc, false);
-                    self.at(back, Event::Fault(Fault::Start(proc)));
-                }
-                self.note("core processes killed", core);
-                self.faults.stirred = self.now;
-                self.gap = Some(self.now);
-                back
+                let procs = self.some_of(core);
+                let ends = procs.into_iter().map(|proc| self.befall(Trouble::Kill(proc, short)));
+                ends.max().unwrap_or(self.now)
+            }
+            6..=8 => {
+                let ways = [Ways::Both, Ways::Out, Ways::In, Ways::Both][self.lot.upto(4) as usize];
+                let outside = self.lot.chance(2);
+                self.befall(Trouble::Cut { machine: core, ways, outside, span })
             }
-            6..=8 => self.cut_core(core),
             9 => {
-                let mut last = self.now;
                 self.note("whole core killed", 0);
-                for proc in 0..self.places.proxy(0) {
-                    self.kill(proc, false);
-                    let back = self.lot.within(SECOND / 5, SECOND);
-                    let back = self.until(back);
-                    last = last.max(back);
-                    self.at(back, Event::Fault(Fault::Start(proc)));
-                }
-                self.faults.stirred = self.now;
-                self.faults.halted = last;
-                last
+                self.befall(Trouble::KillCore)
             }
-            10 => {
-                let until = self.lot.within(SECOND / 3, 3 * SECOND);
-                let until = self.until(until);
-                let both = self.lot.chance(2);
-                for proc in [store, scout].into_iter().skip(usize::from(!both)) {
-                    self.procs[proc].frozen = until;
-                }
-                self.note("cores frozen", core);
-                self.faults.stirred = self.now;
-                self.at(until, Event::Fault(Fault::Stirred));
-                until
+            10 | 11 => {
+                let procs = self.some_of(core);
+                let ends = procs.into_iter().map(|proc| self.befall(Trouble::Freeze(proc, span)));
+                ends.max().unwrap_or(self.now)
             }
-            _ => {
-                let until = self.lot.within(SECOND / 3, 4 * SECOND);
-                let until = self.until(until);
-                self.disks[core].stalled = until;
-                self.faults.slowed = until;
-                self.note("disks stalled", core);
-                until
+            12 => self.befall(Trouble::Stall(core, span)),
+            13 => self.befall(Trouble::Refuse(core, span)),
+            14 => self.befall(Trouble::Part { from: core, to: other, span }),
+            15 => self.befall(Trouble::Alone(core, span)),
+            16 => {
+                let proxies = self.lot.chance(2);
+                self.befall(Trouble::Dark { wiped: None, proxies })
             }
+            _ if self.left.len() < self.plan.spares => self.befall(Trouble::Replace(core)),
+            _ => self.befall(Trouble::Slow { machine: core, rate: 250_000, span }),
         };
-        self.next_core_fault(end);
+        self.next_core_fault(end, false);
     }
 
-    /// One way or both, with callers from outside or without.
-    fn cut_core(&mut self, core: usize) -> Micros {
-        let until = self.lot.within(SECOND / 3, 8 * SECOND);
-        let until = self.until(until);
-        let ways = self.lot.upto(4);
-        let machine = &mut self.net.machines[core];
-        machine.outside = self.lot.chance(2);
-        machine.mute = if ways == 1 { 0 } else { until };
-        machine.deaf = if ways == 2 { 0 } else { until };
-        self.note("cores cut off", core);
-        self.faults.stirred = self.now;
-        self.at(until, Event::Fault(Fault::Stirred));
-        until
+    /// What may befall any machine at any time: nothing of it counts as lost.
+    fn aside(&mut self) {
+        if self.now + SECOND >= self.plan.calm_from() {
+            return;
+        }
+        let pause = self.lot.within(SECOND, 4 * SECOND);
+        self.later(pause, Event::Fault(Fault::Aside));
+        if self.lot.chance(2) {
+            let machine = self.lot.upto(self.places.machines() as u64) as usize;
+            let seconds = self.lot.within(1, 30) as i64 * if self.lot.chance(2) { -1 } else { 1 };
+            let span = self.lot.within(SECOND, LONG);
+            self.befall(Trouble::Step { machine, seconds, span });
+        } else {
+            let core = self.any_core();
+            self.befall(Trouble::Reset(core));
+        }
     }
 
     fn proxy_fault(&mut self) {
@@ -246,55 +275,41 @@
         let pause = self.lot.within(SECOND / 5, 3 * SECOND);
         self.later(pause, Event::Fault(Fault::Proxy));
         let some = 1 + self.lot.upto(self.plan.proxies as u64 / 2) as usize;
-        let what = self.lot.upto(6);
-        let span = self.lot.within(SECOND / 3, if what == 1 { 10 } else { 3 } * SECOND);
-        for _ in 0..if what == 1 { some } else { 1 } {
+        let what = self.lot.upto(7);
+        let long = if what == 1 { self.lot.within(SECOND / 3, 10 * SECOND) } else { self.span() };
+        for _ in 0..if matches!(what, 1 | 6) { some } else { 1 } {
             let proc = self.places.proxy(self.lot.upto(self.plan.proxies as u64) as usize);
             let machine = self.places.machine(proc);
-            let until = self.until(span);
-            let trouble = match what {
+            let short = self.lot.within(SECOND / 5, SECOND);
+            match what {
                 0 if self.plan.broken == Some(Broken::Memory) => {
                     // Its state is lost, and nobody is told that another life began.
                     let seen = self.ledger.remembered(proc);
                     self.kill(proc, false);
                     self.start(proc, false);
                     self.ledger.remember(proc, seen);
-                    self.now
+                    self.net.machines[machine].trouble = self.now;
                 }
                 0 => {
-                    self.note("proxies killed", proc);
-                    self.kill(proc, false);
-                    let back = self.lot.within(SECOND / 5, SECOND);
-                    let back = self.until(back);
-                    self.at(back, Event::Fault(Fault::Start(proc)));
-                    back
+                    self.befall(Trouble::Kill(proc, short));
                 }
                 1 => {
-                    self.note("proxies cut off", proc);
-                    let ways = self.lot.upto(4);
-                    self.net.machines[machine].mute = if ways == 1 { 0 } else { until };
-                    self.net.machines[machine].deaf = if ways == 2 { 0 } else { until };
-                    until
+                    let ways = [Ways::Both, Ways::Out, Ways::In, Ways::Both][self.lot.upto(4) as usize];
+                    self.befall(Trouble::Cut { machine, ways, outside: false, span: long });
                 }
                 2 => {
-                    self.note("proxies frozen", proc);
-                    self.procs[proc].frozen = until;
-                    until
+                    self.befall(Trouble::Freeze(proc, long));
                 }
                 3 => {
-                    self.note("links broken", proc);
-                    let lines: Vec<_> = self.procs[proc].lines.keys().copied().collect();
-                    lines.into_iter().for_each(|peer| self.close(proc, peer));
-                    self.now
+                    self.befall(Trouble::Reset(machine));
+                }
+                6 => {
+                    self.befall(Trouble::Power(machine, short));
                 }
                 _ => {
-                    self.note("lossy links", proc);
-                    self.net.machines[machine].lossy = (5, until);
-                    until
+                    self.befall(Trouble::Lossy(machine, long));
                 }
-            };
-            let machine = &mut self.net.machines[machine];
-            machine.trouble = machine.trouble.max(trouble);
+            }
         }
     }
 }
--- a/crates/smoker/src/figures.rs
+++ b/crates/smoker/src/figures.rs
@@ -5,6 +5,7 @@
 
 use pinerelay_propolis::speech::{self, Speech};
 
+use crate::check::Invariant;
 use crate::plan::{Micros, SECOND};
 
 /// The figures of one play, or of many.
@@ -24,6 +25,8 @@
     pub heals: Vec<Micros>,
     /// From an operator's first attempt to the acknowledgement.
     pub answers: Vec<Micros>,
+    /// How often an invariant was broken whose breaches are counted.
+    pub broken: BTreeMap<Invariant, u64>,
     /// How often each thing happened.
     pub times: BTreeMap<&'static str, u64>,
 }
@@ -54,6 +57,9 @@
             let mine = self.bytes.entry(kind).or_default();
             (mine[0], mine[1]) = (mine[0] + bytes[0], mine[1] + bytes[1]);
         }
+        for (what, times) in other.broken {
+            *self.broken.entry(what).or_default() += times;
+        }
         for (what, times) in other.times {
             *self.times.entry(what).or_default() += times;
         }
@@ -113,6 +119,9 @@
             let [rest, change] = each(&all);
             writeln!(f, "  {:<12} {rest:>11.0} {change:>14.0}", "all")?;
         }
+        for (invariant, times) in &self.broken {
+            writeln!(f, "broken:            {invariant:?} {times} times")?;
+        }
         let times: Vec<String> = self.times.iter().map(|(what, n)| format!("{what} {n}")).collect();
         write!(f, "happened:          {}", times.join(", "))
     }
--- a/crates/smoker/src/lib.rs
+++ b/crates/smoker/src/lib.rs
@@ -4,10 +4,17 @@
 //! [`world::play`] plays it, checks the invariants all the while, and tells the figures or what was broken, and when.
 
 pub mod check;
+pub mod defects;
+pub mod disk;
 pub mod faults;
 pub mod figures;
+pub mod links;
+pub mod look;
 pub mod net;
+pub mod orders;
 pub mod outside;
 pub mod plan;
 pub mod process;
+pub mod scenarios;
+pub mod trouble;
 pub mod world;
--- a/crates/smoker/src/net.rs
+++ b/crates/smoker/src/net.rs
@@ -1,6 +1,8 @@
 //! Machines and the ways between them: what is cut, delayed and lost, and the connections that go over them.
 
-use crate::plan::{Lot, Micros};
+use std::collections::BTreeMap;
+
+use crate::plan::{Lot, Micros, SECOND};
 use crate::process::{Peer, Proc};
 
 /// A connection on which nothing was heard for so long is closed, as `propolis::link` does.
@@ -21,8 +23,16 @@
     pub outside: bool,
     /// One in so many messages from and to it is sent again; 0: none.
     pub lossy: (u64, Micros),
+    /// So many bytes a second go over its link, each way.
+    pub slow: (u64, Micros),
+    /// Until when its link is taken, out and in, while it is slow.
+    taken: [Micros; 2],
+    /// By so many seconds its time of day is off.
+    pub skew: i64,
     /// Without power.
     pub off: bool,
+    /// From when until when it is cut off both ways from all others of the core.
+    pub apart: (Micros, Micros),
     /// When its last trouble ends or ended.
     pub trouble: Micros,
 }
@@ -47,6 +57,8 @@
 pub struct Net {
     /// The machines, those of the core first.
     pub machines: Vec<Machine>,
+    /// Until when nothing gets from one machine to another.
+    pub cuts: BTreeMap<(usize, usize), Micros>,
     /// All connections that ever were.
     pub connections: Vec<Connection>,
 }
@@ -54,7 +66,7 @@
 impl Net {
     /// Machines without trouble.
     pub fn new(machines: usize) -> Net {
-        Net { machines: vec![Machine::default(); machines], connections: Vec::new() }
+        Net { machines: vec![Machine::default(); machines], cuts: BTreeMap::new(), connections: Vec::new() }
     }
 
     /// Until when nothing gets from one machine to another.
@@ -62,7 +74,8 @@
         if from == to {
             return 0;
         }
-        self.machines[from].mute.max(self.machines[to].deaf)
+        let cut = self.cuts.get(&(from, to)).copied().unwrap_or(0);
+        self.machines[from].mute.max(self.machines[to].deaf).max(cut)
     }
 
     /// Whether a caller from outside reaches a machine, or is reached by it.
@@ -84,16 +97,29 @@
         1_000 + lot.upto(1_500) + if resent { RESENT + lot.upto(400_000) } else { 0 }
     }
 
-    /// When something that one end says now arrives.
+    /// When so many bytes that go out now have passed the links of both machines.
+    fn passed(&mut self, now: Micros, way: [usize; 2], bytes: impl Fn() -> usize) -> Micros {
+        let mut at = now;
+        for (n, machine) in way.into_iter().enumerate().filter(|_| way[0] != way[1]) {
+            let machine = &mut self.machines[machine];
+            if now < machine.slow.1 {
+                at = at.max(machine.taken[n]) + bytes() as u64 * SECOND / machine.slow.0;
+                machine.taken[n] = at;
+            }
+        }
+        at
+    }
+
+    /// When something of so many bytes that one end says now arrives.
     pub fn send(
         &mut self,
         now: Micros,
         lot: &mut Lot,
-        connection: usize,
-        end: usize,
+        (connection, end): (usize, usize),
         way: [usize; 2],
+        bytes: impl Fn() -> usize,
     ) -> Micros {
-        let after = now + self.way(now, lot, way[0], way[1]);
+        let after = self.passed(now, way, bytes) + self.way(now, lot, way[0], way[1]);
         let line = &mut self.connections[connection];
         line.next[end] = line.next[end].max(after).max(line.held[end]);
         line.next[end]
--- a/crates/smoker/src/outside.rs
+++ b/crates/smoker/src/outside.rs
@@ -10,8 +10,10 @@
 use pinerelay_nectar::terms::Quota;
 use pinerelay_scout::dispatch::Call as Rpc;
 
+use crate::orders::Asked;
 use crate::plan::{Lot, Micros, SECOND};
 use crate::process::{Body, Output, Proc, HEARTBEAT};
+use crate::scenarios::Act;
 use crate::world::{proxies, Event, World};
 
 /// The tenants that clients call for, their rates and bursts.
@@ -59,12 +61,14 @@
     calls: BTreeMap<u64, Call>,
     last: u64,
     /// Calls that a registry has: of which process and life, under its number.
-    pub with: BTreeMap<(Proc, u64, u64), (u64, u32)>,
+    pub with: BTreeMap<(Proc, u64, u64), Asked>,
     places: Vec<Place>,
     revision: u64,
     first: bool,
     waiting: BTreeMap<u64, usize>,
     requests: u64,
+    /// The orders that a script has made.
+    script: Vec<String>,
 }
 
 impl Outside {
@@ -80,6 +84,7 @@
             first: false,
             waiting: BTreeMap::new(),
             requests: 0,
+            script: Vec::new(),
         }
     }
 }
@@ -161,7 +166,8 @@
         }
         process.last_call += 1;
         let (number, life, now) = (process.last_call, process.life, process.clock(self.now));
-        self.outside.with.insert((proc, life, number), (id, tries));
+        let asked = Asked { id, tries, at: self.now, what: what.clone() };
+        self.outside.with.insert((proc, life, number), asked);
         let server = |place: usize, life: u64| format!("i-{place}-{life}");
         let call = match what {
             What::Update(body, _) => Rpc::Update(body),
@@ -189,7 +195,7 @@
             _ => self.now > begun + GIVEN_UP && self.outside.first,
         };
         if !clear && !over {
-            let next = (core + 1 + self.lot.upto(self.plan.cores as u64 - 1) as usize) % self.plan.cores;
+            let next = self.other_core(core);
             if let What::Beat(place, ..) = what {
                 self.outside.places[place].core = next;
             }
@@ -217,7 +223,7 @@
             What::Update(..) if status == 409 => self.figures.count("conflicts"),
             What::Read(floor) if status == 200 => {
                 self.figures.count("reads");
-                self.ledger.read(floor, body);
+                self.ledger.read(floor, body, &self.orders);
             }
             What::Beat(place, life, state) => {
                 let here = &self.outside.places[*place];
@@ -247,6 +253,12 @@
         }
     }
 
+    /// Another machine of the core, which a caller goes on to.
+    fn other_core(&mut self, core: usize) -> usize {
+        let others: Vec<usize> = self.core.iter().copied().filter(|other| *other != core).collect();
+        others[self.lot.upto(others.len() as u64) as usize]
+    }
+
     /// A call is made once more.
     pub fn again(&mut self, id: u64) {
         self.send(id);
@@ -254,7 +266,7 @@
 
     /// An operator's turn.
     pub fn operator(&mut self, operator: usize) {
-        let core = self.lot.upto(self.plan.cores as u64) as usize;
+        let core = self.any_core();
         if !self.outside.first {
             if operator == 0 {
                 let items = call::read(first().as_bytes()).unwrap_or_default();
@@ -262,7 +274,7 @@
             }
             return self.later(SECOND, Event::Operator(operator));
         }
-        if !self.changes() {
+        if !self.changes() || self.orders.all_fit {
             return self.later(SECOND / 5, Event::Operator(operator));
         }
         if self.lot.chance(5) {
@@ -275,21 +287,49 @@
         self.ask(What::Update(text.into_bytes(), items), Some(operator), core);
     }
 
+    /// What a script has happen.
+    pub fn act(&mut self, act: Act) {
+        match act {
+            Act::Fault(fault) => self.fault(fault),
+            Act::Order(text, core) => {
+                self.order(&text, core);
+                self.outside.script.push(text);
+            }
+            Act::Again(n, core) => {
+                if let Some(text) = self.outside.script.get(n).cloned() {
+                    self.order(&text, core);
+                }
+            }
+            Act::Read(core) => self.ask(What::Read(self.ledger.newest.clone()), None, core),
+            Act::Caught(core, since) => self.caught(core, since),
+        }
+    }
+
+    fn order(&mut self, text: &str, core: usize) {
+        // One sent again before the first order of all is none.
+        if self.outside.first {
+            let items = call::read(text.as_bytes()).unwrap_or_default();
+            self.ledger.called(&items);
+            self.ask(What::Update(text.as_bytes().to_vec(), items), None, core);
+        }
+    }
+
     /// At the end each core is asked what stands.
     pub fn read_all(&mut self) {
-        for core in 0..self.plan.cores {
+        for core in self.core.clone() {
             self.ask(What::Read(self.ledger.newest.clone()), None, core);
         }
     }
 
     /// A server starts a new life.
     pub fn server_starts(&mut self, place: usize) {
+        let core = self.any_core();
         let here = &mut self.outside.places[place];
         here.life += 1;
         here.calls = 0;
         here.state = State::Ready;
-        here.core = self.lot.upto(self.plan.cores as u64) as usize;
         let life = here.life;
+        here.core = core;
         self.later(0, Event::Beat(place, life));
     }
 
--- a/crates/smoker/src/plan.rs
+++ b/crates/smoker/src/plan.rs
@@ -2,6 +2,9 @@
 
 use pinerelay_cells::hash::mix;
 
+use crate::check::Invariant;
+use crate::scenarios::Scenario;
+
 /// Microseconds.
 pub type Micros = u64;
 /// A second.
@@ -52,6 +55,24 @@
     Units,
     /// A duty is taken without the others' promise.
     Fence,
+    /// A disk that refuses a write tells that it is safe.
+    Refusal,
+    /// A disk forgets at once what was dropped.
+    Tombstones,
+    /// A store that starts again knows no ballot, and uses those that were used before.
+    Ballots,
+    /// A promise tells nothing of what is pending: it is replaced, and not carried on.
+    Pending,
+    /// Another content under a revision that is taken is confirmed.
+    Judge,
+    /// A call without an answer of a quorum is refused for good.
+    Refuse,
+    /// A store answers reads from its own copy.
+    OwnRead,
+    /// Now and then a store's answer names the number of the next call.
+    Answers,
+    /// A registry calls its configuration whole, and the core reached, from the first on.
+    Whole,
 }
 
 /// A play.
@@ -61,6 +82,8 @@
     pub seed: u64,
     /// Machines of the core: a store and a registry on each.
     pub cores: usize,
+    /// Machines that replace one of the core for good, one after the other, each under a new address.
+    pub spares: usize,
     /// Proxies.
     pub proxies: usize,
     /// App servers.
@@ -71,12 +94,27 @@
     pub faults: bool,
     /// What is broken on purpose.
     pub broken: Option<Broken>,
+    /// What happens by a script; none: by lot.
+    pub scenario: Option<&'static Scenario>,
+    /// Breaches of these are counted and do not end the play.
+    pub counts: Vec<Invariant>,
 }
 
 impl Plan {
     /// A small gateway with faults.
     pub fn small(seed: u64) -> Plan {
-        Plan { seed, cores: 3, proxies: 6, servers: 8, seconds: 30, faults: true, broken: None }
+        Plan {
+            seed,
+            cores: 3,
+            spares: 0,
+            proxies: 6,
+            servers: 8,
+            seconds: 30,
+            faults: true,
+            broken: None,
+            scenario: None,
+            counts: Vec::new(),
+        }
     }
 
     /// When faults and changes end.
--- a/crates/smoker/src/process.rs
+++ b/crates/smoker/src/process.rs
@@ -25,18 +25,32 @@
 /// Which process is where.
 #[derive(Debug, Clone, Copy)]
 pub struct Places {
-    /// Machines of the core.
+    /// Machines of the core, and those that are there to replace one.
     pub cores: usize,
     /// Proxies.
     pub proxies: usize,
 }
 
 impl Places {
+    /// How many machines there are.
+    pub fn machines(self) -> usize {
+        self.cores + self.proxies
+    }
+
     /// How many processes there are.
     pub fn processes(self) -> usize {
         2 * self.cores + self.proxies
     }
 
+    /// The processes of a machine.
+    pub fn on(self, machine: usize) -> Vec<Proc> {
+        if machine < self.cores {
+            vec![self.store(machine), self.scout(machine)]
+        } else {
+            vec![self.proxy(machine - self.cores)]
+        }
+    }
+
     /// A core's store.
     pub fn store(self, core: usize) -> Proc {
         2 * core
@@ -61,6 +75,12 @@
         }
     }
 
+    /// Whether a process's machine is one for the core, and not of the core as it is now.
+    pub fn out_of(self, core: &[usize], proc: Proc) -> bool {
+        let machine = self.machine(proc);
+        machine < self.cores && !core.contains(&machine)
+    }
+
     /// What it runs.
     pub fn role(self, proc: Proc) -> Role {
         match proc {
@@ -82,11 +102,23 @@
     }
 }
 
-/// The time of day, in seconds.
+/// The true time of day, in seconds.
 pub fn wall(now: Micros) -> u64 {
     1_700_000_000 + now / SECOND
 }
 
+/// What a process is told when it begins.
+pub struct Told {
+    /// Another in each life.
+    pub life: u64,
+    /// The time of day as its machine has it, in seconds.
+    pub wall: u64,
+    /// The whole system starts for the first time.
+    pub first: bool,
+    /// Machines of the core, as some list had them.
+    pub seeds: Vec<String>,
+}
+
 /// A state machine.
 pub enum Body {
     /// Of a store.
@@ -126,21 +158,20 @@
 }
 
 impl Body {
-    /// The state machine of a process that begins: its life, and the time of day in seconds.
+    /// The state machine of a process that begins.
     pub fn begin(
         plan: &Plan,
         places: Places,
         proc: Proc,
-        (life, wall): (u64, u64),
-        first: bool,
-        kept: Option<Kept>,
+        told: Told,
+        mut kept: Option<Kept>,
         out: &mut Vec<Output>,
     ) -> Body {
+        let Told { life, wall, first, seeds } = told;
         let machine = places.machine(proc);
         let ip = places.ip(machine);
         let role = places.role(proc);
         let hello = Hello { node: format!("{role:?}-{machine}"), ip: ip.clone(), role, life };
-        let seeds: Vec<String> = (0..places.cores.min(3)).map(|core| places.ip(core)).collect();
         match role {
             Role::Comb => {
                 let alone = plan.broken == Some(Broken::Quorum);
@@ -151,6 +182,9 @@
                     first: first || plan.broken == Some(Broken::Wiped),
                     seeds: if alone { vec![ip] } else { seeds },
                 };
+                if let Some(kept) = kept.as_mut().filter(|_| plan.broken == Some(Broken::Ballots)) {
+                    kept.at = Default::default();
+                }
                 let mut first = Vec::new();
                 let body = Body::Store(Box::new(Desk::new(wall, hello, birth, kept, &mut first)));
                 out.extend(first.into_iter().map(Output::from));
@@ -284,6 +318,8 @@
     pub life: u64,
     /// When this life began.
     pub begun: Micros,
+    /// The time of day that its machine had then, in seconds.
+    pub wall: u64,
     /// It stands still until then.
     pub frozen: Micros,
     /// Its last connection.
@@ -294,6 +330,8 @@
     pub dials: BTreeMap<Proc, Dial>,
     /// The table in force, of a proxy.
     pub table: Option<Arc<Table>>,
+    /// Whether it has called its configuration whole, of a proxy.
+    pub whole: bool,
     /// Its last call from outside.
     pub last_call: u64,
 }
@@ -301,33 +339,7 @@
 impl Process {
     /// Its own clock: a proxy's is the time of day at its begin, and all go on steadily.
     pub fn clock(&self, now: Micros) -> Micros {
-        let from = if matches!(self.body, Some(Body::Proxy(_))) { wall(self.begun) * SECOND } else { 0 };
+        let from = if matches!(self.body, Some(Body::Proxy(_))) { self.wall * SECOND } else { 0 };
         from + now - self.begun
     }
 }
-
-/// A store's disk.
-#[derive(Default)]
-pub struct Disk {
-    /// What is safe.
-    pub kept: Option<Kept>,
-    /// What was given to it and is not safe yet.
-    pub unwritten: Vec<(u64, Change)>,
-    /// It stalls or refuses until then.
-    pub stalled: Micros,
-    /// A sync is under way.
-    pub syncing: bool,
-}
-
-impl Disk {
-    /// Makes the first `n` changes that wait safe, and tells their numbers.
-    pub fn sync(&mut self, n: usize) -> Vec<u64> {
-        let kept = self.kept.get_or_insert_default();
-        let mut numbers = Vec::new();
-        for (number, change) in self.unwritten.drain(..n) {
-            kept.write(&change);
-            numbers.push(number);
-        }
-        numbers
-    }
-}
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -1,32 +1,32 @@
 //! The simulated world: one virtual clock, the processes, and the events between them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use pinerelay_cells::hash::mix;
 use pinerelay_cells::server::State;
-use pinerelay_cells::{judge, Cells, Kind};
-use pinerelay_dance::{Membership, Word as StoreWord};
+use pinerelay_cells::Cells;
+use pinerelay_dance::Membership;
 use pinerelay_forager::hearing::Output as Heard;
-use pinerelay_nectar::fence::{Word, SLICES};
-use pinerelay_nectar::purse::Grant;
+use pinerelay_nectar::fence::SLICES;
 use pinerelay_propolis::speech::{Role, Speech};
 
-use crate::check::{Breach, Invariant, Ledger, HEALED};
+use crate::check::{Breach, Ledger};
+use crate::disk::{self, Disk};
 use crate::faults::{Fault, Faults};
 use crate::figures::Figures;
-use crate::net::{Connection, Net, CONNECT, SILENCE};
+use crate::look::LOOK;
+use crate::net::{Net, SILENCE};
+use crate::orders::Orders;
 use crate::outside::{Outside, QUOTAS};
 use crate::plan::{Broken, Lot, Micros, Plan, SECOND};
-use crate::process::{wall, Body, Dial, Disk, Input, Output, Peer, Places, Proc, Process};
+use crate::process::{wall, Body, Dial, Input, Output, Peer, Places, Proc, Process, Told};
+use crate::scenarios::Act;
 
-/// How often the invariants are looked at that no single event breaks.
-const LOOK: Micros = 20_000;
-/// Pauses between attempts to connect, as `propolis::link` makes them.
-const AGAIN: Micros = 100_000;
-const AGAIN_MOST: Micros = 800_000;
+/// The pause before another attempt to connect, as `propolis::link` makes it.
+pub const AGAIN: Micros = 100_000;
 /// What all slices together are.
-const ALL: u32 = (1 << SLICES) - 1;
+pub const ALL: u32 = (1 << SLICES) - 1;
 
 /// What comes over a connection.
 pub enum Coming {
@@ -48,8 +48,10 @@
     Failed(Proc, u64, Proc),
     /// Something comes to an end of a connection.
     Came(usize, usize, Coming),
-    /// So many changes are on the disk of a core's store of this life.
-    Synced(usize, u64, usize),
+    /// What was on its way to the disk of a core's store of this life is there, or refused.
+    Synced(usize, u64),
+    /// What a disk has refused is tried again.
+    Retry(usize, u64),
     /// A disk tells that this is safe, true or not.
     Told(Proc, u64, u64),
     /// A call comes to its core, at this try.
@@ -76,6 +78,8 @@
     Request(Proc, usize),
     /// Of faults.
     Fault(Fault),
+    /// Of a script.
+    Act(Act),
     /// The invariants are looked at.
     Look,
     /// At the end all cores are asked what stands.
@@ -88,6 +92,10 @@
     pub plan: Plan,
     /// Which process is where.
     pub places: Places,
+    /// The machines that the core consists of now.
+    pub core: Vec<usize>,
+    /// The machines that have left it for good.
+    pub left: Vec<usize>,
     /// The virtual clock.
     pub now: Micros,
     /// All lots.
@@ -104,6 +112,12 @@
     pub outside: Outside,
     /// What must hold.
     pub ledger: Ledger,
+    /// What was answered to orders.
+    pub orders: Orders,
+    /// Disks of those that vote which were lost and are not repaired, and since when.
+    pub wiped: BTreeMap<usize, Micros>,
+    /// Who votes, by the newest word of any store.
+    pub voting: Membership,
     /// What goes wrong.
     pub faults: Faults,
     /// What is measured.
@@ -140,30 +154,40 @@
             return Err(Breach { seed: plan.seed, at, invariant, what, trail: world.trail });
         }
     }
+    for (invariant, times) in &world.ledger.counted {
+        *world.figures.broken.entry(*invariant).or_default() += times;
+    }
     world.figures.usable[1] += if plan.faults { 0.0 } else { QUOTAS[0].1 * (plan.seconds as f64 - 10.0) };
     Ok(world.figures)
 }
 
 impl World {
     fn new(plan: Plan) -> World {
-        let places = Places { cores: plan.cores, proxies: plan.proxies };
+        let places = Places { cores: plan.cores + plan.spares, proxies: plan.proxies };
         let mut world = World {
             places,
+            core: (0..plan.cores).collect(),
+            left: Vec::new(),
             now: 0,
             lot: Lot(mix(plan.seed)),
             queue: BTreeMap::new(),
             number: 0,
-            net: Net::new(plan.cores + plan.proxies),
+            net: Net::new(places.machines()),
             procs: (0..places.processes()).map(|_| Process::default()).collect(),
-            disks: (0..plan.cores).map(|_| Disk::default()).collect(),
+            disks: Vec::new(),
             outside: Outside::new(plan.servers),
-            ledger: Ledger::default(),
+            ledger: Ledger::counting(plan.counts.clone()),
+            orders: Orders::default(),
+            wiped: BTreeMap::new(),
+            voting: Membership::default(),
             faults: Faults::default(),
             figures: Figures::default(),
             trail: Vec::new(),
             gap: None,
             plan,
         };
+        (0..places.cores).for_each(|_| world.disks.push(world.new_disk()));
+        (world.plan.cores..places.cores).for_each(|spare| world.net.machines[spare].off = true);
         (0..places.processes()).for_each(|proc| world.start(proc, true));
         (0..2).for_each(|n| world.at(SECOND, Event::Operator(n)));
         for place in 0..world.plan.servers {
@@ -174,13 +198,24 @@
         world.at(LOOK, Event::Look);
         world.at(2 * SECOND, Event::Churn);
         world.at((world.plan.seconds - 1) * SECOND, Event::ReadAll);
-        if world.plan.faults {
-            world.at(4 * SECOND, Event::Fault(Fault::Core));
-            world.at(4 * SECOND, Event::Fault(Fault::Proxy));
+        if let Some(scenario) = world.plan.scenario {
+            world.orders.all_fit = scenario.all_fit;
+            let mut lot = Lot(mix(world.plan.seed ^ mix(ALL.into())));
+            let script = (scenario.script)(&world.plan, places, &mut lot);
+            script.into_iter().for_each(|(at, act)| world.at(at, Event::Act(act)));
+        } else if world.plan.faults {
+            for fault in [Fault::Core, Fault::Proxy, Fault::Aside] {
+                world.at(4 * SECOND, Event::Fault(fault));
+            }
         }
         world
     }
 
+    /// An empty disk.
+    pub fn new_disk(&self) -> Disk {
+        Disk::new(self.plan.broken == Some(Broken::Tombstones))
+    }
+
     /// Something will happen at a moment.
     pub fn at(&mut self, at: Micros, event: Event) {
         self.number += 1;
@@ -203,6 +238,11 @@
         !self.plan.faults && self.now >= 10 * SECOND
     }
 
+    /// What tells a process's life from all others.
+    pub fn name(&self, proc: Proc) -> u64 {
+        mix(self.procs[proc].life ^ mix(proc as u64 ^ mix(self.plan.seed)))
+    }
+
     /// A process begins a life.
     pub fn start(&mut self, proc: Proc, first: bool) {
         let machine = self.places.machine(proc);
@@ -210,15 +250,16 @@
             return;
         }
         let role = self.places.role(proc);
-        let kept = if role == Role::Comb { self.disks[machine].kept.clone() } else { None };
+        let kept = if role == Role::Comb { self.disks[machine].read() } else { None };
+        let seeds = self.seeds(first);
         let process = &mut self.procs[proc];
         process.life += 1;
         process.begun = self.now;
+        process.wall = wall(self.now).saturating_add_signed(self.net.machines[machine].skew);
         let life = process.life;
-        let name = mix(life ^ mix(proc as u64 ^ mix(self.plan.seed)));
+        let told = Told { life: self.name(proc), wall: self.procs[proc].wall, first, seeds };
         let mut out = Vec::new();
-        self.procs[proc].body =
-            Some(Body::begin(&self.plan, self.places, proc, (name, wall(self.now)), first, kept, &mut out));
+        self.procs[proc].body = Some(Body::begin(&self.plan, self.places, proc, told, kept, &mut out));
         if role == Role::Forager {
             self.ledger.begins(proc);
         }
@@ -231,6 +272,7 @@
     pub fn kill(&mut self, proc: Proc, power: bool) {
         let process = &mut self.procs[proc];
         process.body = None;
+        process.whole = false;
         process.table = None;
         process.frozen = 0;
         process.dials.clear();
@@ -242,27 +284,27 @@
         }
         self.ledger.ends(proc);
         if self.places.role(proc) == Role::Comb {
-            let disk = &mut self.disks[self.places.machine(proc)];
-            // Of what was not safe some is there, from the first on.
-            let there = self.lot.upto(disk.unwritten.len() as u64 + 1) as usize;
-            if there > 0 {
-                disk.sync(there);
-            }
-            disk.unwritten.clear();
-            disk.syncing = false;
+            self.disks[self.places.machine(proc)].ends(&mut self.lot, power);
         }
     }
 
-    fn runs(&self, proc: Proc, life: u64) -> bool {
+    /// Whether a process lives this life.
+    pub fn runs(&self, proc: Proc, life: u64) -> bool {
         self.procs[proc].life == life && self.procs[proc].body.is_some()
     }
 
-    fn give(&mut self, proc: Proc, input: Input) {
+    /// Tells a process something.
+    pub fn give(&mut self, proc: Proc, input: Input) {
         let process = &mut self.procs[proc];
         let now = process.clock(self.now);
         let Some(body) = process.body.as_mut() else { return };
         let mut out = Vec::new();
         body.on(now, input, &mut out);
+        if let Body::Proxy(hearing) = body {
+            if hearing.whole() && !std::mem::replace(&mut process.whole, true) {
+                self.ledger.whole(self.now, proc, &hearing.realms()[0]);
+            }
+        }
         self.carry_out(proc, out);
     }
 
@@ -274,20 +316,14 @@
                 Output::Cut(peer) => self.close(proc, peer),
                 Output::Write(number, change) => {
                     let core = self.places.machine(proc);
-                    self.disks[core].unwritten.push((number, change));
+                    self.disks[core].give(number, change);
                     let life = self.procs[proc].life;
                     if self.plan.broken == Some(Broken::Sync) {
                         self.later(0, Event::Told(proc, life, number));
                     }
                     self.sync(core);
                 }
-                Output::Answer(number, status, body) => {
-                    let life = self.procs[proc].life;
-                    let Some((id, tries)) = self.outside.with.remove(&(proc, life, number)) else { continue };
-                    if self.net.outside(self.now, self.places.machine(proc), true) {
-                        self.later(1_000, Event::Back(id, tries, status, body));
-                    }
-                }
+                Output::Answer(number, status, body) => self.answered(proc, number, status, body),
                 Output::Proxy(heard) => self.heard(proc, heard),
             }
         }
@@ -309,82 +345,43 @@
         }
     }
 
-    fn say(&mut self, proc: Proc, peers: &[Peer], mut speech: Speech) {
-        if !self.plan.faults && self.now > 6 * SECOND && self.now < self.plan.calm_from() {
-            let change = self.changes();
-            self.figures.said(&speech, peers.len(), change);
-        }
-        let broken = self.plan.broken;
-        let back = match &mut speech {
-            Speech::Digest(_) if broken == Some(Broken::Digests) => return,
-            Speech::Store(StoreWord::Digest { incarnation, .. }) if broken == Some(Broken::Copies) => {
-                *incarnation = incarnation.filter(|n| *n == 0);
-                None
-            }
-            Speech::Hold { number, .. } if broken == Some(Broken::Hold) => Some(Speech::Held(*number)),
-            Speech::Fence(Word::Claim { turn, .. }) if broken == Some(Broken::Fence) => {
-                Some(Speech::Fence(Word::Promised { turn: *turn, slices: ALL }))
-            }
-            Speech::StoreStands { membership, .. } if broken == Some(Broken::Quorum) => {
-                // The registries' duties are not meant.
-                *membership = Membership::first((0..self.plan.cores.min(3)).map(|core| self.places.ip(core)));
-                None
-            }
-            Speech::Drawn(grants) if broken == Some(Broken::Units) => {
-                for (_, grant) in grants {
-                    if let Grant::Block { units, .. } = grant {
-                        *units *= 2.0;
-                    }
-                }
-                None
-            }
-            _ => None,
-        };
-        let news = matches!(speech, Speech::News(_)) && broken == Some(Broken::News);
-        let speech = Rc::new(speech);
-        for peer in peers {
-            let Some(&(connection, end)) = self.procs[proc].lines.get(peer) else { continue };
-            if let Some(back) = &back {
-                self.later(0, Event::Came(connection, end, Coming::Said(Rc::new(back.clone()))));
-                continue;
-            }
-            let other = self.net.connections[connection].ends[1 - end].0;
-            if news && self.places.role(other) == Role::Forager {
-                continue;
-            }
-            let way = [self.places.machine(proc), self.places.machine(other)];
-            let at = self.net.send(self.now, &mut self.lot, connection, end, way);
-            self.at(at, Event::Came(connection, 1 - end, Coming::Said(speech.clone())));
-        }
-    }
-
-    /// A process closes a connection.
-    pub fn close(&mut self, proc: Proc, peer: Peer) {
-        let Some((connection, end)) = self.procs[proc].lines.remove(&peer) else { return };
-        let line = &mut self.net.connections[connection];
-        line.closed[end] = true;
-        let other = line.ends[1 - end].0;
-        let way = [self.places.machine(proc), self.places.machine(other)];
-        let at = self.net.send(self.now, &mut self.lot, connection, end, way);
-        self.at(at, Event::Came(connection, 1 - end, Coming::Gone));
-        if end == 0 {
-            let life = self.procs[proc].life;
-            self.later(AGAIN, Event::Failed(proc, life, other));
-        }
-        self.give(proc, Input::Down(peer));
-    }
-
     fn sync(&mut self, core: usize) {
         let disk = &mut self.disks[core];
-        if disk.syncing || disk.unwritten.is_empty() {
+        if disk.begin().is_none() {
             return;
         }
-        disk.syncing = true;
-        let n = disk.unwritten.len();
         let slow = if self.lot.chance(4) { 40_000 } else { 6_000 };
         let at = disk.stalled.max(self.now) + 2_000 + self.lot.upto(slow);
         let life = self.procs[self.places.store(core)].life;
-        self.at(at, Event::Synced(core, life, n));
+        self.at(at, Event::Synced(core, life));
+    }
+
+    fn synced(&mut self, core: usize, life: u64) {
+        let proc = self.places.store(core);
+        if !self.runs(proc, life) {
+            return;
+        }
+        let until = self.disks[core].stalled.max(self.procs[proc].frozen);
+        if until > self.now {
+            return self.at(until + 5_000, Event::Synced(core, life));
+        }
+        let disk = &mut self.disks[core];
+        let safe = if self.now < disk.refuses {
+            self.figures.count("writes refused");
+            if self.plan.broken == Some(Broken::Refusal) {
+                disk.swallowed()
+            } else {
+                disk.refused();
+                return self.later(disk::AGAIN, Event::Retry(core, life));
+            }
+        } else {
+            disk.synced()
+        };
+        self.copies();
+        if self.plan.broken != Some(Broken::Sync) {
+            safe.into_iter().for_each(|number| self.give(proc, Input::Written(number)));
+        }
+        self.sync(core);
     }
 
     fn happens(&mut self, event: Event) {
@@ -405,22 +402,8 @@
                 }
             }
             Event::Came(connection, end, coming) => self.came(connection, end, coming),
-            Event::Synced(core, life, n) => {
-                let proc = self.places.store(core);
-                if !self.runs(proc, life) {
-                    return;
-                }
-                let until = self.disks[core].stalled.max(self.procs[proc].frozen);
-                if until > self.now {
-                    return self.at(until + 5_000, Event::Synced(core, life, n));
-                }
-                self.disks[core].syncing = false;
-                let safe = self.disks[core].sync(n);
-                if self.plan.broken != Some(Broken::Sync) {
-                    safe.into_iter().for_each(|number| self.give(proc, Input::Written(number)));
-                }
-                self.sync(core);
-            }
+            Event::Synced(core, life) => self.synced(core, life),
+            Event::Retry(core, life) if self.runs(self.places.store(core), life) => self.sync(core),
             Event::Reach(id, tries) => self.reach(id, tries),
             Event::Back(id, tries, status, body) => self.back(id, tries, status, &body),
             Event::Late(id, tries) => self.back(id, tries, 0, ""),
@@ -433,9 +416,10 @@
             Event::Client(tenant) => self.client(tenant),
             Event::Request(proc, tenant) => self.request(proc, tenant),
             Event::Fault(fault) => self.fault(fault),
+            Event::Act(act) => self.act(act),
             Event::ReadAll => self.read_all(),
             Event::Look => self.look(),
-            Event::Dial(..) | Event::Failed(..) => {}
+            Event::Dial(..) | Event::Failed(..) | Event::Retry(..) => {}
         }
     }
 
@@ -468,155 +452,4 @@
         }
         self.later(pause, Event::Tick(proc, life));
     }
-
-    fn dial(&mut self, proc: Proc, life: u64, to: Proc) {
-        let way = [self.places.machine(proc), self.places.machine(to)];
-        let there = &self.procs[to];
-        let cut = self.now < self.net.blocked(way[0], way[1]).max(self.net.blocked(way[1], way[0]));
-        let cut = cut || self.net.machines[way[1]].off;
-        let dumb = there.frozen > self.now || self.procs[proc].frozen > self.now;
-        if cut || dumb || there.body.is_none() {
-            let Some(dial) = self.procs[proc].dials.get_mut(&to) else { return };
-            let wait = dial.pause + if cut || dumb { CONNECT } else { 1_000 };
-            dial.pause = (dial.pause * 2).min(AGAIN_MOST);
-            return self.later(wait, Event::Failed(proc, life, to));
-        }
-        if let Some(dial) = self.procs[proc].dials.get_mut(&to) {
-            dial.pause = AGAIN;
-        }
-        let mut end = |proc: Proc| {
-            let process = &mut self.procs[proc];
-            process.last_peer += 1;
-            (proc, process.life, process.last_peer)
-        };
-        let ends = [end(proc), end(to)];
-        let connection = self.net.connections.len();
-        for (n, (proc, _, peer)) in ends.iter().enumerate() {
-            self.procs[*proc].lines.insert(*peer, (connection, n));
-        }
-        let (heard, next) = ([self.now; 2], [self.now; 2]);
-        self.net.connections.push(Connection { ends, closed: [false; 2], heard, next, held: [0; 2] });
-        for n in 0..2 {
-            let at = self.net.send(self.now, &mut self.lot, connection, n, [way[n], way[1 - n]]);
-            self.at(at, Event::Came(connection, 1 - n, Coming::Up));
-        }
-    }
-
-    fn came(&mut self, connection: usize, end: usize, coming: Coming) {
-        let line = &self.net.connections[connection];
-        let (proc, life, peer) = line.ends[end];
-        if line.closed[end] || !self.runs(proc, life) {
-            return;
-        }
-        let (other, closed) = (line.ends[1 - end].0, line.closed[1 - end]);
-        let way = [self.places.machine(other), self.places.machine(proc)];
-        if let Some(until) = self.net.held(self.now, connection, 1 - end, way) {
-            // What a process that has ended had sent is sent again by nobody.
-            if !closed {
-                self.at(until, Event::Came(connection, end, coming));
-            }
-            return;
-        }
-        if self.procs[proc].frozen > self.now {
-            let until = self.procs[proc].frozen;
-            self.net.connections[connection].heard[end] = until;
-            return self.at(until, Event::Came(connection, end, coming));
-        }
-        self.net.connections[connection].heard[end] = self.now;
-        match coming {
-            Coming::Up => self.give(proc, Input::Up(peer)),
-            Coming::Said(speech) => self.give(proc, Input::Said(peer, Rc::unwrap_or_clone(speech))),
-            Coming::Gone => {
-                self.net.connections[connection].closed[end] = true;
-                self.procs[proc].lines.remove(&peer);
-                if end == 0 {
-                    self.later(AGAIN, Event::Failed(proc, life, other));
-                }
-                self.give(proc, Input::Down(peer));
-            }
-        }
-    }
-
-    fn look(&mut self) {
-        let mut held = 0;
-        for core in 0..self.plan.cores {
-            let process = &self.procs[self.places.scout(core)];
-            let Some(Body::Scout(registry)) = &process.body else { continue };
-            if process.frozen > self.now {
-                continue;
-            }
-            let acts = registry.acts_for(process.clock(self.now));
-            if held & acts != 0 {
-                self.ledger.broken(Invariant::OneDuty, format!("{:016b} are held twice", held & acts));
-            }
-            held |= acts;
-        }
-        if held == ALL {
-            if let Some(since) = self.gap.take() {
-                self.figures.gaps.push(self.now - since);
-            }
-        }
-        if self.now.is_multiple_of(5 * LOOK) {
-            let proxies = proxies(self.places, &self.procs, &self.net);
-            let (core, halted) = (self.faults.core_trouble(self.now), self.faults.halted());
-            self.ledger.look(self.now, &proxies, core, halted);
-            if self.now >= self.plan.calm_from() {
-                self.look_for_heal();
-            }
-        }
-        if !self.plan.faults && self.now > 6 * SECOND && self.now < self.plan.calm_from() {
-            self.figures.counted[usize::from(self.changes())] += LOOK;
-        }
-        self.later(LOOK, Event::Look);
-    }
-
-    fn look_for_heal(&mut self) {
-        if !self.figures.heals.is_empty() {
-            return;
-        }
-        match self.unlike() {
-            None => self.figures.heals.push(self.now - self.plan.calm_from()),
-            Some(what) if self.now > self.plan.calm_from() + HEALED => {
-                self.ledger.broken(Invariant::Heals, what);
-            }
-            _ => {}
-        }
-    }
-
-    /// What keeps the copies from being the same, or a proxy from being ready.
-    fn unlike(&mut self) -> Option<String> {
-        let mut digests = [BTreeSet::new(), BTreeSet::new()];
-        for (proc, process) in self.procs.iter().enumerate() {
-            match &process.body {
-                Some(Body::Store(desk)) => {
-                    let named = desk.store().membership().names().contains(&self.places.ip(proc / 2));
-                    if !desk.store().whole() || named && !desk.store().votes() {
-                        return Some(format!("store {proc} is not whole, or does not vote and should"));
-                    }
-                    digests[0].insert(desk.store().cells().digest());
-                    if let Err(unfit) = judge::together(desk.store().cells()) {
-                        return Some(format!("store {proc}: {unfit}"));
-                    }
-                }
-                Some(Body::Scout(registry)) => {
-                    digests.iter_mut().zip(registry.realms()).for_each(|(all, cells)| {
-                        all.insert(cells.digest());
-                    });
-                }
-                Some(Body::Proxy(hearing)) => {
-                    digests.iter_mut().zip(hearing.realms()).for_each(|(all, cells)| {
-                        all.insert(cells.digest());
-                    });
-                    let routes = hearing.realms()[0].standing(Kind::Route).next().is_some();
-                    let servers = self.ledger.servers(proc);
-                    if !hearing.whole() || !routes || servers == 0 {
-                        return Some(format!("proxy {proc} is not ready: {servers} servers"));
-                    }
-                }
-                None => return Some(format!("process {proc} does not run")),
-            }
-        }
-        let copies = [digests[0].len(), digests[1].len()];
-        (copies != [1, 1]).then(|| format!("{copies:?} different copies"))
-    }
 }
--- /dev/null
+++ b/crates/smoker/tests/scenarios.rs
@@ -0,0 +1,58 @@
+//! Each scenario keeps every invariant.
+
+use googletest::prelude::*;
+use pinerelay_smoker::check::Invariant;
+use pinerelay_smoker::figures::Figures;
+use pinerelay_smoker::plan::Plan;
+use pinerelay_smoker::scenarios;
+use pinerelay_smoker::world::play;
+
+/// Plays a scenario.
+fn plays(name: &str, seeds: std::ops::Range<u64>, counts: &[Invariant]) -> Figures {
+    let scenario = scenarios::named(name);
+    let seconds = scenario.expect("a scenario").seconds;
+    let mut all = Figures::default();
+    for seed in seeds {
+        match play(&Plan { scenario, seconds, counts: counts.to_vec(), ..Plan::small(seed) }) {
+            Ok(figures) => all.join(figures),
+            Err(breach) => panic!("{name}: {breach}: {:#?}", breach.trail),
+        }
+    }
+    all
+}
+
+/// Heartbeats are confirmed by a registry that is cut off, and a proxy is whole on its word: both are counted until that
+/// is mended.
+#[gtest]
+fn who_is_cut_off_takes_and_refuses_no_orders() {
+    let figures = plays("cut-off-core", 0..6, &[Invariant::Beats, Invariant::NeverOld]);
+    expect_that!(figures.times.get("reads"), some(gt(&100)));
+    expect_that!(figures.times.get("proxies killed"), some(gt(&6)));
+}
+
+#[gtest]
+fn one_number_has_one_content_and_what_was_taken_is_not_refused() {
+    let figures = plays("one-number", 0..6, &[]);
+    expect_that!(figures.times.get("conflicts"), some(gt(&100)));
+}
+
+#[gtest]
+fn a_second_loss_right_after_a_repair_loses_nothing() {
+    let figures = plays("second-loss", 0..6, &[]);
+    expect_that!(figures.times.get("disks lost"), some(gt(&40)));
+    expect_that!(figures.heals.len(), eq(6));
+}
+
+#[gtest]
+fn a_machine_that_missed_hundreds_of_changes_catches_up() {
+    let figures = plays("hundreds-of-changes", 0..1, &[]);
+    expect_that!(figures.times.get("taken"), some(ge(&500)));
+    expect_that!(figures.times.get("came back"), some(eq(&1)));
+}
+
+#[gtest]
+fn each_answer_is_its_own_calls() {
+    let figures = plays("whose-answer", 0..4, &[]);
+    expect_that!(figures.times.get("taken"), some(gt(&2_000)));
+    expect_that!(figures.times.get("core processes killed"), some(gt(&10)));
+}
