--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -437,14 +437,16 @@
 
     /// Proposes who is to vote, where a member has lost its disk or has gone and another is there.
     fn members(&mut self, now: Micros, rank: Micros, steps: &mut Vec<Step>) {
-        let Membership { before, .. } = &self.membership;
-        let paced = before.is_empty() || *before == self.membership.names() || now >= self.learned + PACE;
-        let next =
-            (paced && self.votes()).then(|| self.presence.next(now, &self.membership.members)).flatten();
-        let Some(next) = next else {
+        let next = self.votes().then(|| self.presence.next(now, &self.membership.members)).flatten();
+        let (names, before) = (self.membership.names(), &self.membership.before);
+        let recent = !before.is_empty() && *before != names && now < self.learned + PACE;
+        let same = |next: &Vec<Member>| next.iter().map(|member| &member.name).eq(&names);
+        // Danger: a disk that was lost waits for nothing. The next one may be lost as soon as its machine counts as repaired.
+        let Some(next) = next.filter(|next| !recent || same(next)) else {
             self.due = None;
             return;
         };
+        let before = if recent { before.clone() } else { names.clone() };
         let since = self.due.take().filter(|(due, _)| *due == next).map_or(now, |(_, since)| since);
         if now < since + rank * TURNS || self.caller.busy() {
             self.due = Some((next, since));
--- a/crates/dance/src/word.rs
+++ b/crates/dance/src/word.rs
@@ -28,7 +28,7 @@
     pub epoch: u64,
     /// In the order of their names.
     pub members: Vec<Member>,
-    /// The names of those that voted in the epoch before.
+    /// The names of those that voted before the last change of names, as long as that is recent; else of the epoch before.
     pub before: Vec<Name>,
 }
 
