Ten seeded defects, each found by the model; scopes for a lost disk's words and for digests

Cause: a search that finds nothing shows little unless it is known what it would find. The three faults mended last, and what the earlier ones came from, are brought back by what a store is given and what is taken from it; the stores' code stays as it is. Each has a short scope; under DANCE_SCOPE=long each scope runs without its defect, too, and breaks nothing.

Found on the way: the checker does not judge the states of its last depth and counts the first as 1, so depth 17 judges 15 steps. Two that clash with a restart goes to 18 for that reason.

--- a/crates/dance/tests/model.rs
+++ b/crates/dance/tests/model.rs
@@ -137,6 +137,8 @@
     now: Micros,
     /// What had been acknowledged when its process told its digest, by when that was.
     told: Vec<(Micros, Calls)>,
+    /// Asks that wait for a write here, only for [`Defect::PromisesInPastEpoch`].
+    waits: Vec<(u64, Shared<Said>)>,
     /// What had been acknowledged when it lost its disk.
     lost: Calls,
 }
@@ -208,6 +210,35 @@
     call: usize,
     deaf: Vec<usize>,
     untold: bool,
+    /// What these write stays unwritten.
+    unsynced: Vec<usize>,
+    /// Promises are heard, and stay on the way.
+    doubled: bool,
+}
+
+/// What a store is made to do wrong, by what it is given and what is taken from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Defect {
+    /// The ceiling of its promises is gone with a process.
+    ForgetsPromises,
+    /// It tells what is not on its disk yet.
+    TellsUnsynced,
+    /// What a voter lacks does not come with a put.
+    LeavesOutFill,
+    /// An empty disk is the one at the system's first start.
+    TakesEmptyDiskForFirst,
+    /// What is settled counts under the epoch of who hears of it.
+    SettlesUnderOwnEpoch,
+    /// A promise that had to wait for the disk does not ask whether the epoch is past.
+    PromisesInPastEpoch,
+    /// An empty disk says that it has held everything.
+    TakesEmptyDiskForWhole,
+    /// Each life counts as the first.
+    ReusesBallots,
+    /// A copy is confirmed by one that has something pending.
+    HidesPending,
+    /// A change of the membership takes force without the members before it.
+    LeavesOutOldMembers,
 }
 
 /// What is played: how many of each there may be, and what is tampered with.
@@ -222,8 +253,8 @@
     left: Left,
     /// By how much a store's clock may go on at once.
     jumps: Vec<Micros>,
-    /// A write is on disk as soon as it is given there.
-    syncs_at_once: bool,
+    /// What is written here gets to the disk in a step of its own, elsewhere at once.
+    late: Vec<usize>,
     /// Digests and summaries are told, too.
     digests: bool,
     /// Calls that are made and answered before.
@@ -231,11 +262,14 @@
     /// These are off, and never start.
     off: Vec<usize>,
     /// These have ended and started once before: their ballots are above what the others' disks allow them to promise.
-    restarted: Vec<usize>,
-    /// Steps from the start.
+    /// Of some not even what they wrote at their start is on disk.
+    restarted: Vec<(usize, bool)>,
+    /// States are reached so deep, the first as 1. What a state of the last depth breaks is not looked at, so
+    /// all of two steps less is.
     depth: usize,
     /// What it has to meet.
     meets: Vec<&'static str>,
+    defect: Option<Defect>,
     turned: Memo<Turned>,
     disks: Memo<Shared<Option<Kept>>>,
     judged: Memo<bool>,
@@ -359,9 +393,27 @@
         world.machines[me].change(|machine| {
             machine.life += 1;
             machine.now = 0;
-            let birth = Birth { me: name(me), life: machine.life, losses: 1, first, seeds };
-            let store = Store::new(birth, Option::clone(&machine.disk), &mut out);
+            let mut birth = Birth { me: name(me), life: machine.life, losses: 1, first, seeds };
+            let mut disk = Option::clone(&machine.disk);
+            match (self.defect, &mut disk) {
+                (Some(Defect::ForgetsPromises), Some(kept)) => kept.ceiling = 0,
+                (Some(Defect::ReusesBallots), _) => birth.life = 1,
+                (Some(Defect::TakesEmptyDiskForFirst), None) => birth.first = me < self.voters,
+                (Some(Defect::TakesEmptyDiskForWhole), None) if !first => {
+                    Store::new(birth.clone(), None, &mut out);
+                    let kept = disk.get_or_insert_default();
+                    for output in out.drain(..) {
+                        if let Output::Write(_, change) = output {
+                            kept.write(&Change { whole: true, ..change });
+                        }
+                    }
+                    machine.disk = disk.clone().into();
+                }
+                _ => {}
+            }
+            let store = Store::new(birth, disk, &mut out);
             machine.told.clear();
+            machine.waits.clear();
             machine.store = Some(store.into());
         });
         self.carry_out(world, me, &self.prepare(me, out));
@@ -385,7 +437,35 @@
     }
 
     fn hears(&self, world: &mut World, said: &Shared<Said>) {
+        if let Some(word) = self.misheard(world, said) {
+            let of = hash_of((said.from, &word));
+            return self.give(world, said.to, of, || Input::Heard(name(said.from), word));
+        }
+        let waiting = world.machines[said.to].unwritten.len();
         self.give(world, said.to, said.0, || Input::Heard(name(said.from), said.word.clone()));
+        if let (Some(Defect::PromisesInPastEpoch), Word::Ask { .. }) = (self.defect, &said.word) {
+            let machine = &mut world.machines[said.to];
+            if let Some((token, _)) = machine.unwritten.get(waiting).cloned() {
+                machine.change(|machine| machine.waits.push((token, said.clone())));
+            }
+        }
+    }
+
+    fn misheard(&self, world: &World, said: &Said) -> Option<Word> {
+        let store = world.machines[said.to].store.as_ref()?;
+        let own = || store.membership().clone();
+        match (self.defect?, said.word.clone()) {
+            (Defect::SettlesUnderOwnEpoch, Word::Settle { ballot, batch, .. }) => {
+                Some(Word::Settle { ballot, membership: own(), batch })
+            }
+            (Defect::LeavesOutFill, Word::Put { ballot, batch, .. }) => {
+                Some(Word::Put { ballot, fill: Vec::new(), batch })
+            }
+            (Defect::HidesPending, Word::Seen { life, sent, digest, epoch, incarnation, .. }) => {
+                Some(Word::Seen { life, sent, digest, epoch, incarnation, pends: false })
+            }
+            _ => None,
+        }
     }
 
     fn prepare(&self, me: usize, out: Vec<Output>) -> Vec<Done> {
@@ -407,7 +487,7 @@
     }
 
     fn carry_out(&self, world: &mut World, me: usize, out: &[Done]) {
-        let mut written = 0;
+        let mut written = Vec::new();
         for done in out {
             match done {
                 Done::Say(said, told) => {
@@ -423,19 +503,57 @@
                 }
                 Done::Write(token, change) => {
                     world.machines[me].change(|machine| machine.unwritten.push((*token, change.clone())));
-                    written += usize::from(self.syncs_at_once);
+                    written.push(*token);
                 }
                 Done::Answer(id, reply) => self.answered(world, *id as usize, reply.clone()),
             }
         }
-        for _ in 0..written {
-            self.sync(world, me);
+        for token in written {
+            if !self.late.contains(&me) {
+                self.sync(world, me);
+            } else if self.defect == Some(Defect::TellsUnsynced) {
+                self.written(world, me, token);
+            }
         }
     }
 
     fn sync(&self, world: &mut World, me: usize) {
         let token = world.machines[me].change(|machine| machine.sync(&self.disks));
+        self.written(world, me, token);
+    }
+
+    fn written(&self, world: &mut World, me: usize, token: u64) {
+        let late = world.machines[me].waits.iter().find(|(at, _)| *at == token).map(|(_, said)| said.clone());
+        let promise = late.and_then(|asked| self.late_promise(&world.machines[me], token, &asked));
+        let on_way = world.wire.clone();
         self.give(world, me, hash_of(("written", token)), || Input::Written(token, true));
+        if let Some(promise) = promise {
+            // In place of the newer membership.
+            world.wire = on_way;
+            world.push(promise.into());
+        }
+    }
+
+    /// What a store whose promise waited for its disk would say if it took the ask for one of the present epoch.
+    fn late_promise(&self, machine: &Machine, token: u64, asked: &Said) -> Option<Said> {
+        let Word::Ask { ballot, membership, ranges } = &asked.word else { return None };
+        let mut store = Store::clone(machine.store.as_ref()?);
+        store.on(machine.now, Input::Written(token, true), &mut Vec::new());
+        if membership.epoch >= store.membership().epoch {
+            return None;
+        }
+        // Asked again with the next ballot, since it answers this one no more.
+        let (next, membership) = (Ballot(ballot.0, u64::MAX), store.membership().clone());
+        let again = Word::Ask { ballot: next, membership, ranges: ranges.clone() };
+        let mut out = Vec::new();
+        store.on(machine.now, Input::Heard(name(asked.from), again), &mut out);
+        out.into_iter().find_map(|output| match output {
+            Output::Say(_, Word::Promise { ballot: _, incarnation, at, pending, ranges, cells }) => {
+                let word = Word::Promise { ballot: *ballot, incarnation, at, pending, ranges, cells };
+                Some(Said { from: asked.to, to: asked.from, word })
+            }
+            _ => None,
+        })
     }
 
     fn answered(&self, world: &mut World, id: usize, reply: Reply) {
@@ -469,24 +587,25 @@
         }
     }
 
-    fn before(&self, world: &mut World, Before { call, deaf, untold }: &Before) {
+    fn before(&self, world: &mut World, Before { call, deaf, untold, unsynced, doubled }: &Before) {
         let mut late = Vec::new();
         *world = self.next_state(world, Step::Call(*call)).expect("a call");
-        while !world.wire.is_empty() || world.machines.iter().any(|m| !m.unwritten.is_empty()) {
-            if !world.wire.is_empty() {
-                let said = world.wire.remove(0);
-                if *untold && matches!(said.word, Word::Settle { .. }) {
-                    late.push(said);
-                    continue;
-                }
-                if !deaf.contains(&said.to) {
-                    self.hears(world, &said);
-                }
+        loop {
+            let writes = |me: &usize| !unsynced.contains(me) && !world.machines[*me].unwritten.is_empty();
+            if let Some(me) = (0..self.cores).find(writes) {
+                self.sync(world, me);
+                continue;
             }
-            for me in 0..self.cores {
-                while !world.machines[me].unwritten.is_empty() {
-                    self.sync(world, me);
-                }
+            if world.wire.is_empty() {
+                break;
+            }
+            let said = world.wire.remove(0);
+            let settles = matches!(said.word, Word::Settle { .. });
+            if *untold && settles || *doubled && matches!(said.word, Word::Promise { .. }) {
+                late.push(said.clone());
+            }
+            if !(*untold && settles || deaf.contains(&said.to)) {
+                self.hears(world, &said);
             }
         }
         assert_ne!(world.acknowledged & (1 << call), 0, "{}: call {call} is acknowledged before", self.name);
@@ -573,6 +692,7 @@
             life: 0,
             now: 0,
             told: Vec::new(),
+            waits: Vec::new(),
             lost: 0,
         };
         let mut world = World {
@@ -593,10 +713,10 @@
                 self.sync(&mut world, me);
             }
         }
-        for &me in &self.restarted {
+        for &(me, synced) in &self.restarted {
             self.end(&mut world, me);
             self.start(&mut world, me, false);
-            while !world.machines[me].unwritten.is_empty() {
+            while synced && !world.machines[me].unwritten.is_empty() {
                 self.sync(&mut world, me);
             }
         }
@@ -680,6 +800,11 @@
                 let known = world.known;
                 world.open.push((n, known));
                 let (me, request) = &self.calls[n];
+                if let (Some(Defect::LeavesOutOldMembers), Request::Change(next)) = (self.defect, request) {
+                    let next = || Input::Heard(name(*me), Word::Members(next.clone()));
+                    self.give(&mut world, *me, hash_of(("change", n)), next);
+                    return Some(world);
+                }
                 self.give(&mut world, *me, hash_of(("call", n)), || Input::Call(n as u64, request.clone()));
             }
             Step::Tick(me, jump) => {
@@ -820,13 +945,14 @@
         calls: Vec::new(),
         left: Left::default(),
         jumps: vec![400_000],
-        syncs_at_once: true,
+        late: Vec::new(),
         digests: false,
         already: Vec::new(),
         off: Vec::new(),
         restarted: Vec::new(),
         depth: 60,
         meets: Vec::new(),
+        defect: None,
         turned: Memo::default(),
         disks: Memo::default(),
         judged: Memo::default(),
@@ -849,22 +975,23 @@
     let clashing = [(0, tenant("t1", 1, "k")), (1, tenant("t2", 1, "k"))];
     let with = |first: &[(usize, Request)], more: &[(usize, Request)]| [first, more].concat();
     let to_d = (0, replaced.clone());
-    let to_d_untold = |deaf: &[usize]| vec![Before { call: 0, deaf: deaf.to_vec(), untold: true }];
+    let to_d_untold =
+        |deaf: &[usize]| vec![Before { call: 0, deaf: deaf.to_vec(), untold: true, ..Before::default() }];
     let told = vec![Before { call: 0, ..Before::default() }];
     // C lost its disk and votes again; so does B, after D.
     let c_again = (0, change(2, &[(0, 0), (1, 0), (2, 2)]));
     let b_again = (0, change(3, &[(0, 0), (1, 2), (3, 1)]));
-    let two_hold = vec![Before { call: 0, deaf: vec![2], untold: false }];
+    let two_hold = vec![Before { call: 0, deaf: vec![2], ..Before::default() }];
     vec![
         Scope {
             meets: vec![CONFLICT],
             ..scope("two that clash", &clash, Left { ticks: 1, ..none }, [12, 15])
         },
-        scope("two that clash, a restart", &clash, crash, [17, 20]),
+        scope("two that clash, a restart", &clash, crash, [18, 21]),
         scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [16, 18]),
         Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, [17, 20]) },
         Scope {
-            syncs_at_once: false,
+            late: vec![0, 1, 2, 3],
             ..scope("two at one store, a restart, late syncs", &one_store, crash, [16, 19])
         },
         scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, [12, 15]),
@@ -914,8 +1041,8 @@
         },
         Scope {
             cores: 4,
-            syncs_at_once: false,
-            restarted: vec![2],
+            late: vec![0, 1, 2, 3],
+            restarted: vec![(2, true)],
             already: to_d_untold(&[2, 3]),
             ..scope(
                 "a member that learns of a change while its promise waits for the disk",
@@ -962,6 +1089,37 @@
                 [10, 13],
             )
         },
+        Scope {
+            already: two_hold.clone(),
+            ..scope(
+                "words of a disk that was lost are on the way while the next one votes",
+                &[both[0].clone(), (0, tenant("t2", 1, "k2")), c_again.clone()],
+                Left { wipes: 1, ..none },
+                [15, 60],
+            )
+        },
+        Scope {
+            already: two_hold.clone(),
+            digests: true,
+            jumps: vec![100_000],
+            ..scope(
+                "digests, an order, a lost disk that votes again",
+                &[both[0].clone(), (0, tenant("t2", 1, "k2")), c_again.clone()],
+                Left { wipes: 1, ticks: 2, ..none },
+                [9, 11],
+            )
+        },
+        Scope {
+            digests: true,
+            already: told.clone(),
+            jumps: vec![100_000],
+            ..scope(
+                "digests, an order",
+                &[both[0].clone(), both[1].clone()],
+                Left { ticks: 2, ..none },
+                [10, 12],
+            )
+        },
     ]
 }
 
@@ -1008,6 +1166,105 @@
     assert!(broken.is_empty(), "{broken:?}");
 }
 
+/// Each defect with the scope that is to find it, and what it is to break.
+fn defects() -> Vec<(Defect, Scope, &'static [&'static str])> {
+    use Defect::*;
+    let named = |name: &str| searches(false).into_iter().find(|s| s.name == name).expect(name);
+    let small = |calls: &[(usize, Request)], left, depth| Scope {
+        calls: calls.to_vec(),
+        left,
+        depth,
+        meets: Vec::new(),
+        ..named("two at one store")
+    };
+    let none = Left::default();
+    let calls = [(0, tenant("t1", 1, "k1")), (0, tenant("t2", 1, "k2"))];
+    let crash = Left { crashes: 1, ..none };
+    let wipe = Left { wipes: 1, ..none };
+    let held_by = |call, deaf, untold| vec![Before { call, deaf, untold, ..Before::default() }];
+    let c_again = (0, change(2, &[(0, 0), (1, 0), (2, 2)]));
+    let to_d = (0, change(2, &[(0, 0), (1, 0), (3, 1)]));
+    vec![
+        (ForgetsPromises, named("two that clash, a restart"), &[FIT, DURABLE, SEEN, READ]),
+        (TellsUnsynced, Scope { late: vec![0, 1, 2], ..small(&calls[..1], crash, 10) }, &[DURABLE, SEEN]),
+        (
+            LeavesOutFill,
+            Scope { already: held_by(0, vec![2], true), ..small(&calls, none, 6) },
+            &[DURABLE, SEEN],
+        ),
+        (
+            TakesEmptyDiskForFirst,
+            Scope { already: held_by(0, vec![2], false), ..small(&calls[..1], wipe, 4) },
+            &[DURABLE, SEEN],
+        ),
+        (
+            SettlesUnderOwnEpoch,
+            named("a member that missed a change, an order at each side"),
+            &[DURABLE, SEEN],
+        ),
+        (
+            PromisesInPastEpoch,
+            named("a member that learns of a change while its promise waits for the disk"),
+            &[DURABLE, SEEN],
+        ),
+        (
+            TakesEmptyDiskForWhole,
+            Scope {
+                already: held_by(0, vec![2], false),
+                ..small(&[calls[0].clone(), c_again.clone()], wipe, 11)
+            },
+            &[WHOLE],
+        ),
+        (
+            ReusesBallots,
+            Scope {
+                late: vec![0],
+                restarted: vec![(0, false)],
+                already: vec![Before { call: 0, unsynced: vec![0], doubled: true, ..Before::default() }],
+                ..small(&calls, crash, 10)
+            },
+            &[DURABLE, SEEN, FIT],
+        ),
+        (HidesPending, named("digests, an order"), &[CURRENT]),
+        (
+            LeavesOutOldMembers,
+            Scope {
+                cores: 4,
+                already: held_by(0, vec![0], false),
+                ..small(&[(1, tenant("t1", 1, "k1")), to_d, calls[1].clone()], none, 6)
+            },
+            &[DURABLE, SEEN],
+        ),
+    ]
+}
+
+#[test]
+fn each_defect_is_found() {
+    let long = std::env::var("DANCE_SCOPE").is_ok_and(|scope| scope == "long");
+    let only = std::env::var("DANCE_ONLY").unwrap_or_default();
+    let mut missed = Vec::new();
+    for (defect, scope, breaks) in defects() {
+        if !format!("{defect:?}").contains(&only) {
+            continue;
+        }
+        if long {
+            let (found, ..) = search(scope.clone());
+            assert!(!found.iter().any(is_wrong), "without {defect:?}: {found:#?}");
+        }
+        let begun = Instant::now();
+        let (found, states, depth) = search(Scope { defect: Some(defect), ..scope });
+        let found: Vec<Found> = found.into_iter().filter(is_wrong).collect();
+        println!("{defect:?}: {states} states to depth {depth} in {:?}", begun.elapsed());
+        for (what, steps) in &found {
+            println!("    {what}: {} steps", steps.len());
+        }
+        if !found.iter().any(|(what, _)| breaks.contains(what)) {
+            missed.push(defect);
+        }
+    }
+    assert!(missed.is_empty(), "{missed:?}");
+}
+
 /// One walk by lot: which properties were broken or met, and at which step first.
 fn walk(scope: &Scope, seed: u64, most: usize) -> Vec<(&'static str, usize)> {
     // Walks share little with each other.
@@ -1064,7 +1321,7 @@
     ];
     wide.left = Left { crashes: 3, wipes: 1, doubles: 2, ticks: 8 };
     wide.jumps = vec![100_000, 400_000];
-    wide.syncs_at_once = false;
+    wide.late = vec![0, 1, 2, 3];
     wide.digests = true;
     wide
 }
