--- a/crates/dance/tests/model.rs
+++ b/crates/dance/tests/model.rs
@@ -985,16 +985,16 @@
     vec![
         Scope {
             meets: vec![CONFLICT],
-            ..scope("two that clash", &clash, Left { ticks: 1, ..none }, [12, 15])
+            ..scope("two that clash", &clash, Left { ticks: 1, ..none }, [12, 17])
         },
-        scope("two that clash, a restart", &clash, crash, [18, 21]),
-        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [16, 18]),
-        Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, [17, 20]) },
+        scope("two that clash, a restart", &clash, crash, [18, 23]),
+        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [16, 20]),
+        Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, [17, 22]) },
         Scope {
             late: vec![0, 1, 2, 3],
-            ..scope("two at one store, a restart, late syncs", &one_store, crash, [16, 19])
+            ..scope("two at one store, a restart, late syncs", &one_store, crash, [16, 21])
         },
-        scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, [12, 15]),
+        scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, [12, 17]),
         Scope {
             already: two_hold.clone(),
             ..scope(
@@ -1026,7 +1026,7 @@
                 "a lost disk beside one that is off",
                 &[to_d.clone(), both[0].clone(), b_again],
                 one_lost,
-                [13, 16],
+                [13, 18],
             )
         },
         Scope {
@@ -1036,7 +1036,7 @@
                 "a member that missed a change, an order at each side",
                 &with(std::slice::from_ref(&to_d), &both),
                 none,
-                [13, 16],
+                [13, 18],
             )
         },
         Scope {
@@ -1048,7 +1048,7 @@
                 "a member that learns of a change while its promise waits for the disk",
                 &[to_d.clone(), (2, tenant("t2", 1, "k2"))],
                 none,
-                [16, 19],
+                [16, 21],
             )
         },
         Scope {
@@ -1057,7 +1057,7 @@
                 "a change while two orders that clash are put",
                 &with(std::slice::from_ref(&to_d), &clashing),
                 none,
-                [11, 14],
+                [11, 16],
             )
         },
         Scope {
@@ -1066,7 +1066,7 @@
                 "a change while an order is put, a restart",
                 &[to_d.clone(), both[1].clone()],
                 crash,
-                [11, 14],
+                [11, 16],
             )
         },
         Scope {
@@ -1076,7 +1076,7 @@
                 "a second change before the first is known",
                 &[to_d.clone(), (1, change(2, &[(0, 0), (2, 0), (3, 1)])), both[1].clone()],
                 none,
-                [11, 14],
+                [11, 16],
             )
         },
         Scope {
@@ -1086,7 +1086,7 @@
                 "one that was removed calls and reads",
                 &[to_d.clone(), both[0].clone(), (2, tenant("t2", 1, "k1")), (2, Request::Read)],
                 none,
-                [10, 13],
+                [10, 15],
             )
         },
         Scope {
@@ -1106,7 +1106,7 @@
                 "digests, an order, a lost disk that votes again",
                 &[both[0].clone(), (0, tenant("t2", 1, "k2")), c_again.clone()],
                 Left { wipes: 1, ticks: 2, ..none },
-                [9, 11],
+                [9, 13],
             )
         },
         Scope {
@@ -1117,7 +1117,7 @@
                 "digests, an order",
                 &[both[0].clone(), both[1].clone()],
                 Left { ticks: 2, ..none },
-                [10, 12],
+                [10, 14],
             )
         },
     ]
