--- a/crates/dance/tests/model.rs
+++ b/crates/dance/tests/model.rs
@@ -988,7 +988,7 @@
             ..scope("two that clash", &clash, Left { ticks: 1, ..none }, [12, 17])
         },
         scope("two that clash, a restart", &clash, crash, [18, 23]),
-        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [16, 20]),
+        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [17, 20]),
         Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, [17, 22]) },
         Scope {
             late: vec![0, 1, 2, 3],
@@ -1010,7 +1010,7 @@
                 "one that two hold, a read, a lost disk that votes again, a restart",
                 &[apart[0].clone(), (2, Request::Read), c_again.clone()],
                 Left { crashes: 1, ..one_lost },
-                [10, 16],
+                [11, 16],
             )
         },
         Scope {
