--- a/crates/dance/tests/model.rs
+++ b/crates/dance/tests/model.rs
@@ -4,11 +4,11 @@
 //! A word that stays on the way for ever is a lost one, so losing needs no step of its own.
 
 use std::collections::hash_map::DefaultHasher;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::hash::{Hash, Hasher};
 use std::ops::Deref;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use pinerelay_cells::{call, judge, Cells, Item};
@@ -22,9 +22,7 @@
 
 impl<T: Hash> From<T> for Shared<T> {
     fn from(value: T) -> Shared<T> {
-        let mut hasher = DefaultHasher::new();
-        value.hash(&mut hasher);
-        Shared(hasher.finish(), Arc::new(value))
+        Shared(hash_of(&value), Arc::new(value))
     }
 }
 
@@ -72,6 +70,54 @@
     }
 }
 
+fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What comes of the same once more. Two that differ and have one hash are taken for the same, as states are.
+#[derive(Debug)]
+struct Memo<T>(Vec<Mutex<HashMap<u64, T>>>);
+
+impl<T> Default for Memo<T> {
+    fn default() -> Memo<T> {
+        Memo((0..32).map(|_| Mutex::default()).collect())
+    }
+}
+
+/// Another scope's begins empty.
+impl<T> Clone for Memo<T> {
+    fn clone(&self) -> Memo<T> {
+        Memo::default()
+    }
+}
+
+impl<T: Clone> Memo<T> {
+    fn of(&self, key: u64, make: impl FnOnce() -> T) -> T {
+        let of = &self.0[key as usize % self.0.len()];
+        if let Some(known) = of.lock().expect("no panic").get(&key) {
+            return known.clone();
+        }
+        let value = make();
+        of.lock().expect("no panic").insert(key, value.clone());
+        value
+    }
+}
+
+/// What a store wants done, from which machine.
+#[derive(Debug)]
+enum Done {
+    /// And when it was told, if it is a digest.
+    Say(Shared<Said>, Option<Micros>),
+    Write(u64, Shared<Change>),
+    Answer(u64, Reply),
+}
+
+/// What a store is after an input.
+#[derive(Debug, Clone)]
+struct Turned(Shared<Store>, Arc<Vec<Done>>);
+
 /// A word on its way, from one machine to another.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Said {
@@ -91,15 +137,22 @@
     now: Micros,
     /// What had been acknowledged when its process told its digest, by when that was.
     told: Vec<(Micros, Calls)>,
+    /// Asks that wait for a write here, only for [`Defect::PromisesInPastEpoch`].
+    waits: Vec<(u64, Shared<Said>)>,
     /// What had been acknowledged when it lost its disk.
     lost: Calls,
 }
 
 impl Machine {
     /// The next write gets to the disk.
-    fn sync(&mut self) -> u64 {
+    fn sync(&mut self, disks: &Memo<Shared<Option<Kept>>>) -> u64 {
         let (token, change) = self.unwritten.remove(0);
-        self.disk.change(|disk| disk.get_or_insert_default().write(&change));
+        let disk = disks.of(hash_of((self.disk.0, change.0)), || {
+            let mut disk = Option::clone(&self.disk);
+            disk.get_or_insert_default().write(&change);
+            disk.into()
+        });
+        self.disk = disk;
         token
     }
 }
@@ -157,6 +210,35 @@
     call: usize,
     deaf: Vec<usize>,
     untold: bool,
+    /// What these write stays unwritten.
+    unsynced: Vec<usize>,
+    /// Promises are heard, and stay on the way.
+    doubled: bool,
+}
+
+/// What a store is made to do wrong, by what it is given and what is taken from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Defect {
+    /// The ceiling of its promises is gone with a process.
+    ForgetsPromises,
+    /// It tells what is not on its disk yet.
+    TellsUnsynced,
+    /// What a voter lacks does not come with a put.
+    LeavesOutFill,
+    /// An empty disk is the one at the system's first start.
+    TakesEmptyDiskForFirst,
+    /// What is settled counts under the epoch of who hears of it.
+    SettlesUnderOwnEpoch,
+    /// A promise that had to wait for the disk does not ask whether the epoch is past.
+    PromisesInPastEpoch,
+    /// An empty disk says that it has held everything.
+    TakesEmptyDiskForWhole,
+    /// Each life counts as the first.
+    ReusesBallots,
+    /// A copy is confirmed by one that has something pending.
+    HidesPending,
+    /// A change of the membership takes force without the members before it.
+    LeavesOutOldMembers,
 }
 
 /// What is played: how many of each there may be, and what is tampered with.
@@ -171,8 +253,8 @@
     left: Left,
     /// By how much a store's clock may go on at once.
     jumps: Vec<Micros>,
-    /// A write is on disk as soon as it is given there.
-    syncs_at_once: bool,
+    /// What is written here gets to the disk in a step of its own, elsewhere at once.
+    late: Vec<usize>,
     /// Digests and summaries are told, too.
     digests: bool,
     /// Calls that are made and answered before.
@@ -180,11 +262,17 @@
     /// These are off, and never start.
     off: Vec<usize>,
     /// These have ended and started once before: their ballots are above what the others' disks allow them to promise.
-    restarted: Vec<usize>,
-    /// Steps from the start.
+    /// Of some not even what they wrote at their start is on disk.
+    restarted: Vec<(usize, bool)>,
+    /// States are reached so deep, the first as 1. What a state of the last depth breaks is not looked at, so
+    /// all of two steps less is.
     depth: usize,
     /// What it has to meet.
     meets: Vec<&'static str>,
+    defect: Option<Defect>,
+    turned: Memo<Turned>,
+    disks: Memo<Shared<Option<Kept>>>,
+    judged: Memo<bool>,
 }
 
 const FIT: &str = "what is agreed on fits together, under one number one content";
@@ -280,8 +368,7 @@
         }
     }
 
-    fn push(&mut self, said: Said) {
-        let said = Shared::from(said);
+    fn push(&mut self, said: Shared<Said>) {
         let at = self.wire.partition_point(|s| s.0 < said.0);
         self.wire.insert(at, said);
     }
@@ -306,35 +393,105 @@
         world.machines[me].change(|machine| {
             machine.life += 1;
             machine.now = 0;
-            let birth = Birth { me: name(me), life: machine.life, losses: 1, first, seeds };
-            let store = Store::new(birth, Option::clone(&machine.disk), &mut out);
+            let mut birth = Birth { me: name(me), life: machine.life, losses: 1, first, seeds };
+            let mut disk = Option::clone(&machine.disk);
+            match (self.defect, &mut disk) {
+                (Some(Defect::ForgetsPromises), Some(kept)) => kept.ceiling = 0,
+                (Some(Defect::ReusesBallots), _) => birth.life = 1,
+                (Some(Defect::TakesEmptyDiskForFirst), None) => birth.first = me < self.voters,
+                (Some(Defect::TakesEmptyDiskForWhole), None) if !first => {
+                    Store::new(birth.clone(), None, &mut out);
+                    let kept = disk.get_or_insert_default();
+                    for output in out.drain(..) {
+                        if let Output::Write(_, change) = output {
+                            kept.write(&Change { whole: true, ..change });
+                        }
+                    }
+                    machine.disk = disk.clone().into();
+                }
+                _ => {}
+            }
+            let store = Store::new(birth, disk, &mut out);
             machine.told.clear();
+            machine.waits.clear();
             machine.store = Some(store.into());
         });
-        self.carry_out(world, me, out);
+        self.carry_out(world, me, &self.prepare(me, out));
     }
 
-    fn give(&self, world: &mut World, me: usize, input: Input) {
-        let mut out = Vec::new();
+    /// `of` is the input's hash.
+    fn give(&self, world: &mut World, me: usize, of: u64, input: impl FnOnce() -> Input) {
         let Some(store) = &world.machines[me].store else { return };
-        let mut store = Store::clone(store);
-        store.on(world.machines[me].now, input, &mut out);
+        let now = world.machines[me].now;
+        let Turned(store, out) = self.turned.of(hash_of((store.0, now, of)), || {
+            let mut out = Vec::new();
+            let mut store = Store::clone(store);
+            store.on(now, input(), &mut out);
+            Turned(store.into(), Arc::new(self.prepare(me, out)))
+        });
         world.learn(store.membership());
-        world.machines[me].change(|machine| machine.store = Some(store.into()));
-        self.carry_out(world, me, out);
+        if world.machines[me].store.as_ref() != Some(&store) {
+            world.machines[me].change(|machine| machine.store = Some(store));
+        }
+        self.carry_out(world, me, &out);
     }
 
-    fn carry_out(&self, world: &mut World, me: usize, out: Vec<Output>) {
+    fn hears(&self, world: &mut World, said: &Shared<Said>) {
+        if let Some(word) = self.misheard(world, said) {
+            let of = hash_of((said.from, &word));
+            return self.give(world, said.to, of, || Input::Heard(name(said.from), word));
+        }
+        let waiting = world.machines[said.to].unwritten.len();
+        self.give(world, said.to, said.0, || Input::Heard(name(said.from), said.word.clone()));
+        if let (Some(Defect::PromisesInPastEpoch), Word::Ask { .. }) = (self.defect, &said.word) {
+            let machine = &mut world.machines[said.to];
+            if let Some((token, _)) = machine.unwritten.get(waiting).cloned() {
+                machine.change(|machine| machine.waits.push((token, said.clone())));
+            }
+        }
+    }
+
+    fn misheard(&self, world: &World, said: &Said) -> Option<Word> {
+        let store = world.machines[said.to].store.as_ref()?;
+        let own = || store.membership().clone();
+        match (self.defect?, said.word.clone()) {
+            (Defect::SettlesUnderOwnEpoch, Word::Settle { ballot, batch, .. }) => {
+                Some(Word::Settle { ballot, membership: own(), batch })
+            }
+            (Defect::LeavesOutFill, Word::Put { ballot, batch, .. }) => {
+                Some(Word::Put { ballot, fill: Vec::new(), batch })
+            }
+            (Defect::HidesPending, Word::Seen { life, sent, digest, epoch, incarnation, .. }) => {
+                Some(Word::Seen { life, sent, digest, epoch, incarnation, pends: false })
+            }
+            _ => None,
+        }
+    }
+
+    fn prepare(&self, me: usize, out: Vec<Output>) -> Vec<Done> {
+        let prepare = |output| match output {
+            Output::Say(to, word) => {
+                let to = (0..self.cores).find(|n| name(*n) == to)?;
+                let mends = matches!(
+                    word,
+                    Word::Digest { .. } | Word::Seen { .. } | Word::Mend { .. } | Word::News(_)
+                );
+                let told = if let Word::Digest { sent, .. } = word { Some(sent) } else { None };
+                (self.digests || !mends).then(|| Done::Say(Said { from: me, to, word }.into(), told))
+            }
+            Output::Write(token, change) => Some(Done::Write(token, change.into())),
+            Output::Answer(id, reply) => Some(Done::Answer(id, reply)),
+            Output::News(_) => None,
+        };
+        out.into_iter().filter_map(prepare).collect()
+    }
+
+    fn carry_out(&self, world: &mut World, me: usize, out: &[Done]) {
         let mut written = Vec::new();
-        for output in out {
-            match output {
-                Output::Say(to, word) => {
-                    let mends = matches!(
-                        word,
-                        Word::Digest { .. } | Word::Seen { .. } | Word::Mend { .. } | Word::News(_)
-                    );
-                    let Some(to) = (0..self.cores).find(|n| name(*n) == to) else { continue };
-                    if let (true, Word::Digest { sent, .. }) = (self.digests, &word) {
+        for done in out {
+            match done {
+                Done::Say(said, told) => {
+                    if let Some(sent) = told {
                         let acknowledged = world.acknowledged;
                         world.machines[me].change(|machine| {
                             if machine.told.last().is_none_or(|(at, _)| at != sent) {
@@ -342,28 +499,61 @@
                             }
                         });
                     }
-                    if self.digests || !mends {
-                        world.push(Said { from: me, to, word });
-                    }
+                    world.push(said.clone());
                 }
-                Output::Write(token, change) => {
-                    world.machines[me].change(|machine| machine.unwritten.push((token, change.into())));
-                    if self.syncs_at_once {
-                        written.push(token);
-                    }
+                Done::Write(token, change) => {
+                    world.machines[me].change(|machine| machine.unwritten.push((*token, change.clone())));
+                    written.push(*token);
                 }
-                Output::Answer(id, reply) => self.answered(world, id as usize, reply),
-                Output::News(_) => {}
+                Done::Answer(id, reply) => self.answered(world, *id as usize, reply.clone()),
             }
         }
-        for _ in written {
-            self.sync(world, me);
+        for token in written {
+            if !self.late.contains(&me) {
+                self.sync(world, me);
+            } else if self.defect == Some(Defect::TellsUnsynced) {
+                self.written(world, me, token);
+            }
         }
     }
 
     fn sync(&self, world: &mut World, me: usize) {
-        let token = world.machines[me].change(Machine::sync);
-        self.give(world, me, Input::Written(token, true));
+        let token = world.machines[me].change(|machine| machine.sync(&self.disks));
+        self.written(world, me, token);
+    }
+
+    fn written(&self, world: &mut World, me: usize, token: u64) {
+        let late = world.machines[me].waits.iter().find(|(at, _)| *at == token).map(|(_, said)| said.clone());
+        let promise = late.and_then(|asked| self.late_promise(&world.machines[me], token, &asked));
+        let on_way = world.wire.clone();
+        self.give(world, me, hash_of(("written", token)), || Input::Written(token, true));
+        if let Some(promise) = promise {
+            // In place of the newer membership.
+            world.wire = on_way;
+            world.push(promise.into());
+        }
+    }
+
+    /// What a store whose promise waited for its disk would say if it took the ask for one of the present epoch.
+    fn late_promise(&self, machine: &Machine, token: u64, asked: &Said) -> Option<Said> {
+        let Word::Ask { ballot, membership, ranges } = &asked.word else { return None };
+        let mut store = Store::clone(machine.store.as_ref()?);
+        store.on(machine.now, Input::Written(token, true), &mut Vec::new());
+        if membership.epoch >= store.membership().epoch {
+            return None;
+        }
+        // Asked again with the next ballot, since it answers this one no more.
+        let (next, membership) = (Ballot(ballot.0, u64::MAX), store.membership().clone());
+        let again = Word::Ask { ballot: next, membership, ranges: ranges.clone() };
+        let mut out = Vec::new();
+        store.on(machine.now, Input::Heard(name(asked.from), again), &mut out);
+        out.into_iter().find_map(|output| match output {
+            Output::Say(_, Word::Promise { ballot: _, incarnation, at, pending, ranges, cells }) => {
+                let word = Word::Promise { ballot: *ballot, incarnation, at, pending, ranges, cells };
+                Some(Said { from: asked.to, to: asked.from, word })
+            }
+            _ => None,
+        })
     }
 
     fn answered(&self, world: &mut World, id: usize, reply: Reply) {
@@ -397,28 +587,29 @@
         }
     }
 
-    fn before(&self, world: &mut World, Before { call, deaf, untold }: &Before) {
+    fn before(&self, world: &mut World, Before { call, deaf, untold, unsynced, doubled }: &Before) {
         let mut late = Vec::new();
         *world = self.next_state(world, Step::Call(*call)).expect("a call");
-        while !world.wire.is_empty() || world.machines.iter().any(|m| !m.unwritten.is_empty()) {
-            if !world.wire.is_empty() {
-                let said = world.wire.remove(0);
-                if *untold && matches!(said.word, Word::Settle { .. }) {
-                    late.push(said);
-                    continue;
-                }
-                if !deaf.contains(&said.to) {
-                    self.give(world, said.to, Input::Heard(name(said.from), said.word.clone()));
-                }
+        loop {
+            let writes = |me: &usize| !unsynced.contains(me) && !world.machines[*me].unwritten.is_empty();
+            if let Some(me) = (0..self.cores).find(writes) {
+                self.sync(world, me);
+                continue;
             }
-            for me in 0..self.cores {
-                while !world.machines[me].unwritten.is_empty() {
-                    self.sync(world, me);
-                }
+            if world.wire.is_empty() {
+                break;
+            }
+            let said = world.wire.remove(0);
+            let settles = matches!(said.word, Word::Settle { .. });
+            if *untold && settles || *doubled && matches!(said.word, Word::Promise { .. }) {
+                late.push(said.clone());
+            }
+            if !(*untold && settles || deaf.contains(&said.to)) {
+                self.hears(world, &said);
             }
         }
         assert_ne!(world.acknowledged & (1 << call), 0, "{}: call {call} is acknowledged before", self.name);
-        late.into_iter().for_each(|said| world.push(Said::clone(&said)));
+        late.into_iter().for_each(|said| world.push(said));
     }
 
     /// All that any store or disk holds for settled, and what was acknowledged.
@@ -501,6 +692,7 @@
             life: 0,
             now: 0,
             told: Vec::new(),
+            waits: Vec::new(),
             lost: 0,
         };
         let mut world = World {
@@ -521,10 +713,10 @@
                 self.sync(&mut world, me);
             }
         }
-        for &me in &self.restarted {
+        for &(me, synced) in &self.restarted {
             self.end(&mut world, me);
             self.start(&mut world, me, false);
-            while !world.machines[me].unwritten.is_empty() {
+            while synced && !world.machines[me].unwritten.is_empty() {
                 self.sync(&mut world, me);
             }
         }
@@ -583,7 +775,7 @@
                     world.wire.remove(at);
                 }
                 let (before, on_way) = (world.machines[said.to].clone(), world.wire.len());
-                self.give(&mut world, said.to, Input::Heard(name(said.from), said.word.clone()));
+                self.hears(&mut world, &said);
                 // A word without effect may as well stay on its way.
                 if world.machines[said.to] == before && world.wire.len() == on_way && world.open == last.open
                 {
@@ -593,7 +785,7 @@
             Step::Sync(me) => self.sync(&mut world, me),
             Step::Crash(me, on_disk) => {
                 world.left.crashes -= 1;
-                world.machines[me].change(|machine| (0..on_disk).for_each(|_| _ = machine.sync()));
+                world.machines[me].change(|machine| (0..on_disk).for_each(|_| _ = machine.sync(&self.disks)));
                 self.end(&mut world, me);
             }
             Step::Wipe(me) => {
@@ -607,29 +799,45 @@
                 world.made |= 1 << n;
                 let known = world.known;
                 world.open.push((n, known));
-                let (me, request) = self.calls[n].clone();
-                self.give(&mut world, me, Input::Call(n as u64, request));
+                let (me, request) = &self.calls[n];
+                if let (Some(Defect::LeavesOutOldMembers), Request::Change(next)) = (self.defect, request) {
+                    let next = || Input::Heard(name(*me), Word::Members(next.clone()));
+                    self.give(&mut world, *me, hash_of(("change", n)), next);
+                    return Some(world);
+                }
+                self.give(&mut world, *me, hash_of(("call", n)), || Input::Call(n as u64, request.clone()));
             }
             Step::Tick(me, jump) => {
                 world.left.ticks -= 1;
                 world.machines[me].change(|machine| machine.now += jump);
-                self.give(&mut world, me, Input::Tick);
+                self.give(&mut world, me, hash_of("tick"), || Input::Tick);
             }
         }
         Some(world)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
+        // What is judged by the machines and the calls' ends alone is judged once for all states that share those.
+        fn once(scope: &Scope, world: &World, what: &str, judge: fn(&Scope, &World) -> bool) -> bool {
+            let machines: Vec<_> =
+                world.machines.iter().map(|m| (m.disk.0, m.store.as_ref().map(|s| s.0))).collect();
+            let ends = (world.acknowledged, world.refused, world.epochs.0);
+            scope.judged.of(hash_of((what, machines, ends)), || judge(scope, world))
+        }
         vec![
-            Property::always(FIT, |scope: &Scope, world: &World| scope.fit(world)),
+            Property::always(FIT, |scope: &Scope, world: &World| once(scope, world, FIT, Scope::fit)),
             Property::always(READ, |_, world: &World| world.wrong != Some(READ)),
             Property::always(ONCE, |_, world: &World| world.wrong != Some(ONCE)),
             Property::always(EPOCH, |_, world: &World| world.wrong != Some(EPOCH)),
             Property::always(CURRENT, |scope: &Scope, world: &World| scope.current(world)),
             Property::always(WHOLE, |scope: &Scope, world: &World| scope.whole(world)),
-            Property::always(DURABLE, |scope: &Scope, world: &World| scope.durable(world)),
-            Property::always(SEEN, |scope: &Scope, world: &World| scope.seen(world)),
-            Property::always(REFUSED, |scope: &Scope, world: &World| scope.refused(world)),
+            Property::always(DURABLE, |scope: &Scope, world: &World| {
+                once(scope, world, DURABLE, Scope::durable)
+            }),
+            Property::always(SEEN, |scope: &Scope, world: &World| once(scope, world, SEEN, Scope::seen)),
+            Property::always(REFUSED, |scope: &Scope, world: &World| {
+                once(scope, world, REFUSED, Scope::refused)
+            }),
             Property::sometimes(ACKNOWLEDGED, |scope: &Scope, world: &World| {
                 scope.items(world.acknowledged).count() > 1
             }),
@@ -728,8 +936,8 @@
     Request::Change(membership(epoch, of))
 }
 
-/// The searches, each of which is to break nothing. `more` steps deeper by request.
-fn searches(more: usize) -> Vec<Scope> {
+/// The searches, each of which is to break nothing. `long` ones go deeper.
+fn searches(long: bool) -> Vec<Scope> {
     let base = Scope {
         name: "",
         cores: 3,
@@ -737,23 +945,27 @@
         calls: Vec::new(),
         left: Left::default(),
         jumps: vec![400_000],
-        syncs_at_once: true,
+        late: Vec::new(),
         digests: false,
         already: Vec::new(),
         off: Vec::new(),
         restarted: Vec::new(),
         depth: 60,
         meets: Vec::new(),
+        defect: None,
+        turned: Memo::default(),
+        disks: Memo::default(),
+        judged: Memo::default(),
     };
     let (read, none) = ((2, Request::Read), Left::default());
     let clash = [(0, tenant("t1", 1, "k")), (2, tenant("t2", 1, "k"))];
     let apart = [(0, tenant("t1", 1, "k1")), (2, tenant("t2", 1, "k2"))];
     let one_store = [(0, tenant("t1", 1, "k1")), (0, tenant("t2", 1, "k2"))];
-    let scope = |name, calls: &[(usize, Request)], left, depth| Scope {
+    let scope = |name, calls: &[(usize, Request)], left, depths: [usize; 2]| Scope {
         name,
         calls: calls.to_vec(),
         left,
-        depth: depth + more,
+        depth: depths[usize::from(long)],
         ..base.clone()
     };
     let one_lost = Left { wipes: 1, ticks: 1, ..none };
@@ -763,25 +975,34 @@
     let clashing = [(0, tenant("t1", 1, "k")), (1, tenant("t2", 1, "k"))];
     let with = |first: &[(usize, Request)], more: &[(usize, Request)]| [first, more].concat();
     let to_d = (0, replaced.clone());
-    let to_d_untold = |deaf: &[usize]| vec![Before { call: 0, deaf: deaf.to_vec(), untold: true }];
+    let to_d_untold =
+        |deaf: &[usize]| vec![Before { call: 0, deaf: deaf.to_vec(), untold: true, ..Before::default() }];
     let told = vec![Before { call: 0, ..Before::default() }];
     // C lost its disk and votes again; so does B, after D.
     let c_again = (0, change(2, &[(0, 0), (1, 0), (2, 2)]));
     let b_again = (0, change(3, &[(0, 0), (1, 2), (3, 1)]));
-    let two_hold = vec![Before { call: 0, deaf: vec![2], untold: false }];
+    let two_hold = vec![Before { call: 0, deaf: vec![2], ..Before::default() }];
     vec![
-        Scope { meets: vec![CONFLICT], ..scope("two that clash", &clash, Left { ticks: 1, ..none }, 12) },
-        scope("two that clash, a restart", &clash, crash, 17),
-        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, 17),
-        Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, 17) },
         Scope {
-            syncs_at_once: false,
-            ..scope("two at one store, a restart, late syncs", &one_store, crash, 16)
+            meets: vec![CONFLICT],
+            ..scope("two that clash", &clash, Left { ticks: 1, ..none }, [12, 17])
+        },
+        scope("two that clash, a restart", &clash, crash, [18, 23]),
+        scope("two and a read", &with(&one_store, std::slice::from_ref(&read)), none, [17, 20]),
+        Scope { meets: vec![ACKNOWLEDGED], ..scope("two at one store", &one_store, none, [17, 22]) },
+        Scope {
+            late: vec![0, 1, 2, 3],
+            ..scope("two at one store, a restart, late syncs", &one_store, crash, [16, 21])
         },
-        scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, 12),
+        scope("two apart, a lost disk", &apart, Left { wipes: 1, ..none }, [12, 17]),
         Scope {
             already: two_hold.clone(),
-            ..scope("one that two hold, a read, a lost disk", &[apart[0].clone(), read.clone()], one_lost, 60)
+            ..scope(
+                "one that two hold, a read, a lost disk",
+                &[apart[0].clone(), read.clone()],
+                one_lost,
+                [60, 60],
+            )
         },
         Scope {
             already: two_hold.clone(),
@@ -789,10 +1010,13 @@
                 "one that two hold, a read, a lost disk that votes again, a restart",
                 &[apart[0].clone(), (2, Request::Read), c_again.clone()],
                 Left { crashes: 1, ..one_lost },
-                10,
+                [11, 16],
             )
         },
-        Scope { meets: vec![REPAIRED], ..scope("a lost disk", std::slice::from_ref(&c_again), one_lost, 60) },
+        Scope {
+            meets: vec![REPAIRED],
+            ..scope("a lost disk", std::slice::from_ref(&c_again), one_lost, [60, 60])
+        },
         Scope {
             cores: 4,
             off: vec![2],
@@ -802,7 +1026,7 @@
                 "a lost disk beside one that is off",
                 &[to_d.clone(), both[0].clone(), b_again],
                 one_lost,
-                13,
+                [13, 18],
             )
         },
         Scope {
@@ -812,19 +1036,19 @@
                 "a member that missed a change, an order at each side",
                 &with(std::slice::from_ref(&to_d), &both),
                 none,
-                13,
+                [13, 18],
             )
         },
         Scope {
             cores: 4,
-            syncs_at_once: false,
-            restarted: vec![2],
+            late: vec![0, 1, 2, 3],
+            restarted: vec![(2, true)],
             already: to_d_untold(&[2, 3]),
             ..scope(
                 "a member that learns of a change while its promise waits for the disk",
                 &[to_d.clone(), (2, tenant("t2", 1, "k2"))],
                 none,
-                16,
+                [16, 21],
             )
         },
         Scope {
@@ -833,12 +1057,17 @@
                 "a change while two orders that clash are put",
                 &with(std::slice::from_ref(&to_d), &clashing),
                 none,
-                11,
+                [11, 16],
             )
         },
         Scope {
             cores: 4,
-            ..scope("a change while an order is put, a restart", &[to_d.clone(), both[1].clone()], crash, 11)
+            ..scope(
+                "a change while an order is put, a restart",
+                &[to_d.clone(), both[1].clone()],
+                crash,
+                [11, 16],
+            )
         },
         Scope {
             cores: 4,
@@ -847,7 +1076,7 @@
                 "a second change before the first is known",
                 &[to_d.clone(), (1, change(2, &[(0, 0), (2, 0), (3, 1)])), both[1].clone()],
                 none,
-                11,
+                [11, 16],
             )
         },
         Scope {
@@ -857,7 +1086,38 @@
                 "one that was removed calls and reads",
                 &[to_d.clone(), both[0].clone(), (2, tenant("t2", 1, "k1")), (2, Request::Read)],
                 none,
-                10,
+                [10, 15],
+            )
+        },
+        Scope {
+            already: two_hold.clone(),
+            ..scope(
+                "words of a disk that was lost are on the way while the next one votes",
+                &[both[0].clone(), (0, tenant("t2", 1, "k2")), c_again.clone()],
+                Left { wipes: 1, ..none },
+                [15, 60],
+            )
+        },
+        Scope {
+            already: two_hold.clone(),
+            digests: true,
+            jumps: vec![100_000],
+            ..scope(
+                "digests, an order, a lost disk that votes again",
+                &[both[0].clone(), (0, tenant("t2", 1, "k2")), c_again.clone()],
+                Left { wipes: 1, ticks: 2, ..none },
+                [9, 13],
+            )
+        },
+        Scope {
+            digests: true,
+            already: told.clone(),
+            jumps: vec![100_000],
+            ..scope(
+                "digests, an order",
+                &[both[0].clone(), both[1].clone()],
+                Left { ticks: 2, ..none },
+                [10, 14],
             )
         },
     ]
@@ -887,10 +1147,10 @@
 
 #[test]
 fn no_search_breaks_anything() {
-    let more = std::env::var("DANCE_SCOPE").map_or(0, |scope| if scope == "long" { 3 } else { 0 });
+    let long = std::env::var("DANCE_SCOPE").is_ok_and(|scope| scope == "long");
     let only = std::env::var("DANCE_ONLY").unwrap_or_default();
     let mut broken = Vec::new();
-    for scope in searches(more).into_iter().filter(|scope| scope.name.contains(&only)) {
+    for scope in searches(long).into_iter().filter(|scope| scope.name.contains(&only)) {
         let (name, meets) = (scope.name, scope.meets.clone());
         let begun = Instant::now();
         let (found, states, depth) = search(scope);
@@ -906,8 +1166,109 @@
     assert!(broken.is_empty(), "{broken:?}");
 }
 
+/// Each defect with the scope that is to find it, and what it is to break.
+fn defects() -> Vec<(Defect, Scope, &'static [&'static str])> {
+    use Defect::*;
+    let named = |name: &str| searches(false).into_iter().find(|s| s.name == name).expect(name);
+    let small = |calls: &[(usize, Request)], left, depth| Scope {
+        calls: calls.to_vec(),
+        left,
+        depth,
+        meets: Vec::new(),
+        ..named("two at one store")
+    };
+    let none = Left::default();
+    let calls = [(0, tenant("t1", 1, "k1")), (0, tenant("t2", 1, "k2"))];
+    let crash = Left { crashes: 1, ..none };
+    let wipe = Left { wipes: 1, ..none };
+    let held_by = |call, deaf, untold| vec![Before { call, deaf, untold, ..Before::default() }];
+    let c_again = (0, change(2, &[(0, 0), (1, 0), (2, 2)]));
+    let to_d = (0, change(2, &[(0, 0), (1, 0), (3, 1)]));
+    vec![
+        (ForgetsPromises, named("two that clash, a restart"), &[FIT, DURABLE, SEEN, READ]),
+        (TellsUnsynced, Scope { late: vec![0, 1, 2], ..small(&calls[..1], crash, 10) }, &[DURABLE, SEEN]),
+        (
+            LeavesOutFill,
+            Scope { already: held_by(0, vec![2], true), ..small(&calls, none, 6) },
+            &[DURABLE, SEEN],
+        ),
+        (
+            TakesEmptyDiskForFirst,
+            Scope { already: held_by(0, vec![2], false), ..small(&calls[..1], wipe, 4) },
+            &[DURABLE, SEEN],
+        ),
+        (
+            SettlesUnderOwnEpoch,
+            named("a member that missed a change, an order at each side"),
+            &[DURABLE, SEEN],
+        ),
+        (
+            PromisesInPastEpoch,
+            named("a member that learns of a change while its promise waits for the disk"),
+            &[DURABLE, SEEN],
+        ),
+        (
+            TakesEmptyDiskForWhole,
+            Scope {
+                already: held_by(0, vec![2], false),
+                ..small(&[calls[0].clone(), c_again.clone()], wipe, 11)
+            },
+            &[WHOLE],
+        ),
+        (
+            ReusesBallots,
+            Scope {
+                late: vec![0],
+                restarted: vec![(0, false)],
+                already: vec![Before { call: 0, unsynced: vec![0], doubled: true, ..Before::default() }],
+                ..small(&calls, crash, 10)
+            },
+            &[DURABLE, SEEN, FIT],
+        ),
+        (HidesPending, named("digests, an order"), &[CURRENT]),
+        (
+            LeavesOutOldMembers,
+            Scope {
+                cores: 4,
+                already: held_by(0, vec![0], false),
+                ..small(&[(1, tenant("t1", 1, "k1")), to_d, calls[1].clone()], none, 6)
+            },
+            &[DURABLE, SEEN],
+        ),
+    ]
+}
+
+#[test]
+fn each_defect_is_found() {
+    let long = std::env::var("DANCE_SCOPE").is_ok_and(|scope| scope == "long");
+    let only = std::env::var("DANCE_ONLY").unwrap_or_default();
+    let mut missed = Vec::new();
+    for (defect, scope, breaks) in defects() {
+        if !format!("{defect:?}").contains(&only) {
+            continue;
+        }
+        if long {
+            let (found, ..) = search(scope.clone());
+            assert!(!found.iter().any(is_wrong), "without {defect:?}: {found:#?}");
+        }
+        let begun = Instant::now();
+        let (found, states, depth) = search(Scope { defect: Some(defect), ..scope });
+        let found: Vec<Found> = found.into_iter().filter(is_wrong).collect();
+        println!("{defect:?}: {states} states to depth {depth} in {:?}", begun.elapsed());
+        for (what, steps) in &found {
+            println!("    {what}: {} steps", steps.len());
+        }
+        if !found.iter().any(|(what, _)| breaks.contains(what)) {
+            missed.push(defect);
+        }
+    }
+    assert!(missed.is_empty(), "{missed:?}");
+}
+
 /// One walk by lot: which properties were broken or met, and at which step first.
 fn walk(scope: &Scope, seed: u64, most: usize) -> Vec<(&'static str, usize)> {
+    // Walks share little with each other.
+    let scope = &scope.clone();
     let mut lot = seed;
     let mut upto = |most: usize| {
         lot = lot.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -942,7 +1303,7 @@
 }
 
 fn wide() -> Scope {
-    let mut wide = searches(0).remove(0);
+    let mut wide = searches(false).remove(0);
     wide.name = "walks";
     wide.cores = 4;
     wide.calls = vec![
@@ -960,7 +1321,7 @@
     ];
     wide.left = Left { crashes: 3, wipes: 1, doubles: 2, ticks: 8 };
     wide.jumps = vec![100_000, 400_000];
-    wide.syncs_at_once = false;
+    wide.late = vec![0, 1, 2, 3];
     wide.digests = true;
     wide
 }
