Orders that may have waited through a standstill are not judged

Registries and stores answer 503 to orders after a gap of 0.25 s between ticks, and for 0.15 s more; a store takes 0.75 s for an order (0.85 s). Ruled out: the age of a call in its message, since clocks of two machines agree in their pace alone, and a frozen registry does not know it.

--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -10,6 +10,11 @@
 use pinerelay_propolis::link::{Peer, PULSE};
 use pinerelay_propolis::speech::{mend, Answered, Hello, Passed, Role, Speech};
 
+/// A gap between two ticks by which the process has stood still, and for how long after it a call may have waited meanwhile.
+/// With the time that a store takes for a call it is no more than the second after which callers go elsewhere.
+const STOOD_STILL: Micros = 250_000;
+const AFTER: Micros = 150_000;
+
 /// What the store wants done.
 #[derive(Debug, PartialEq)]
 pub enum Output {
@@ -43,6 +48,9 @@
     unwritten: usize,
     stood: Option<(Membership, bool, bool)>,
     pulse_at: Micros,
+    ticked: Micros,
+    /// When the process last went on after it had stood still.
+    went_on: Option<Micros>,
     ending: bool,
 }
 
@@ -79,6 +87,8 @@
             unwritten: 0,
             stood: None,
             pulse_at: 0,
+            ticked: 0,
+            went_on: None,
             ending: false,
         };
         desk.carry_out(first, out);
@@ -135,6 +145,10 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now > self.ticked + STOOD_STILL {
+            self.went_on = Some(now);
+        }
+        self.ticked = now;
         self.give(now, Input::Tick, out);
         let pulse = now >= self.pulse_at;
         if pulse {
@@ -249,6 +263,8 @@
                 out.push(Output::Say(peer, Speech::Confirmed { asked, epoch, digest }));
             }
             Speech::Pass(number, passed) if hello.role == Role::Scout => {
+                let waited =
+                    now > self.ticked + STOOD_STILL || self.went_on.is_some_and(|since| now < since + AFTER);
                 let mut answer = |status, why: &str| {
                     let answered = Answered { status, body: error(why) };
                     out.push(Output::Say(peer, Speech::Answer(number, answered)));
@@ -256,6 +272,8 @@
                 let request = match passed {
                     _ if self.ending => return answer(503, "the store ends"),
                     Passed::Read => Request::Read,
+                    // Danger: its caller may have asked elsewhere since it was sent, and been refused there.
+                    Passed::Update(_) if waited => return answer(503, "the store has stood still"),
                     Passed::Update(body) => match call::read(&body) {
                         Ok(items) => Request::Update(items),
                         Err(unfit) => return answer(400, &unfit.to_string()),
--- a/crates/comb/tests/answers.rs
+++ b/crates/comb/tests/answers.rs
@@ -66,3 +66,30 @@
     desk.said(0, 1, hello(Role::Scout, 2), &mut out);
     expect_that!(out, elements_are![eq(&Output::Cut(1))]);
 }
+
+#[gtest]
+fn an_order_that_may_have_waited_through_a_standstill_is_not_judged() {
+    let mut desk = desk();
+    let mut out = Vec::new();
+    desk.said(1_000_000, 1, hello(Role::Scout, 1), &mut out);
+    // The last tick was at 0.975 s. What lies here by now may be older than its caller's patience.
+    let update = || Speech::Pass(1, Passed::Update(b"{}".to_vec()));
+    let status = |out: &[Output]| {
+        out.iter().find_map(|output| match output {
+            Output::Say(1, Speech::Answer(1, answered)) => Some(answered.status),
+            _ => None,
+        })
+    };
+    out.clear();
+    desk.said(3_000_000, 1, update(), &mut out);
+    expect_that!(status(&out), some(eq(503)));
+    desk.tick(3_000_100, &mut out);
+    out.clear();
+    desk.said(3_100_000, 1, update(), &mut out);
+    expect_that!(status(&out), some(eq(503)), "it may have come in at any moment of the standstill");
+    desk.tick(3_150_000, &mut out);
+    out.clear();
+    desk.said(3_200_000, 1, update(), &mut out);
+    let answers = play(&mut desk, 3_200_000, out);
+    expect_that!(answers, elements_are![eq(&(1, 1, 200))]);
+}
--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -14,7 +14,7 @@
 /// A turn without an end by then is given up: what it asked may have got lost.
 const TURN: Micros = 300_000;
 /// A call without an end by then gets none: its caller moves on after a second of silence.
-const PATIENCE: Micros = 850_000;
+const PATIENCE: Micros = 750_000;
 /// After a higher ballot was met the next turn waits so long, and up to so much more by lot.
 const PAUSE: Micros = 10_000;
 const PAUSE_LOT: Micros = 60_000;
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -36,6 +36,9 @@
 const SILENT: Micros = 1_200_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
+/// A gap after which an order may have waited here for so long that its caller has asked elsewhere, and for how long after it.
+const WAITED: Micros = 250_000;
+const AFTER: Micros = 150_000;
 
 /// What the registry wants done.
 #[derive(Debug, PartialEq)]
@@ -135,6 +138,8 @@
     placed: BTreeMap<Peer, (u32, u32)>,
     last: u64,
     ticked: Micros,
+    /// When the process last went on after it had stood still.
+    went_on: Option<Micros>,
     /// When the machine's own store was last heard, and when it was last current.
     own_store_at: Micros,
     own_current_at: Micros,
@@ -188,6 +193,7 @@
             placed: BTreeMap::new(),
             last: 0,
             ticked: now,
+            went_on: None,
             own_store_at: now,
             own_current_at: now,
             pulse_at: now,
@@ -518,6 +524,12 @@
         match call {
             Call::Beat(id, beat) => self.beat(now, number, &id, beat, out),
             Call::Leave(id) => self.leave(now, number, &id, out),
+            // Danger: its caller may have been refused elsewhere meanwhile.
+            Call::Update(_)
+                if now > self.ticked + WAITED || self.went_on.is_some_and(|since| now < since + AFTER) =>
+            {
+                out.push(Output::Answer(number, error(503, "the registry has stood still")));
+            }
             Call::Update(body) => self.pass(now, number, Passed::Update(body), out),
             Call::Read => self.pass(now, number, Passed::Read, out),
         }
@@ -570,6 +582,9 @@
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
         let stood_still = now > self.ticked + STOOD_STILL;
+        if now > self.ticked + WAITED {
+            self.went_on = Some(now);
+        }
         self.ticked = now;
         if stood_still {
             // What was said meanwhile lies unread.
--- a/crates/scout/tests/calls.rs
+++ b/crates/scout/tests/calls.rs
@@ -270,3 +270,25 @@
     play.down(1);
     expect_that!(play.answered, elements_are![eq(&(71, 503, 0))]);
 }
+
+#[gtest]
+fn an_order_that_may_have_waited_through_a_standstill_is_passed_to_nobody() {
+    let mut play = Play::new(&[OWN, "127.0.0.2", "127.0.0.3"]);
+    play.store(1, OWN);
+    let update = || Call::Update(b"{}".to_vec());
+    play.ticks(1);
+    play.call(70, update());
+    expect_that!(play.passed.len(), eq(1));
+    play.now += 2_000_000;
+    play.call(71, update());
+    play.ticks(1);
+    play.call(72, update());
+    expect_that!(
+        play.answered.iter().map(|(call, status, _)| (*call, *status)).collect::<Vec<_>>(),
+        contains(eq(&(71, 503)))
+    );
+    expect_that!(play.answered.last().map(|(call, status, _)| (*call, *status)), some(eq((72, 503))));
+    play.ticks(2);
+    play.call(73, update());
+    expect_that!(play.passed.len(), eq(2), "the first and the last alone");
+}
