What is pending and has been overtaken is put again as nothing

A change of the membership that reached a machine after it had been overtaken was pending there for ever: what a turn met was filtered away, there was nothing to put, and each mend ended so. Test in stores.rs, which fails without.

--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -313,7 +313,9 @@
             let text = call::write(&next);
             turn.answers.extend(read.into_iter().map(|id| (id, Reply::Stands(text.clone()))));
         }
-        if batch == Batch::default() {
+        // What has been overtaken is put again as nothing, or it would be pending for ever, and nobody there ever current.
+        let pends = turn.promises.values().any(|promise| promise.pending.is_some());
+        if batch == Batch::default() && !pends {
             let answers = std::mem::take(&mut turn.answers);
             self.turn = None;
             self.answer(answers, out);
--- a/crates/dance/tests/stores.rs
+++ b/crates/dance/tests/stores.rs
@@ -8,7 +8,7 @@
 use pinerelay_cells::{judge, Cells, Item, Key};
 use pinerelay_dance::store::{Birth, Micros};
 use pinerelay_dance::voter::{Change, Kept};
-use pinerelay_dance::{Input, Output, Reply, Request, Store};
+use pinerelay_dance::{Ballot, Batch, Input, Output, Reply, Request, Store, Word};
 
 struct Lot(u64);
 
@@ -518,3 +518,43 @@
     let now = membership(&world, &names[3]);
     expect_that!((now.epoch, now.before), eq(&(3, names[..3].to_vec())));
 }
+
+#[gtest]
+fn what_is_pending_and_has_been_overtaken_does_not_pend_for_ever() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3);
+        world.pass(1_000_000);
+        let names = world.names();
+        // A change of the membership is put at a machine that hears of its end by another way, and of the put after that.
+        world.kill(&names[2], true);
+        world.wipe(&names[2]);
+        world.start(&names[2], false);
+        let until = world.now + 1_000_000 + world.lot.upto(1_500_000);
+        world.pass(until);
+        let membership = world.machines[&names[0]].store.as_ref().map(|store| store.membership().clone());
+        let batch = Batch { items: Vec::new(), membership };
+        for name in &names {
+            let highest = Ballot(5_000, 7);
+            let ask = Word::Ask {
+                ballot: highest,
+                membership: batch.membership.clone().expect("it runs"),
+                ranges: Vec::new(),
+            };
+            world.give(name, Input::Heard("10.0.0.9".into(), ask));
+        }
+        let until = world.now + 100_000;
+        world.pass(until);
+        let put = Word::Put { ballot: Ballot(5_000, 7), fill: Vec::new(), batch };
+        world.give(&names[1], Input::Heard("10.0.0.9".into(), put));
+        let until = world.now + 4_000_000;
+        world.pass(until);
+        // With one gone the word of all others is needed.
+        world.kill(&names[0], true);
+        let until = world.now + 3_000_000;
+        world.pass(until);
+        for name in &names[1..] {
+            let store = world.machines[name].store.as_ref().expect("it runs");
+            assert!(store.current(world.now), "seed {seed}: {name} is not current");
+        }
+    }
+}
