--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -22,6 +22,9 @@
 const UNCONFIRMED: Micros = 10_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
+/// Items that came in pieces are kept out of the table in force for so long at the most. A proxy that was cut off has longer
+/// than this, from the moment when it is reached again, to put in force what was acknowledged meanwhile.
+const PARTIAL_FOR: Micros = 1_000_000;
 
 /// What the proxy wants done.
 #[derive(Debug)]
@@ -30,7 +33,7 @@
     Say(Peer, Speech),
     /// Cut a connection.
     Cut(Peer),
-    /// The configuration has changed.
+    /// This configuration is in force from now on.
     Configured(Arc<Table>),
     /// What is known of a server has changed; none: it has left.
     Server(String, Option<Server>),
@@ -60,6 +63,11 @@
     realms: [Cells; 2],
     /// What the configuration's items make.
     table: Arc<Table>,
+    /// The table holds something that is not in force.
+    unpublished: bool,
+    /// Since when the table may hold a part of an operator's call: items came in pieces, and a registry has not yet told of
+    /// the same configuration.
+    partial: Option<Micros>,
     /// The tenants' units that are here.
     pub purse: Purse,
     registries: BTreeMap<Peer, Registry>,
@@ -90,6 +98,8 @@
             seeds,
             realms: Default::default(),
             table: Arc::default(),
+            unpublished: false,
+            partial: None,
             purse: Purse::new(),
             registries: BTreeMap::new(),
             whole: false,
@@ -178,6 +188,11 @@
 
     /// Something was said.
     pub fn said(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
+        self.hear(now, peer, speech, out);
+        self.publish(now, out);
+    }
+
+    fn hear(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
         if let Speech::Hello(hello) = speech {
             // One that looks on wants figures alone.
             if hello.role == Role::Visitor {
@@ -228,7 +243,11 @@
             }
             Speech::Mend { realm, items, parts } => {
                 registry.mended = Some(now);
+                let published = !self.unpublished;
                 let goes_on = items.is_empty() || self.merge(now, items, out);
+                if published && self.unpublished {
+                    self.partial.get_or_insert(now);
+                }
                 if let Some(cells) = self.realms.get(usize::from(realm)).filter(|_| goes_on) {
                     out.extend(mend(cells, realm, &parts).map(|speech| Output::Say(peer, speech)));
                 }
@@ -302,12 +321,29 @@
             }
         }
         if configured {
+            self.unpublished = true;
             self.look(now);
-            out.push(Output::Configured(self.table.clone()));
         }
         news
     }
 
+    /// Puts the table in force, unless it may hold a part of what is to take force together: the first table before all of
+    /// it has come, or a part of an operator's call (a key that passes from one tenant to another would be nobody's).
+    fn publish(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let confirmed = self.whole || self.unconfirmed;
+        if !self.unpublished || !confirmed {
+            return;
+        }
+        let own = self.realms[0].digest();
+        let as_told = self.registries.values().any(|registry| registry.digest == Some(own));
+        let partial = self.partial.is_some_and(|since| now < since + PARTIAL_FOR);
+        if as_told || !partial {
+            self.partial = None;
+            self.unpublished = false;
+            out.push(Output::Configured(self.table.clone()));
+        }
+    }
+
     /// Asks for the units that are wanted now, each at the registry whose duty it is.
     pub fn ask(&mut self, now: Micros, out: &mut Vec<Output>) {
         let asks = self.purse.asks(now);
@@ -354,6 +390,7 @@
         out.extend(ended.into_iter().map(|(id, admission)| Output::Admitted(id, admission)));
         self.ask(now, out);
         self.look(now);
+        self.publish(now, out);
         self.ticked = now;
         if now >= self.here_at {
             self.here_at = now + HERE;
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
@@ -14,7 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use mountbend::interface::{CustomerId, Micros, NewRequest, Reason, RequestId};
 use mountbend::measure::lot;
-use pinerelay_cells::routes::{Route, RouteType, Table, Tenant};
+use pinerelay_cells::routes::{Limits, Route, RouteType, Table, Tenant};
 use pinerelay_cells::verdict::Verdict;
 use pinerelay_nectar::purse::Admission;
 use pinerelay_nectar::terms::Quota;
@@ -37,6 +37,9 @@
 /// What is not served for want of a server is to come back after so long, and up to so much more by lot.
 const AGAIN: Micros = 30_000;
 const AGAIN_LOT: f64 = 50_000.0;
+/// What comes before there is a configuration is to come back after so long, and up to so much more by lot.
+const UNCONFIGURED_AGAIN: Micros = 150_000;
+const UNCONFIGURED_AGAIN_LOT: f64 = 200_000.0;
 /// How long a body may take after its head, beside what it takes at the least pace.
 const BODY_WAIT: Duration = Duration::from_secs(3);
 /// How long before the client gives up a request has failed.
@@ -66,8 +69,8 @@
 
 /// The clients' side.
 pub struct Inlet {
-    /// The configuration in force.
-    pub table: ArcSwap<Table>,
+    /// The configuration in force; none before all of the first one has come.
+    pub table: ArcSwapOption<Table>,
     clock: Rc<Clock>,
     services: Rc<Services>,
     hosts: Rc<Hosts>,
@@ -106,7 +109,7 @@
         seed: u64,
     ) -> Rc<Inlet> {
         Rc::new(Inlet {
-            table: ArcSwap::default(),
+            table: ArcSwapOption::default(),
             clock,
             services,
             hosts,
@@ -125,7 +128,11 @@
         self.room.lengthen(table.limits.body_bytes);
         let most = table.services.values().map(|service| (service.name.clone(), service.max_conns));
         self.hosts.most.replace(most.collect());
-        self.table.store(table);
+        self.table.store(Some(table));
+    }
+
+    fn limits(&self) -> Limits {
+        self.table.load().as_ref().map(|table| table.limits).unwrap_or_default()
     }
 
     /// A request that waited for a unit has one, or is refused.
@@ -168,10 +175,11 @@
             return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "no tunnels are made here\n", None));
         }
         let head = Head::read(parts).map_err(bad)?;
-        let table = self.table.load();
-        if table.is_empty() {
-            return Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n", Some(AGAIN)));
-        }
+        let in_force = self.table.load();
+        let Some(table) = in_force.as_ref() else {
+            let again = UNCONFIGURED_AGAIN + (self.lot() * UNCONFIGURED_AGAIN_LOT) as Micros;
+            return Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n", Some(again)));
+        };
         let route = table.route(&head.host, head.uri.path());
         let route = route.ok_or(Rejected(StatusCode::NOT_FOUND, "no route\n", None))?;
         let tenant = head.key.as_deref().and_then(|key| table.tenant(key));
@@ -394,11 +402,11 @@
     }
 
     fn head_wait(&self) -> Duration {
-        self.table.load().limits.header_timeout
+        self.limits().header_timeout
     }
 
     fn idle_wait(&self) -> Option<Duration> {
-        Some(self.table.load().limits.idle_timeout)
+        Some(self.limits().idle_timeout)
     }
 }
 
--- a/crates/forager/src/run.rs
+++ b/crates/forager/src/run.rs
@@ -215,7 +215,11 @@
         let ready = !self.ending.get()
             && self.hearing.borrow().whole()
             && self.services.servers() > 0
-            && self.inlet.borrow().upgrade().is_some_and(|inlet| !inlet.table.load().is_empty());
+            && self
+                .inlet
+                .borrow()
+                .upgrade()
+                .is_some_and(|inlet| inlet.table.load().as_ref().is_some_and(|table| !table.is_empty()));
         if self.ready.replace(ready) != ready {
             log::info!("is {}", if ready { "ready" } else { "not ready" });
         }
