--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -2,6 +2,7 @@
 
 mod counts;
 mod current;
+mod relay;
 mod roll;
 mod servers;
 
@@ -9,18 +10,17 @@
 
 use pinerelay_cells::routes::Table;
 use pinerelay_cells::server::Server;
-use pinerelay_cells::{Cells, Item, Key, Kind};
+use pinerelay_cells::{Cells, Key, Kind};
 use pinerelay_nectar::fence::{Fence, SLICES};
 use pinerelay_nectar::terms::Bounds;
 use pinerelay_nectar::well::{Well, SHARE_LIFE};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{
-    compare, mend, Answered, Hello, Passed, Role, Speech, Standing, REGISTRIES,
-};
+use pinerelay_propolis::speech::{Answered, Hello, Passed, Role, Speech, Standing};
 
 use crate::dispatch::Call;
 use current::Lease;
+use relay::{Arrival, Partial};
 use servers::{Beaten, Holding};
 
 /// How often it says how it stands.
@@ -96,6 +96,8 @@
     lease: Lease,
     /// A store whose copy is whole has told all that it has.
     whole: bool,
+    /// Whether its configuration may hold a part of an operator's call.
+    partial: Partial,
     stores: BTreeMap<Peer, bool>,
     /// What each store's items came to, as it said last.
     stored: BTreeMap<Peer, u64>,
@@ -167,6 +169,7 @@
             table: Table::default(),
             peers: BTreeMap::new(),
             whole: false,
+            partial: Partial::default(),
             stores: BTreeMap::new(),
             stored: BTreeMap::new(),
             spoke: BTreeMap::new(),
@@ -299,19 +302,19 @@
             // A visitor looks on, and brings nothing.
             (Role::Visitor, Speech::News(_)) => {}
             (_, Speech::News(items)) => {
-                self.merge(peer, &hello, items, out);
+                self.merge(peer, &hello, items, Arrival::Call, out);
             }
             (_, Speech::Digest(digests)) => self.digest(peer, &hello, digests, out),
             (_, Speech::Mend { realm, items, parts }) => {
                 self.mended.insert(peer, self.ticked);
                 let items = if hello.role == Role::Visitor { Vec::new() } else { items };
-                let goes_on = items.is_empty() || self.merge(peer, &hello, items, out);
-                if let Some(cells) = self.realms.get(usize::from(realm)).filter(|_| goes_on) {
-                    out.extend(mend(cells, realm, &parts).map(|speech| Output::Say(peer, speech)));
+                let goes_on = items.is_empty() || self.merge(peer, &hello, items, Arrival::Piece, out);
+                if goes_on {
+                    self.answer_parts(peer, &hello, realm, &parts, out);
                 }
             }
             (Role::Scout, Speech::Hold { number, items }) => {
-                self.merge(peer, &hello, items, out);
+                self.merge(peer, &hello, items, Arrival::Call, out);
                 // Danger: the caller takes this for the word of one that reaches the proxies.
                 if self.in_contact(now) {
                     out.push(Output::Say(peer, Speech::Held(number)));
@@ -386,7 +389,10 @@
         }
         if matches!(role, Role::Scout | Role::Forager) {
             out.push(Output::Say(peer, Speech::Standing(self.standing(now))));
-            out.push(Output::Say(peer, Speech::Digest(self.digests())));
+            match role {
+                Role::Forager => self.tell_proxies(vec![peer], out),
+                _ => out.push(Output::Say(peer, Speech::Digest(self.digests()))),
+            }
         }
     }
 
@@ -451,74 +457,6 @@
         (0..SLICES).filter(|&slice| self.fence.holds(now, slice)).fold(0, |bits, slice| bits | 1 << slice)
     }
 
-    /// Takes items that are news, and passes them on to those who have not heard them from their source; tells whether there
-    /// were any.
-    fn merge(&mut self, from: Peer, hello: &Hello, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
-        let mut news = Vec::new();
-        let wall = self.wall(self.ticked);
-        for item in items.into_iter().filter(|item| !Server::past(item, wall)) {
-            let realm = usize::from(!item.key.kind.is_config());
-            if self.realms[realm].merge(item.clone()) {
-                self.noted(&item);
-                news.push(item);
-            }
-        }
-        if news.is_empty() {
-            return false;
-        }
-        if news.iter().any(|item| item.key.kind.is_config()) {
-            news.iter().for_each(|item| self.table.change(item));
-            self.look();
-        }
-        // What another registry says it has told its proxies itself; digests mend what they have missed.
-        // One that does not vote has no proxies, and while voters change one that does may not have them yet.
-        let all_linked = self.voters.len() <= REGISTRIES && !self.fence.is_joint(self.ticked);
-        let told = hello.role == Role::Scout && all_linked && self.voters.contains(&hello.ip);
-        let mut to = if told { Vec::new() } else { self.of(Role::Forager) };
-        if hello.role == Role::Forager {
-            to.extend(self.scouts().into_values());
-        }
-        if hello.role != Role::Comb && news.iter().any(|item| !item.key.kind.is_config()) {
-            to.extend(self.own_store());
-        }
-        to.retain(|peer| *peer != from);
-        // More would hold up what is said behind it: the others ask for it in pieces.
-        let speech = if Cells::are_few(&news) { Speech::News(news) } else { Speech::Digest(self.digests()) };
-        out.push(Output::SayAll(to, speech));
-        true
-    }
-
-    fn digest(&mut self, peer: Peer, hello: &Hello, digests: [u64; 2], out: &mut Vec<Output>) {
-        let own = self.digests();
-        if matches!(hello.role, Role::Comb | Role::Scout) && digests == own {
-            self.agreed = self.ticked;
-        }
-        // A talk that is under way goes on by itself.
-        let at_it = self.mended.get(&peer).is_some_and(|at| self.ticked < at + PULSE / 2);
-        for (realm, digest) in digests.into_iter().enumerate() {
-            if !at_it && digest != self.realms[realm].digest() {
-                out.push(Output::Say(peer, compare(&self.realms[realm], realm as u8)));
-            }
-        }
-        if hello.role == Role::Comb {
-            self.stored.insert(peer, digests[0]);
-            self.look();
-        }
-    }
-
-    /// Looks whether it has all that a store has whose copy is whole.
-    fn look(&mut self) {
-        let own = self.realms[0].digest();
-        let whole = |(peer, whole): (&Peer, &bool)| *whole && self.stored.get(peer) == Some(&own);
-        if !self.whole && self.stores.iter().any(whole) {
-            log::info!("has the whole configuration: {} items", self.realms[0].len());
-            self.whole = true;
-            // The proxies wait for this.
-            self.pulse_at = self.ticked;
-        }
-        self.lease.look(own);
-    }
-
     /// A call from outside, under a number that comes back with the answer.
     pub fn call(&mut self, now: Micros, number: u64, call: Call, out: &mut Vec<Output>) {
         match call {
@@ -628,10 +566,12 @@
             return;
         }
         self.pulse_at = now + PULSE;
-        let mut all = self.of(Role::Forager);
-        all.extend(scouts.values());
-        out.push(Output::SayAll(all.clone(), Speech::Standing(self.standing(now))));
-        out.push(Output::SayAll(all, Speech::Digest(self.digests())));
+        let proxies = self.of(Role::Forager);
+        let registries: Vec<Peer> = scouts.values().copied().collect();
+        let all = proxies.iter().chain(&registries).copied().collect();
+        out.push(Output::SayAll(all, Speech::Standing(self.standing(now))));
+        out.push(Output::SayAll(registries, Speech::Digest(self.digests())));
+        self.tell_proxies(proxies, out);
         let wall = self.wall(now);
         self.realms[1].forget_if(|item| Server::past(item, wall));
         self.held.retain(|id| self.realms[1].get(&Key::new(Kind::Server, id.as_str())).is_some());
--- a/crates/scout/src/registry/current.rs
+++ b/crates/scout/src/registry/current.rs
@@ -103,6 +103,6 @@
         }
         let proxies = self.of(Role::Forager);
         out.push(Output::SayAll(proxies.clone(), Speech::Standing(self.standing(now))));
-        out.push(Output::SayAll(proxies, Speech::Digest(self.digests())));
+        self.tell_proxies(proxies, out);
     }
 }
