--- a/crates/traffic/src/http.rs
+++ b/crates/traffic/src/http.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::long::{Outgoing, UploadBody};
+use crate::passage::Passage;
 
 /// What a connection reads ahead at most; no head is longer.
 const BUFFER_MOST: usize = 16 * 1024;
@@ -68,22 +69,31 @@
 struct Written {
     /// Its last byte has been handed to the connection.
     given: Cell<bool>,
-    /// Something of it has gone to the socket.
-    some: Cell<bool>,
-    told: Cell<bool>,
+    /// How many bytes of it have gone to the socket, and when.
+    passage: Cell<Passage>,
     tell: OnWritten,
 }
 
 impl Written {
     fn begin(&self, given: bool) {
         self.given.set(given);
-        self.some.set(false);
-        self.told.set(false);
+        self.passage.take();
+    }
+
+    /// So many bytes have gone to the socket.
+    fn wrote(&self, bytes: usize) {
+        let mut passage = self.passage.get();
+        passage.begun.get_or_insert_with(Instant::now);
+        passage.bytes += bytes as u64;
+        self.passage.set(passage);
     }
 
     /// All that the connection was handed has gone to the socket.
     fn flushed(&self) {
-        if self.given.get() && self.some.get() && !self.told.replace(true) {
+        let mut passage = self.passage.get();
+        if self.given.get() && passage.bytes > 0 && passage.flushed.is_none() {
+            passage.flushed = Some(Instant::now());
+            self.passage.set(passage);
             self.tell.iter().for_each(|tell| tell());
         }
     }
@@ -131,8 +141,8 @@
 
 impl Watched {
     fn wrote(&self, polled: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(1..)) = polled {
-            self.written.some.set(true);
+        if let Poll::Ready(Ok(bytes @ 1..)) = polled {
+            self.written.wrote(*bytes);
         }
     }
 }
@@ -212,8 +222,8 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let heard = Rc::<Heard>::default();
-        let (given, some, told) = Default::default();
-        let written = Rc::new(Written { given, some, told, tell });
+        let (given, passage) = Default::default();
+        let written = Rc::new(Written { given, passage, tell });
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_MOST)
             .handshake(TokioIo::new(Watched { stream, heard: heard.clone(), written: written.clone() }))
@@ -238,6 +248,11 @@
         self.heard.clone()
     }
 
+    /// How the request under way went out, and when its answer began.
+    pub fn passage(&self) -> Passage {
+        Passage { answered: self.heard.since.get(), ..self.written.passage.get() }
+    }
+
     /// Sends one request and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<Sent>) -> Result<Response<Incoming>, Broken> {
         if self.sender.ready().await.is_err() {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod listen;
 pub mod long;
 pub mod node;
+pub mod passage;
 pub mod pool;
 pub mod ports;
 pub mod reuse;
