--- a/crates/traffic/src/long.rs
+++ b/crates/traffic/src/long.rs
@@ -84,6 +84,23 @@
     Ok(if whole { Taken::Whole(taken) } else { Taken::Part(taken, body) })
 }
 
+/// Reads what is left of a body that nobody wants, up to `most` bytes and for so long, and drops it. Danger: a client that
+/// is still writing when its connection closes loses the answer that lies there for it.
+pub fn discard(mut body: Incoming, most: u64, patience: Duration) {
+    if body.is_end_stream() || body.size_hint().lower() > most {
+        return;
+    }
+    let read = async move {
+        let mut left = most;
+        while let Some(Ok(frame)) = body.frame().await {
+            let data = frame.into_data().unwrap_or_default();
+            let Some(less) = left.checked_sub(data.len() as u64) else { return };
+            left = less;
+        }
+    };
+    tokio::task::spawn_local(tokio::time::timeout(patience, read));
+}
+
 /// How far a client's long body has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -162,6 +179,11 @@
         }
     }
 
+    /// How long it is, if that is known.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
     /// Whether the client has broken it off.
     pub fn broken(&self) -> bool {
         self.stage.get() == Stage::Broken
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
-use hyper::Request;
+use hyper::{Request, Uri};
 
 use crate::front::HEAD_MOST;
 
@@ -20,6 +20,8 @@
     length: Cell<bool>,
     /// A line of it ends without CR, or goes on in the next.
     odd: Cell<bool>,
+    /// What it asks for was read as something else than what was sent.
+    changed: Cell<bool>,
 }
 
 impl Wire {
@@ -47,6 +49,9 @@
         if request.headers().contains_key(TRANSFER_ENCODING) {
             self.length.set(bytes[..end].split(|&b| b == b'\n').any(named));
         }
+        let line = bytes[start..end].split(|&b| b == b'\r').next().unwrap_or_default();
+        let target = line.split(|&b| b == b' ').filter(|part| !part.is_empty()).nth(1).unwrap_or_default();
+        self.changed.set(!reads_as(target, request.uri()));
         let lines = bytes[start..end].split(|&b| b == b'\n').skip(1);
         let bare = bytes[start..end].windows(2).any(|two| two[1] == b'\n' && two[0] != b'\r');
         self.odd.set(bare || bytes[end..].starts_with(b"\n") || lines.into_iter().any(folded));
@@ -62,6 +67,11 @@
         self.odd.get()
     }
 
+    /// Whether what the request asks for was read as something else than what was sent: the parser drops a fragment.
+    pub fn target_changed(&self) -> bool {
+        self.changed.get()
+    }
+
     /// Whether something of a next request has been read.
     pub(crate) fn ahead(&self) -> bool {
         self.skip.get() == 0 && !self.head.borrow().is_empty()
@@ -73,6 +83,14 @@
     }
 }
 
+/// Whether a request's target, as it was sent, stands unchanged in what the parser made of it.
+fn reads_as(target: &[u8], uri: &Uri) -> bool {
+    match target.first() {
+        Some(b'/') => uri.path_and_query().is_some_and(|read| read.as_str().as_bytes() == target),
+        _ => !target.contains(&b'#'),
+    }
+}
+
 fn folded(line: &[u8]) -> bool {
     line.first().is_some_and(|b| matches!(b, b' ' | b'\t'))
 }
