--- a/crates/traffic/src/node.rs
+++ b/crates/traffic/src/node.rs
@@ -196,6 +196,23 @@
         let waited = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
         if waited.is_some() {
             self.event(Event::Gone { id: id.clone() });
+            self.break_off(id);
+        }
+    }
+
+    /// Breaks off the attempts at a request that nobody waits for, if its traffic wants that.
+    fn break_off(&self, id: &RequestId) {
+        let out: Vec<_> = match self.open.borrow().get(id) {
+            Some(open) if T::stops_when_gone(&open.forward) => {
+                let tasks = open.attempts.iter().enumerate();
+                tasks.filter_map(|(number, attempt)| Some((number, attempt.task.clone()?))).collect()
+            }
+            _ => return,
+        };
+        for (number, task) in out {
+            // Closes the connection: so its server learns of it.
+            task.abort();
+            self.end(id, number, Outcome::Ignored, None);
         }
     }
 
--- a/crates/traffic/src/ports.rs
+++ b/crates/traffic/src/ports.rs
@@ -45,6 +45,10 @@
     fn stop(forward: &Self::Forward, due: Micros) -> Micros;
     /// Most attempts for this one; none: as many as the node makes for any.
     fn tries(forward: &Self::Forward) -> Option<usize>;
+    /// Whether attempts at this one are broken off once nobody waits for its answer, so that its server stops.
+    fn stops_when_gone(_forward: &Self::Forward) -> bool {
+        false
+    }
 }
 
 /// Where the shared counts live: an amount is added to a named count in one step, and its total comes back.
