--- a/crates/forager/src/flow.rs
+++ b/crates/forager/src/flow.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::{Response, StatusCode};
 use mountbend::interface::{Micros, Outcome};
 use pinerelay_cells::verdict::Verdict;
 use pinerelay_traffic::long::Download;
 use pinerelay_traffic::ports::{Payload, Traffic};
 
+use crate::forwarded::{Breach, Forwarded};
 use crate::request::{NOT_EXECUTED, REQUEST_ID, SEAL};
 
 /// Requests on routes to the servers of services.
@@ -24,22 +25,18 @@
     pub verdict: Cell<Verdict>,
     /// To how many servers it has been sent.
     pub arrived: Cell<usize>,
-    /// The client has been promised that it has not run and never will: nothing of it may be written any more.
-    pub promised: Cell<bool>,
+    /// What the boundary found wrong, so that it was not sent.
+    pub breach: Cell<Option<Breach>>,
+    /// Its client has gone, or has an answer, which may promise that it never runs: nothing of it may be written any more.
+    pub withdrawn: Cell<bool>,
     /// A server's own failure, for the client if no other server does better.
     pub spare: RefCell<Option<Response<Bytes>>>,
 }
 
 /// What goes on to a server.
 pub struct Forward {
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers but for those that name the server and the time left.
-    pub headers: HeaderMap,
-    /// The id that an answer has to carry.
-    pub id: HeaderValue,
+    /// All of it but the body.
+    pub request: Forwarded,
     /// The body.
     pub body: Payload,
     /// It may run more than once.
@@ -63,6 +60,11 @@
     fn tries(forward: &Forward) -> Option<usize> {
         Some(forward.servers + 3)
     }
+
+    /// What may not be repeated runs on: its client may ask again what became of it.
+    fn stops_when_gone(forward: &Forward) -> bool {
+        forward.repeatable
+    }
 }
 
 /// What an answer's head means.
--- a/crates/forager/src/inlet.rs
+++ b/crates/forager/src/inlet.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
@@ -21,7 +21,7 @@
 use pinerelay_traffic::body::BadBody;
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::front::{last, Handler};
-use pinerelay_traffic::long::{take, Download, Outgoing, Taken, Upload};
+use pinerelay_traffic::long::{discard, take, Download, Outgoing, Taken, Upload};
 use pinerelay_traffic::node::FAIL_BEFORE;
 use pinerelay_traffic::ports::{Answer, Payload};
 use pinerelay_traffic::room::Room;
@@ -30,8 +30,9 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::flow::{promises, Fate, Flow, Forward};
+use crate::forwarded::{Breach, Forwarded, Frame, Received};
 use crate::outlet::{Hosts, BODY_MOST};
-use crate::request::{drop_hop, onward, Head};
+use crate::request::{drop_hop, Head};
 use crate::services::Services;
 
 /// What is not served for want of a server is to come back after so long, and up to so much more by lot.
@@ -39,6 +40,8 @@
 const AGAIN_LOT: f64 = 50_000.0;
 /// How long a body may take after its head, beside what it takes at the least pace.
 const BODY_WAIT: Duration = Duration::from_secs(3);
+/// As much is read of a body whose request was turned away on its head, so that its client gets the answer.
+const UNWANTED_MOST: u64 = 1 << 20;
 /// How long before the client gives up a request has failed.
 const FAIL: Duration = Duration::from_micros(FAIL_BEFORE);
 
@@ -62,6 +65,8 @@
     pub unserved: RefCell<BTreeMap<&'static str, u64>>,
     /// Refused beyond quota: with a time to come back, and without.
     pub deferred: Cell<[u64; 2]>,
+    /// Not sent because the boundary found something changed, by what that was.
+    pub breaches: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 /// The clients' side.
@@ -88,6 +93,15 @@
     Rejected(StatusCode::BAD_REQUEST, why, None)
 }
 
+/// Whether a connection ends with the answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stays {
+    /// The next request may come on it.
+    Open,
+    /// Something of the body may still be on its way.
+    Ends,
+}
+
 /// What was found for a request before its body is read.
 struct Found {
     head: Head,
@@ -161,6 +175,9 @@
                 return Err(bad("a body comes in chunks or with a length, not with both\n"));
             }
         }
+        if wire.target_changed() {
+            return Err(bad("a path holds no fragment\n"));
+        }
         if wire.odd_lines() {
             return Err(bad("lines of a head end with CR and LF, and none is folded\n"));
         }
@@ -181,10 +198,24 @@
         Ok(Found { route: route.clone(), tenant: tenant.cloned(), head })
     }
 
-    async fn serve(&self, request: Request<Incoming>, wire: &Wire) -> Result<Response<Reply>, Rejected> {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        wire: &Wire,
+        stays: &Cell<Stays>,
+    ) -> Result<Response<Reply>, Rejected> {
         let begun = Instant::now();
-        let (mut parts, body) = request.into_parts();
-        let Found { head, route, tenant } = self.find(&parts, wire)?;
+        let (parts, body) = request.into_parts();
+        let Found { head, route, tenant } = match self.find(&parts, wire) {
+            Ok(found) => found,
+            Err(rejected) => {
+                if !body.is_end_stream() {
+                    stays.set(Stays::Ends);
+                    discard(body, UNWANTED_MOST, BODY_WAIT);
+                }
+                return Err(rejected);
+            }
+        };
         let wait = head.wait.map_or(route.timeout, |wait| wait.min(route.timeout));
         // As much as is taken in ahead may come at the least pace that a client is held to.
         let payload = match timeout_at(begun + BODY_WAIT, take(body, BODY_MOST, None, &self.room)).await {
@@ -217,14 +248,14 @@
         }
         // The time that a long body takes is not the servers'.
         let since = if upload.is_some() { Instant::now() } else { begun };
+        let frame = Frame::of(&payload, &parts.headers);
+        let received = Received::new(parts.method, &head, tenant.as_ref(), wait, frame);
+        let received = received.map_err(|breach| self.breached(breach))?;
         let due = self.clock.now() + (wait.saturating_sub(since.elapsed())).as_micros() as u64;
         let service = self.choose(&route);
         let fate = Rc::new(Fate::default());
         let forward = Forward {
-            method: parts.method,
-            uri: head.uri,
-            headers: onward(std::mem::take(&mut parts.headers), tenant.as_ref().map(|t| t.name.as_str())),
-            id: head.id,
+            request: Forwarded::new(received, parts.headers),
             body: payload,
             repeatable: route.kind == RouteType::Safe,
             servers: route.retries as usize,
@@ -246,6 +277,7 @@
         };
         let answer = service.node.take(new, forward).map_err(|_| bad("id in use\n"))?;
         // When the client goes away, this future is dropped with its connection.
+        let withdrawn = Withdrawn(fate.clone());
         let waited = service.node.waited(id);
         let overdue = async {
             match &upload {
@@ -258,10 +290,17 @@
             answer = answer => answer.unwrap_or(Answer::Failed(Reason::TimedOut)),
             _ = overdue => Answer::Failed(Reason::TimedOut),
         };
-        drop((waited, drained));
+        drop((withdrawn, waited, drained));
         self.answered(answer, &fate, route.kind == RouteType::Safe)
     }
 
+    /// A request that the boundary does not let through is not sent, and not promised anything.
+    fn breached(&self, breach: Breach) -> Rejected {
+        *self.figures.breaches.borrow_mut().entry(breach.name()).or_default() += 1;
+        log::error!("a request was not sent on: {breach}");
+        Rejected(StatusCode::INTERNAL_SERVER_ERROR, "", None)
+    }
+
     fn number(&self) -> u64 {
         self.last.set(self.last.get() + 1);
         self.last.get()
@@ -341,6 +380,9 @@
             Answer::Refused(_, why) | Answer::Failed(why) => why,
         };
         *self.figures.unserved.borrow_mut().entry(why.name()).or_default() += 1;
+        if let Some(breach) = fate.breach.get() {
+            return Err(self.breached(breach));
+        }
         if let Some(response) = fate.spare.take() {
             let (mut head, body) = response.into_parts();
             drop_hop(&mut head.headers);
@@ -349,7 +391,7 @@
         }
         match fate.verdict.get() {
             Verdict::NeverRan => {
-                fate.promised.set(true);
+                fate.withdrawn.set(true);
                 let again = AGAIN + (self.lot() * AGAIN_LOT) as Micros;
                 Err(Rejected(StatusCode::SERVICE_UNAVAILABLE, "", Some(again)))
             }
@@ -366,7 +408,8 @@
         // Danger: where a body in chunks ends, the next request may have been read along with it. Its head is not looked at
         // for what this one's was.
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let (mut response, end) = match self.serve(request, wire).await {
+        let stays = Cell::new(Stays::Open);
+        let (mut response, end) = match self.serve(request, wire, &stays).await {
             Ok(response) => (response, false),
             Err(Rejected(status, why, wait)) => {
                 let mut response = Response::new(Reply::from(Bytes::from_static(why.as_bytes())));
@@ -383,7 +426,7 @@
         };
         *self.figures.statuses.borrow_mut().entry(response.status().as_u16()).or_default() += 1;
         // Danger: behind a request that can't be trusted may lie another that its sender hid there.
-        if end || chunked || self.ending.get() {
+        if end || chunked || stays.get() == Stays::Ends || self.ending.get() {
             last(&mut response);
         }
         response
@@ -419,6 +462,15 @@
     }
 }
 
+/// Dropped, the request is answered or its client has gone: nothing more of it is sent.
+struct Withdrawn(Rc<Fate>);
+
+impl Drop for Withdrawn {
+    fn drop(&mut self) {
+        self.0.withdrawn.set(true);
+    }
+}
+
 /// Reads what is left of a long body once its request is answered. Danger: a client that is still writing when its
 /// connection closes loses the answer that lies there for it.
 struct Drained(Option<Rc<Upload>>);
--- a/crates/forager/src/lib.rs
+++ b/crates/forager/src/lib.rs
@@ -1,10 +1,11 @@
 //! The proxy: takes clients' requests, lets them in by their tenants' quotas, and sends them to servers.
 //!
-//! [`hearing`] is what it hears from the registries, [`request`] what it makes of a request's head, [`flow`] what goes on
-//! to a server and what may come back, [`outlet`] the servers' side, [`inlet`] the clients' side, [`run`] all of it
+//! [`hearing`] is what it hears from the registries, [`request`] what it makes of a request's head, [`forwarded`]
+//! the boundary that builds and checks what goes on to a server, [`flow`] what may come back, [`outlet`] the servers' side, [`inlet`] the clients' side, [`run`] all of it
 //! joined.
 
 pub mod flow;
+pub mod forwarded;
 pub mod hearing;
 pub mod inlet;
 pub mod outlet;
--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use mountbend::interface::{Micros, Outcome, RequestId, ServerId};
 use pinerelay_cells::server::{Server, State};
 use pinerelay_cells::verdict::Verdict;
@@ -16,7 +16,7 @@
 use pinerelay_traffic::body::BadBody;
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::http::{framed, Broken, Connection, Sent};
-use pinerelay_traffic::long::{take, Download, End, Taken};
+use pinerelay_traffic::long::{take, Download, End, Taken, Upload};
 use pinerelay_traffic::node::STOP_BEFORE;
 use pinerelay_traffic::pool::{Pool, Reach};
 use pinerelay_traffic::ports::{Ends, Upstream};
@@ -25,7 +25,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::flow::{means, names_request, Flow, Forward, Means};
-use crate::request::{DEADLINE, EXPECT_SERVER, KEEP_ALIVE};
+use crate::request::KEEP_ALIVE;
 
 /// As much of a body is taken in ahead, in bytes.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -268,13 +268,23 @@
                         None => stop.saturating_sub(self.clock.now()) / 1_000,
                         Some(upload) => upload.wait.as_millis() as u64,
                     };
-                    self.build(forward, body, name, left)
+                    match forward.request.attempt(body, name, left) {
+                        Ok(message) => message,
+                        Err((breach, body)) => {
+                            forward.fate.breach.set(Some(breach));
+                            hosts.pool.give_back(server, connection, generation, KEEP_UNTOLD);
+                            if let Sent::Long(body) = body {
+                                body.give_back();
+                            }
+                            return (Outcome::Ignored, None);
+                        }
+                    }
                 }
             };
             let fate = &forward.fate;
-            // Danger: what its client was promised never to run must not be written after that; and what comes too late for
-            // its answer is not begun.
-            if fate.promised.get() || upload.is_none() && Instant::now() >= until {
+            // Danger: what its client has left, or was promised never to run, must not be written after that; and what comes
+            // too late for its answer is not begun.
+            if fate.withdrawn.get() || upload.is_none() && Instant::now() >= until {
                 hosts.pool.give_back(server, connection, generation, KEEP_UNTOLD);
                 if let Sent::Long(body) = message.into_body() {
                     body.give_back();
@@ -308,8 +318,8 @@
                 Ok(Exchanged::Whole(means, response, keep)) => {
                     let (outcome, verdict) = means.told();
                     fate.verdict.set(before.and(verdict));
-                    // Danger: an answer that came before the request was whole leaves the rest of it on the line.
-                    let sound = means != Means::Spoilt && upload.is_none_or(|upload| upload.whole());
+                    let executed = means == Means::Answer && response.status().is_success();
+                    let sound = means != Means::Spoilt && leaves_nothing(&connection, upload, executed);
                     match keep.filter(|_| sound) {
                         Some(keep) => hosts.pool.give_back(server, connection, generation, keep),
                         None if means == Means::Spoilt => hosts.distrust(server),
@@ -328,6 +338,7 @@
                 }
                 Ok(Exchanged::Long(head, first, rest, keep)) => {
                     fate.verdict.set(Verdict::Ran);
+                    let executed = head.status.is_success();
                     let (answer, ended) = Download::new(first, rest, hosts.common.room.pipe_at_once());
                     if !self.core.upgrade().is_some_and(|core| core.answer_begins(id, number, (head, answer)))
                     {
@@ -335,8 +346,8 @@
                     }
                     return match ended.await {
                         Ok(End::Whole) => {
-                            // Danger: an answer that came before the request was whole leaves the rest of it on the line.
-                            if let Some(keep) = keep.filter(|_| upload.is_none_or(|upload| upload.whole())) {
+                            if let Some(keep) = keep.filter(|_| leaves_nothing(&connection, upload, executed))
+                            {
                                 hosts.pool.give_back(server, connection, generation, keep);
                             }
                             (Outcome::Ok, None)
@@ -368,17 +379,6 @@
         }
     }
 
-    fn build(&self, forward: &Forward, body: Sent, name: HeaderValue, left_ms: u64) -> Request<Sent> {
-        let mut request = Request::new(body);
-        *request.method_mut() = forward.method.clone();
-        *request.uri_mut() = forward.uri.clone();
-        *request.headers_mut() = forward.headers.clone();
-        let headers = request.headers_mut();
-        headers.insert(DEADLINE, HeaderValue::from(left_ms));
-        headers.insert(EXPECT_SERVER, name);
-        request
-    }
-
     /// Writes a request and reads its answer, or the beginning of a long one.
     async fn exchange(
         &self,
@@ -392,14 +392,15 @@
             return Err(Broken::Spoilt);
         }
         let (head, body) = response.into_parts();
-        let means = means(head.status, &head.headers, &forward.id);
+        let means = means(head.status, &head.headers, &forward.request.received().id);
         // Danger: what names no request is this one's only where no other has gone before it: else it may be a surplus answer,
         // and this one may run.
         let named = names_request(&head.headers);
         if means == Means::Spoilt || !named && kept {
             return Err(Broken::Spoilt);
         }
-        let keep = Some(keep_for(&head.headers)).filter(|_| named);
+        // Danger: on a connection whose server speaks HTTP/1.0 the client library sends no chunks, and so drops such a body.
+        let keep = Some(keep_for(&head.headers)).filter(|_| named && head.version == Version::HTTP_11);
         match take(body, BODY_MOST, None, &self.hosts.common.room).await {
             Ok(Taken::Whole(body)) => Ok(Exchanged::Whole(means, Response::from_parts(head, body), keep)),
             Ok(Taken::Part(first, rest)) if means == Means::Answer => {
@@ -415,6 +416,12 @@
     }
 }
 
+/// Whether nothing of a request can be left on its connection behind its answer, which may have come early. Danger: a
+/// server that does not read on takes the rest of a body for the next request.
+fn leaves_nothing(connection: &Connection, upload: Option<&Rc<Upload>>, executed: bool) -> bool {
+    upload.is_none_or(|upload| upload.whole()) && connection.passage().taken(executed)
+}
+
 /// For how long a connection may stand idle, by what the server says.
 fn keep_for(headers: &HeaderMap) -> Duration {
     let told = headers.get(KEEP_ALIVE).and_then(|v| v.to_str().ok());
--- a/crates/forager/src/request.rs
+++ b/crates/forager/src/request.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
 };
 use hyper::http::request::Parts;
 use hyper::Uri;
@@ -32,6 +32,9 @@
 const HOP: [HeaderName; 7] =
     [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
 
+/// Headers that this system needs from end to end: no `Connection` header takes them out.
+const END_TO_END: [HeaderName; 5] = [HOST, REQUEST_ID, NOT_EXECUTED, SEAL, CONTENT_LENGTH];
+
 /// Why a head can't be taken.
 pub type Malformed = &'static str;
 
@@ -40,11 +43,13 @@
 pub struct Head {
     /// The host that it is for.
     pub host: String,
+    /// The same, as a header tells it.
+    pub authority: HeaderValue,
     /// Its id.
     pub id: HeaderValue,
     /// How long the client waits, if it says so.
     pub wait: Option<Duration>,
-    /// The key, if there is one.
+    /// The key, if there is one; bytes that are no UTF-8 are nobody's key.
     pub key: Option<String>,
     /// Path and query.
     pub uri: Uri,
@@ -62,14 +67,18 @@
     /// Reads a head.
     pub fn read(parts: &Parts) -> Result<Head, Malformed> {
         let headers = &parts.headers;
-        let named = one(headers, &HOST)?.map(|host| host.to_str().map_err(|_| "the host is no text"));
-        let host = match (parts.uri.authority(), named.transpose()?) {
-            // What a request in absolute form names goes before the header (RFC 9112, 3.2.2).
-            (Some(authority), _) => authority.as_str(),
-            (None, Some(host)) => host,
+        let named = one(headers, &HOST)?;
+        let authority = match (parts.uri.authority(), named) {
+            // What a request in absolute form names takes the header's place (RFC 9112, 3.2.2).
+            (Some(authority), _) if authority.as_str().contains('@') => return Err("a host has no user"),
+            (Some(authority), _) => {
+                HeaderValue::from_str(authority.as_str()).map_err(|_| "the host is no text")?
+            }
+            (None, Some(host)) => host.clone(),
             (None, None) => return Err("no host"),
         };
-        let id = one(headers, &REQUEST_ID)?.ok_or("no X-Request-Id")?;
+        let host = authority.to_str().map_err(|_| "the host is no text")?.to_string();
+        let id = one(headers, &REQUEST_ID)?.filter(|id| !id.is_empty()).ok_or("no X-Request-Id")?;
         let wait = match one(headers, &DEADLINE)? {
             None => None,
             Some(value) => {
@@ -78,7 +87,8 @@
                 Some(Duration::from_millis(ms))
             }
         };
-        let key = one(headers, &CREDENTIAL)?.map(|key| String::from_utf8_lossy(key.as_bytes()).into());
+        // Danger: read with replacements, two keys could be one.
+        let key = one(headers, &CREDENTIAL)?.and_then(|key| std::str::from_utf8(key.as_bytes()).ok());
         let uri = match parts.uri.scheme() {
             None => parts.uri.clone(),
             Some(_) => parts.uri.path_and_query().cloned().map(Uri::from).ok_or("no path")?,
@@ -86,11 +96,12 @@
         if !uri.path().starts_with('/') {
             return Err("a path is wanted");
         }
-        Ok(Head { host: host.into(), id: id.clone(), wait, key, uri })
+        Ok(Head { host, authority, id: id.clone(), wait, key: key.map(String::from), uri })
     }
 }
 
-/// Takes out what concerns one connection only, also what its `Connection` header names.
+/// Takes out what concerns one connection only, also what its `Connection` header names, but for what is needed from end to
+/// end.
 pub fn drop_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
@@ -98,24 +109,13 @@
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !END_TO_END.contains(name))
         .collect();
     for name in HOP.iter().chain(&named) {
         headers.remove(name);
     }
 }
 
-/// The headers that go on to a server: without those of the connection, the key, and all that is this system's own.
-pub fn onward(mut headers: HeaderMap, tenant: Option<&str>) -> HeaderMap {
-    drop_hop(&mut headers);
-    for name in [CREDENTIAL, TENANT, EXPECT_SERVER, DEADLINE, CONTENT_LENGTH, EXPECT] {
-        headers.remove(name);
-    }
-    if let Some(tenant) = tenant.and_then(|tenant| HeaderValue::from_str(tenant).ok()) {
-        headers.insert(TENANT, tenant);
-    }
-    headers
-}
-
 #[cfg(test)]
 mod tests {
     use googletest::prelude::*;
@@ -150,24 +150,4 @@
         odd[2].1 = "-1";
         expect_that!(Head::read(&parts(&odd, "/")).is_err(), eq(true));
     }
-
-    #[gtest]
-    fn the_key_and_what_the_client_says_of_tenant_and_server_never_go_on() {
-        let sent = [
-            ("connection", "x-mine, close"),
-            ("x-mine", "1"),
-            ("x-tenant", "other"),
-            ("x-expect-server", "i"),
-            ("x-credential", "k"),
-            ("te", "trailers"),
-            ("x-kept", "1"),
-            ("host", "a.example"),
-        ];
-        let headers = onward(parts(&sent, "/").headers, Some("mine"));
-        let mut names: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
-        names.sort_unstable();
-        expect_that!(names, elements_are![eq(&"host"), eq(&"x-kept"), eq(&"x-tenant")]);
-        expect_that!(headers[TENANT].to_str(), ok(eq(&"mine")));
-        expect_that!(onward(parts(&sent, "/").headers, None).contains_key(TENANT), eq(false));
-    }
 }
--- a/crates/forager/src/run.rs
+++ b/crates/forager/src/run.rs
@@ -257,6 +257,12 @@
             all.extend(
                 reasons.map(|(r, n)| (format!("forager_unserved_total{{reason=\"{r}\"}}"), *n as f64)),
             );
+            let breaches = inlet.figures.breaches.borrow();
+            let breaches = breaches.iter();
+            all.extend(
+                breaches
+                    .map(|(b, n)| (format!("forager_forward_breaches_total{{check=\"{b}\"}}"), *n as f64)),
+            );
             let [with, without] = inlet.figures.deferred.get();
             all.push(("forager_deferred_total".into(), with as f64));
             all.push(("forager_beyond_total".into(), without as f64));
--- /dev/null
+++ b/crates/forager/tests/forwarded.rs
@@ -0,0 +1,157 @@
+//! The boundary in front of the servers: what is built, and that each thing changed on the way is found by its check.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Uri};
+use pinerelay_cells::routes::Tenant;
+use pinerelay_forager::forwarded::{Breach, Forwarded, Frame, Received};
+use pinerelay_forager::request::{Head, CREDENTIAL, DEADLINE, EXPECT_SERVER, REQUEST_ID, TENANT};
+use pinerelay_traffic::http::Sent;
+use pinerelay_traffic::ports::Payload;
+
+const WAIT: Duration = Duration::from_millis(250);
+
+fn parts(headers: &[(&str, &str)]) -> Parts {
+    let mut request = Request::builder().method("POST").uri("/x/y?z=1");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(()).expect("a request").into_parts().0
+}
+
+const SENT: [(&str, &str); 4] =
+    [("host", "a.example"), ("x-request-id", "1"), ("x-deadline-ms", "250"), ("x-credential", "k")];
+
+fn tenant(name: &str, key: &str) -> Arc<Tenant> {
+    Arc::new(Tenant { name: name.into(), keys: vec![key.into()], priority: None, rate: 0.0, burst: 0.0 })
+}
+
+fn received(tenant: Option<&Arc<Tenant>>) -> std::result::Result<Received, Breach> {
+    let head = Head::read(&parts(&SENT)).expect("a head");
+    Received::new(Method::POST, &head, tenant, WAIT, Frame::Length(4))
+}
+
+fn body() -> Sent {
+    Bytes::from_static(b"body").into()
+}
+
+fn built(sent: &[(&str, &str)]) -> Request<Sent> {
+    let received = received(Some(&tenant("mine", "k"))).expect("received");
+    let forwarded = Forwarded::new(received, parts(sent).headers);
+    let request = forwarded.attempt(body(), HeaderValue::from_static("i-1"), 240);
+    request.map_err(|(breach, _)| breach).expect("no breach")
+}
+
+#[gtest]
+fn the_key_and_what_the_client_says_of_tenant_and_server_never_go_on() {
+    let more = [
+        ("connection", "x-mine, x-request-id, host, close"),
+        ("x-mine", "1"),
+        ("x-tenant", "other"),
+        ("x-expect-server", "i"),
+        ("te", "trailers"),
+        ("x-kept", "1"),
+        ("x-kept", "2"),
+        ("expect", "100-continue"),
+    ];
+    let sent: Vec<_> = SENT.into_iter().chain(more).collect();
+    let request = built(&sent);
+    let headers = request.headers();
+    let mut names: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
+    names.sort_unstable();
+    let wanted =
+        ["content-length", "host", "x-deadline-ms", "x-expect-server", "x-kept", "x-request-id", "x-tenant"];
+    expect_that!(names, container_eq(wanted));
+    expect_that!(headers[TENANT].to_str(), ok(eq(&"mine")));
+    expect_that!(headers[EXPECT_SERVER].to_str(), ok(eq(&"i-1")));
+    expect_that!(headers.get_all("x-kept").iter().count(), eq(2));
+}
+
+#[gtest]
+fn a_tenant_that_cant_be_written_or_does_not_hold_the_key_is_an_error() {
+    for name in ["t\n", "t\u{7f}", "", " t", "t\t"] {
+        expect_that!(received(Some(&tenant(name, "k"))).err(), some(eq(Breach::Tenant)), "{name:?}");
+    }
+    expect_that!(received(Some(&tenant("mine", "other"))).err(), some(eq(Breach::Tenant)));
+    // What is no ASCII goes as the bytes of the name.
+    let accented = received(Some(&tenant("t\u{e9}", "k"))).expect("received");
+    expect_that!(accented.tenant.as_ref().map(HeaderValue::as_bytes), some(eq("t\u{e9}".as_bytes())));
+    expect_that!(received(None).is_ok(), eq(true));
+}
+
+#[gtest]
+fn each_check_finds_what_it_is_named_for() {
+    let tenant = tenant("mine", "k");
+    let received = received(Some(&tenant)).expect("received");
+    let check = |change: &dyn Fn(&mut Request<Sent>)| {
+        let mut request = built(&SENT);
+        change(&mut request);
+        received.check(&request)
+    };
+    let set = |name: HeaderName, value: &'static str| {
+        move |request: &mut Request<Sent>| {
+            request.headers_mut().insert(&name, HeaderValue::from_static(value));
+        }
+    };
+    let add = |name: HeaderName, value: &'static str| {
+        move |request: &mut Request<Sent>| {
+            request.headers_mut().append(&name, HeaderValue::from_static(value));
+        }
+    };
+    let drop = |name: HeaderName| {
+        move |request: &mut Request<Sent>| {
+            request.headers_mut().remove(&name);
+        }
+    };
+    expect_that!(check(&|_| ()), ok(eq(())));
+    type Change = Box<dyn Fn(&mut Request<Sent>)>;
+    let broken: Vec<(Breach, Change)> = vec![
+        (Breach::RequestId, Box::new(set(REQUEST_ID, "2"))),
+        (Breach::RequestId, Box::new(add(REQUEST_ID, "1"))),
+        (Breach::RequestId, Box::new(drop(REQUEST_ID))),
+        (Breach::Method, Box::new(|request| *request.method_mut() = Method::GET)),
+        (Breach::Target, Box::new(|request| *request.uri_mut() = Uri::from_static("/x/y?z=2"))),
+        (Breach::Target, Box::new(|request| *request.uri_mut() = Uri::from_static("/x/y"))),
+        (
+            Breach::Target,
+            Box::new(|request| *request.uri_mut() = Uri::from_static("http://a.example/x/y?z=1")),
+        ),
+        (Breach::Host, Box::new(set(HOST, "b.example"))),
+        (Breach::Host, Box::new(drop(HOST))),
+        (Breach::BodyFrame, Box::new(set(CONTENT_LENGTH, "5"))),
+        (Breach::BodyFrame, Box::new(add(CONTENT_LENGTH, "4"))),
+        (Breach::BodyFrame, Box::new(drop(CONTENT_LENGTH))),
+        (Breach::BodyFrame, Box::new(set(TRANSFER_ENCODING, "chunked"))),
+        (Breach::BodyFrame, Box::new(|request| *request.body_mut() = Bytes::from_static(b"bod").into())),
+        (Breach::Tenant, Box::new(set(TENANT, "other"))),
+        (Breach::Tenant, Box::new(add(TENANT, "mine"))),
+        (Breach::Tenant, Box::new(drop(TENANT))),
+        (Breach::Credential, Box::new(set(CREDENTIAL, "k"))),
+        (Breach::Deadline, Box::new(set(DEADLINE, "251"))),
+        (Breach::Deadline, Box::new(drop(DEADLINE))),
+        (Breach::ExpectServer, Box::new(drop(EXPECT_SERVER))),
+    ];
+    for (breach, change) in broken {
+        expect_that!(check(&*change), err(eq(breach)));
+    }
+    let open = Received { tenant: None, ..received.clone() };
+    expect_that!(open.check(&built(&SENT)), err(eq(Breach::Tenant)));
+}
+
+#[gtest]
+fn a_body_keeps_the_framing_that_it_came_with() {
+    let empty = Payload::Whole(Bytes::new());
+    let with = |name: HeaderName, value: &'static str| {
+        HeaderMap::from_iter([(name, HeaderValue::from_static(value))])
+    };
+    expect_that!(Frame::of(&empty, &HeaderMap::new()), eq(Frame::Absent));
+    expect_that!(Frame::of(&empty, &with(CONTENT_LENGTH, "0")), eq(Frame::Length(0)));
+    expect_that!(Frame::of(&empty, &with(TRANSFER_ENCODING, "chunked")), eq(Frame::Length(0)));
+    let whole = Payload::Whole(Bytes::from_static(b"body"));
+    expect_that!(Frame::of(&whole, &with(TRANSFER_ENCODING, "chunked")), eq(Frame::Length(4)));
+}
--- a/crates/forager/tests/outlet.rs
+++ b/crates/forager/tests/outlet.rs
@@ -8,6 +8,7 @@
 use std::rc::{Rc, Weak};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
+use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -16,7 +17,9 @@
 use hyper::{Method, Response, Uri};
 use mountbend::interface::{Event, Micros, Outcome, RequestId, ServerId};
 use pinerelay_forager::flow::{Fate, Flow, Forward};
+use pinerelay_forager::forwarded::{Forwarded, Frame, Received};
 use pinerelay_forager::outlet::{Hosts, Outlet};
+use pinerelay_forager::request::REQUEST_ID;
 use pinerelay_nectar::budget;
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::clock::Clock;
@@ -111,11 +114,18 @@
 }
 
 fn forward() -> Forward {
-    Forward {
+    let received = Received {
         method: Method::POST,
-        uri: Uri::from_static("/once/1"),
-        headers: HeaderMap::new(),
+        target: Uri::from_static("/once/1"),
+        host: HeaderValue::from_static("a.example"),
         id: HeaderValue::from_static("r"),
+        tenant: None,
+        frame: Frame::Length(4),
+        wait: Duration::from_secs(2),
+    };
+    let headers = HeaderMap::from_iter([(REQUEST_ID, received.id.clone())]);
+    Forward {
+        request: Forwarded::new(received, headers),
         body: Payload::Whole(Bytes::from_static(b"body")),
         repeatable: false,
         servers: 2,
@@ -132,7 +142,7 @@
 fn nothing_is_written_of_a_request_that_its_client_was_promised_never_runs() {
     play(async |play| {
         let promised = forward();
-        promised.fate.promised.set(true);
+        promised.fate.withdrawn.set(true);
         expect_that!(play.attempt(promised, 1_000_000).await, eq((Outcome::Ignored, false)));
         expect_that!((play.hosts.figures().1, play.told.try_recv().is_err()), eq((0, true)));
         // The connection that was made for it serves the next one.
