--- a/crates/forager/tests/outlet.rs
+++ b/crates/forager/tests/outlet.rs
@@ -17,7 +17,7 @@
 use hyper::{Method, Response, Uri};
 use mountbend::interface::{Event, Micros, Outcome, RequestId, ServerId};
 use pinerelay_forager::flow::{Fate, Flow, Forward};
-use pinerelay_forager::forwarded::{Forwarded, Frame, Received};
+use pinerelay_forager::forwarded::{Breach, Forwarded, Frame, Received};
 use pinerelay_forager::hosts::Hosts;
 use pinerelay_forager::outlet::Outlet;
 use pinerelay_forager::request::REQUEST_ID;
@@ -164,6 +164,23 @@
     });
 }
 
+#[gtest]
+fn nothing_is_written_of_a_request_that_breaks_the_boundary() {
+    play(async |play| {
+        let broken = Forward { body: Payload::Whole(Bytes::from_static(b"another")), ..forward() };
+        let fate = broken.fate.clone();
+        expect_that!(play.attempt(broken, 1_000_000).await, eq((Outcome::Ignored, false)));
+        expect_that!(fate.breach.get(), some(eq(Breach::BodyFrame)));
+        expect_that!((play.hosts.figures().1, play.told.try_recv().is_err()), eq((0, true)));
+        expect_that!(
+            play.attempt(forward(), 3_000_000).await,
+            eq((Outcome::Ignored, false)),
+            "more time than it has"
+        );
+        expect_that!(play.attempt(forward(), 1_000_000).await, eq((Outcome::Ok, true)));
+    });
+}
+
 #[gtest]
 fn an_attempt_that_has_written_nothing_may_always_be_cancelled() {
     play(async |play| {
