--- a/crates/forager/src/run.rs
+++ b/crates/forager/src/run.rs
@@ -36,8 +36,8 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::hearing::{Hearing, Output};
+use crate::hosts::Hosts;
 use crate::inlet::{Admits, Inlet};
-use crate::outlet::Hosts;
 use crate::services::Services;
 
 /// How often time passes for what is heard: while a request waits for a unit, and else.
@@ -261,6 +261,12 @@
             all.extend(
                 reasons.map(|(r, n)| (format!("forager_unserved_total{{reason=\"{r}\"}}"), *n as f64)),
             );
+            let breaches = inlet.figures.breaches.borrow();
+            let breaches = breaches.iter();
+            all.extend(
+                breaches
+                    .map(|(b, n)| (format!("forager_forward_breaches_total{{check=\"{b}\"}}"), *n as f64)),
+            );
             let [with, without] = inlet.figures.deferred.get();
             all.push(("forager_deferred_total".into(), with as f64));
             all.push(("forager_beyond_total".into(), without as f64));
