--- a/crates/comb/src/desk.rs
+++ b/crates/comb/src/desk.rs
@@ -260,7 +260,8 @@
             }
             Speech::Confirm(asked) if hello.role == Role::Scout && self.store.current(now) => {
                 let (epoch, digest) = (self.store.membership().epoch, self.store.cells().digest());
-                out.push(Output::Say(peer, Speech::Confirmed { asked, epoch, digest }));
+                let left = self.store.lease_left(now);
+                out.push(Output::Say(peer, Speech::Confirmed { asked, epoch, digest, left }));
             }
             Speech::Pass(number, passed) if hello.role == Role::Scout => {
                 let waited =
--- a/crates/comb/tests/cut.rs
+++ b/crates/comb/tests/cut.rs
@@ -6,7 +6,7 @@
 use pinerelay_dance::store::Birth;
 use pinerelay_dance::voter::Kept;
 use pinerelay_dance::Membership;
-use pinerelay_propolis::speech::{Hello, Passed, Role, Speech};
+use pinerelay_propolis::speech::{Hello, Passed, Role, Speech, CURRENT};
 
 fn ip(n: u64) -> String {
     format!("127.0.0.{n}")
@@ -46,3 +46,26 @@
         .collect();
     expect_that!(statuses, unordered_elements_are![eq(&(1, 503)), eq(&(2, 503)), eq(&(3, 503))]);
 }
+
+#[gtest]
+fn it_hands_on_what_is_left_of_its_lease() {
+    let kept =
+        Kept { incarnation: Some(0), whole: true, membership: Membership::first([ip(1)]), ..Kept::default() };
+    let birth = Birth { me: ip(1), life: 1, losses: 1, first: false, seeds: vec![ip(1)] };
+    let hello = |role| Hello { node: "n1".into(), ip: ip(1), role, life: 1 };
+    let mut desk = Desk::new(0, hello(Role::Comb), birth, Some(kept), &mut Vec::new());
+    desk.said(0, 1, Speech::Hello(hello(Role::Scout)), &mut Vec::new());
+    // Alone it is a quorum: the lease begins with each of its digests.
+    desk.tick(100_000, &mut Vec::new());
+    let mut left_at = |now| {
+        let mut out = Vec::new();
+        desk.said(now, 1, Speech::Confirm(9), &mut out);
+        out.iter().find_map(|output| match output {
+            Output::Say(1, Speech::Confirmed { asked: 9, epoch: 1, left, .. }) => Some(*left),
+            _ => None,
+        })
+    };
+    expect_that!(left_at(100_000), some(eq(CURRENT)));
+    expect_that!(left_at(1_600_000), some(eq(CURRENT - 1_500_000)));
+    expect_that!(left_at(100_000 + CURRENT), none());
+}
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -189,7 +189,12 @@
 
     /// Whether its copy held all that was agreed on at a moment of the last [`CURRENT`], by a quorum's word.
     pub fn current(&self, now: Micros) -> bool {
-        self.current_at.is_some_and(|at| now < at + CURRENT)
+        self.lease_left(now) > 0
+    }
+
+    /// For how much longer its copy counts as current; 0: it does not.
+    pub fn lease_left(&self, now: Micros) -> Micros {
+        self.current_at.map_or(0, |at| (at + CURRENT).saturating_sub(now))
     }
 
     /// The stores that it has to reach: those that vote, and those it was told of.
--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -42,10 +42,12 @@
 
 struct Registry {
     hello: Hello,
-    /// How things stood there, and when that was heard.
-    standing: Option<(Standing, Micros)>,
-    /// What its configuration's items came to after that.
+    /// How things stood there.
+    standing: Option<Standing>,
+    /// What its configuration's items came to, as it said last.
     digest: Option<u64>,
+    /// What they came to when it last confirmed that it is current, and until when that counts.
+    confirmed: Option<(u64, Micros)>,
     /// When units were asked for there, of asks without an answer: answers come in the same order.
     draws: VecDeque<Micros>,
     /// When it said something of anti-entropy last.
@@ -114,8 +116,8 @@
     pub fn wanted(&self) -> Vec<String> {
         let all: BTreeSet<&String> = self.seeds.iter().chain(&self.known).collect();
         let standings = self.registries.values().filter_map(|r| r.standing.as_ref());
-        let newest = standings.max_by_key(|(s, _)| (s.epoch, s.voters.len()));
-        let voters: Vec<&String> = newest.into_iter().flat_map(|(s, _)| &s.voters).collect();
+        let newest = standings.max_by_key(|s| (s.epoch, s.voters.len()));
+        let voters: Vec<&String> = newest.into_iter().flat_map(|s| &s.voters).collect();
         let mut named = voters.clone();
         named.extend(rendezvous(&self.hello.node, all.into_iter().filter(|ip| !voters.contains(ip))));
         // One that does not answer must not leave it with fewer than there are.
@@ -188,8 +190,14 @@
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
-            let registry =
-                Registry { hello, standing: None, digest: None, draws: VecDeque::new(), mended: None };
+            let registry = Registry {
+                hello,
+                standing: None,
+                digest: None,
+                confirmed: None,
+                draws: VecDeque::new(),
+                mended: None,
+            };
             self.registries.insert(peer, registry);
             out.push(Output::Say(peer, Speech::Digest(self.digests())));
             return;
@@ -199,9 +207,14 @@
             Speech::Standing(standing) => {
                 self.counted |= standing.majority;
                 self.known.extend(standing.scouts.iter().cloned());
-                registry.standing = Some((standing, now));
-                // What it had before may be older than that it is current; what it has now follows.
-                registry.digest = None;
+                if standing.current && !self.whole {
+                    out.push(Output::Say(peer, Speech::Confirm(now)));
+                }
+                registry.standing = Some(standing);
+            }
+            Speech::Confirmed { asked, digest, left, .. } if asked <= now => {
+                registry.confirmed = Some((digest, asked.saturating_add(left.min(CURRENT))));
+                self.look(now);
             }
             Speech::Placed { me, nodes } if self.placed != (me, nodes) => {
                 self.placed = (me, nodes);
@@ -263,21 +276,23 @@
             return;
         }
         let own = self.realms[0].digest();
-        let current = |s: &Standing, at: Micros| s.current && now < at + CURRENT;
-        let standing = |r: &Registry| r.standing.as_ref().map(|(s, at)| (s.whole, current(s, *at)));
-        let same: Vec<(bool, bool)> =
-            self.registries.values().filter(|r| r.digest == Some(own)).filter_map(standing).collect();
-        if same.contains(&(true, true)) {
+        let whole: Vec<&Registry> = self
+            .registries
+            .values()
+            .filter(|r| r.standing.as_ref().is_some_and(|standing| standing.whole))
+            .collect();
+        let current = |r: &Registry| r.confirmed.filter(|(_, until)| now < *until).map(|(digest, _)| digest);
+        if whole.iter().any(|r| current(r) == Some(own)) {
             log::info!("has the whole configuration: {} items", self.realms[0].len());
             self.whole = true;
             return;
         }
-        let all: Vec<(bool, bool)> = self.registries.values().filter_map(standing).collect();
-        let alone = all.iter().any(|(whole, _)| *whole) && !all.iter().any(|(_, current)| *current);
+        let alone = !whole.is_empty() && self.registries.values().all(|r| current(r).is_none());
+        let same = whole.iter().any(|r| r.digest == Some(own));
         let stood_still = now > self.ticked + STOOD_STILL;
         self.alone = alone.then(|| self.alone.filter(|_| !stood_still).unwrap_or(now));
         let long = self.alone.is_some_and(|since| now >= since + UNCONFIRMED);
-        if long && !self.unconfirmed && same.contains(&(true, false)) {
+        if long && !self.unconfirmed && same {
             log::warn!("serves {} items that no registry confirms as current", self.realms[0].len());
             self.unconfirmed = true;
         }
@@ -314,7 +329,7 @@
         if asks.is_empty() {
             return;
         }
-        let sound = |r: &&Registry| r.standing.as_ref().is_some_and(|(s, _)| s.majority);
+        let sound = |r: &&Registry| r.standing.as_ref().is_some_and(|s| s.majority);
         let alive: BTreeMap<String, Peer> = self
             .registries
             .iter()
--- a/crates/forager/tests/hearing.rs
+++ b/crates/forager/tests/hearing.rs
@@ -156,6 +156,17 @@
         cells.merge_all(items.iter().cloned());
         self.said(now, peer, Speech::Standing(standing(1, &["10.0.0.1"], current)));
         self.said(now, peer, Speech::Digest([cells.digest(), 0]));
+        if current {
+            self.confirmed(now, peer, now, CURRENT, items);
+        }
+    }
+
+    /// A registry answers that it is current: asked then, with so much left of its lease.
+    fn confirmed(&mut self, now: u64, peer: u64, asked: u64, left: u64, items: &[Item]) {
+        let mut cells = Cells::default();
+        cells.merge_all(items.iter().cloned());
+        let digest = cells.digest();
+        self.said(now, peer, Speech::Confirmed { asked, epoch: 1, digest, left });
     }
 
     /// Time passes from one moment to another, while a registry says its own each half second.
@@ -207,6 +218,37 @@
     expect_that!(play.0.whole(), eq(false), "it is not the current one's that it has");
 }
 
+#[gtest]
+fn a_registry_s_lease_counts_for_what_was_left_of_it_from_when_it_was_asked() {
+    let items = service(5);
+    let whole_at = |asked, left, now| {
+        let mut play = Play::new();
+        play.link(1);
+        let mut out = Vec::new();
+        play.0.said(asked, 1, Speech::Standing(standing(1, &["10.0.0.1"], true)), &mut out);
+        let asks = out.iter().any(|o| matches!(o, Output::Say(1, Speech::Confirm(at)) if *at == asked));
+        expect_that!(asks, eq(true));
+        play.confirmed(now, 1, asked, left, &items);
+        play.said(now, 1, Speech::News(items.clone()));
+        play.0.tick(now, &mut Vec::new());
+        play.0.whole()
+    };
+    expect_that!(whole_at(SECOND, SECOND / 2, SECOND + SECOND / 2 - 1), eq(true));
+    expect_that!(whole_at(SECOND, SECOND / 2, SECOND + SECOND / 2), eq(false), "it was held up on its way");
+    expect_that!(whole_at(SECOND, 0, SECOND), eq(false));
+    expect_that!(whole_at(SECOND, 60 * SECOND, SECOND + CURRENT), eq(false), "no lease is longer");
+    // Who says that he is current without an answer to a question is not believed.
+    let mut play = Play::new();
+    play.link(1);
+    play.said(0, 1, Speech::News(items.clone()));
+    play.pulse(0, 1, false, &items);
+    play.said(1, 1, Speech::Standing(standing(1, &["10.0.0.1"], true)));
+    let mut cells = Cells::default();
+    cells.merge_all(items.iter().cloned());
+    play.said(1, 1, Speech::Digest([cells.digest(), 0]));
+    expect_that!(play.0.whole(), eq(false));
+}
+
 #[gtest]
 fn with_none_current_for_long_it_serves_what_it_has_and_says_so() {
     let mut play = Play::new();
--- a/crates/forager/tests/proxy.rs
+++ b/crates/forager/tests/proxy.rs
@@ -168,8 +168,8 @@
     let stage = Stage::with(vec![Does::Answer(answer("r1", "hello"))]);
     for noise in [
         &b"GET / HTTP/1.1\r\n\r\n"[..],
-        b"hiv2\xff\xff\xff\xff",
-        b"hiv2\x05\x00\x00\x00\xfe\xfe\xfe\xfe\xfe",
+        b"prp3\xff\xff\xff\xff",
+        b"prp3\x05\x00\x00\x00\xfe\xfe\xfe\xfe\xfe",
         b"",
     ] {
         stage.noise(noise);
--- a/crates/forager/tests/stage/mod.rs
+++ b/crates/forager/tests/stage/mod.rs
@@ -12,10 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use pinerelay_cells::server::{Server, State};
 use pinerelay_cells::{call, Item};
-use pinerelay_propolis::speech::{self, Hello, Role, Speech, Standing, GREETING};
+use pinerelay_propolis::speech::{self, Hello, Incoming, Role, Speech, Standing, GREETING};
 
 /// What a server does with each request.
 #[derive(Clone)]
@@ -298,11 +297,19 @@
         return;
     }
     // Says something now and then, for as long as the proxy does.
-    let mut come = BytesMut::new();
+    let mut come = Incoming::default();
     let mut buffer = [0_u8; 4096];
     while let Ok(n @ 1..) = stream.read(&mut buffer) {
-        come.extend_from_slice(&buffer[..n]);
-        if stream.write_all(&speech::write(&Speech::Here)).is_err() {
+        come.room().extend_from_slice(&buffer[..n]);
+        let mut out = speech::write(&Speech::Here).to_vec();
+        while let Ok(Some(heard)) = come.take() {
+            if let Speech::Confirm(asked) = heard {
+                let digest = cells.digest();
+                let confirmed = Speech::Confirmed { asked, epoch: 1, digest, left: speech::CURRENT };
+                out.extend_from_slice(&speech::write(&confirmed));
+            }
+        }
+        if stream.write_all(&out).is_err() {
             return;
         }
     }
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -17,7 +17,7 @@
 const ROOM: usize = 4 * 1024;
 const KEPT: usize = 16 * 1024;
 /// What each connection begins with: the protocol's name and its version.
-pub const GREETING: [u8; 4] = *b"hiv2";
+pub const GREETING: [u8; 4] = *b"prp3";
 
 /// A proxy is linked to so many registries: those that duties are cut over, of which there are no more, and where they are
 /// not reached, others.
@@ -96,7 +96,8 @@
     pub majority: bool,
     /// It has the whole configuration.
     pub whole: bool,
-    /// It has what a store had whose copy was current within the last [`CURRENT`].
+    /// It has what a store had whose copy was current within the last [`CURRENT`]. For how long that still counts is told to
+    /// who asks: [`Speech::Confirm`].
     pub current: bool,
 }
 
@@ -170,7 +171,7 @@
         /// Its copy holds all that was agreed on at a moment of the last [`CURRENT`], by a quorum's word.
         current: bool,
     },
-    /// To a store: is its copy current? The asker's time comes back.
+    /// To a store or a registry: is its copy current? The asker's time comes back.
     Confirm(u64),
     /// It is.
     Confirmed {
@@ -180,6 +181,9 @@
         epoch: u64,
         /// What the configuration's items came to.
         digest: u64,
+        /// What was left of the speaker's own lease, in microseconds. The asker counts it from when it asked, so that what
+        /// it has ends no later than what it comes from.
+        left: u64,
     },
     /// A call that is passed on, under a number that comes back.
     Pass(u64, Passed),
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -16,7 +16,7 @@
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
 use pinerelay_propolis::speech::{
-    compare, mend, Answered, Hello, Passed, Role, Speech, Standing, REGISTRIES,
+    compare, mend, Answered, Hello, Passed, Role, Speech, Standing, CURRENT, REGISTRIES,
 };
 
 use crate::dispatch::Call;
@@ -355,9 +355,13 @@
                     out.push(Output::Say(peer, Speech::Confirm(now)));
                 }
             }
-            (Role::Comb, Speech::Confirmed { asked, epoch, digest }) => {
-                self.confirmed(now, peer, (asked, epoch, digest));
+            (Role::Comb, Speech::Confirmed { asked, epoch, digest, left }) => {
+                let until = asked.saturating_add(left.min(CURRENT));
+                if asked <= now && now < until {
+                    self.confirmed(peer, epoch, digest, until);
+                }
             }
+            (Role::Forager, Speech::Confirm(asked)) => out.extend(self.confirm(now, peer, asked)),
             (Role::Comb, Speech::Answer(number, answered)) => self.answered(peer, number, answered, out),
             (_, Speech::Roll) => out.push(Output::Say(peer, Speech::Rolled(self.roll()))),
             (_, Speech::Ask) => out.push(Output::Say(peer, Speech::Figures(self.figures(now)))),
--- a/crates/scout/src/registry/current.rs
+++ b/crates/scout/src/registry/current.rs
@@ -13,12 +13,13 @@
 /// A process that has just begun may have no links yet.
 const START: Micros = 1_000_000;
 
-// A store's word is at most so old when it answers, and counts for so long from when it was asked; clocks differ in pace.
+// The lease of an epoch ends one `CURRENT` after it was the newest. This is from when a registry's was added to the store's.
 const _: () = assert!(JOINT > 2 * CURRENT + CURRENT / 10);
 // A change of the voters' names is agreed on no sooner than this after the one before.
 const _: () = assert!(JOINT <= pinerelay_dance::store::PACE);
 
-/// The lease. It counts from before the store was asked, so what a link or a freeze has held up does not make it longer.
+/// The lease: what was left of a store's own, counted from before it was asked. So it ends no later than the store's, and what
+/// a link or a freeze has held up does not make it longer.
 #[derive(Debug)]
 pub struct Lease {
     /// By store: what its items came to, and until when that counts.
@@ -80,17 +81,20 @@
         self.fence.elect(now, Voters { epoch: membership.epoch, members, before: membership.before });
     }
 
-    /// A store was current after it was asked.
-    pub(super) fn confirmed(&mut self, now: Micros, peer: Peer, (asked, epoch, digest): (Micros, u64, u64)) {
-        let until = asked.saturating_add(CURRENT);
-        if asked > now || until <= now {
-            return;
-        }
+    /// A store has confirmed that its copy, which came to this digest, is current until then.
+    pub(super) fn confirmed(&mut self, peer: Peer, epoch: u64, digest: u64, until: Micros) {
         self.fence.confirmed(epoch, until);
         self.lease.confirmed.insert(peer, (digest, until));
         self.look();
     }
 
+    /// What a proxy is told that asks whether this registry is current: what is left of the lease, or nothing.
+    pub(super) fn confirm(&self, now: Micros, peer: Peer, asked: Micros) -> Option<Output> {
+        let left = self.lease.until.saturating_sub(now);
+        let (epoch, digest) = (self.fence.epoch(now).0, self.realms[0].digest());
+        (left > 0).then_some(Output::Say(peer, Speech::Confirmed { asked, epoch, digest, left }))
+    }
+
     /// Tells the proxies at once when it has become current, or is so no more: who starts waits for it.
     pub(super) fn tell_current(&mut self, now: Micros, out: &mut Vec<Output>) {
         let current = self.is_current(now);
--- a/crates/scout/tests/current.rs
+++ b/crates/scout/tests/current.rs
@@ -85,7 +85,7 @@
     }
 
     fn confirmed(&mut self, asked: u64, epoch: u64, digest: u64) -> Vec<Output> {
-        self.said(STORE, Speech::Confirmed { asked, epoch, digest })
+        self.said(STORE, Speech::Confirmed { asked, epoch, digest, left: CURRENT })
     }
 
     fn is_current(&self) -> bool {
@@ -171,6 +171,34 @@
     expect_that!(standings(&before_the_tick).iter().any(|s| s.current), eq(false));
 }
 
+#[gtest]
+fn a_store_s_lease_is_handed_on_with_what_is_left_of_it() {
+    let mut play = Play::linked();
+    play.store_stands(1, [1, 2, 3], &[], true);
+    let (asked, empty) = (play.now, Cells::default().digest());
+    play.now += 100 * MS;
+    play.said(STORE, Speech::Confirmed { asked, epoch: 1, digest: empty, left: 500 * MS });
+    let asks = |play: &mut Play| {
+        let answers = play.said(PROXY, Speech::Confirm(77));
+        answers.into_iter().find_map(|output| match output {
+            Output::Say(PROXY, Speech::Confirmed { asked: 77, epoch: 1, digest, left }) => {
+                Some((digest, left))
+            }
+            _ => None,
+        })
+    };
+    expect_that!(asks(&mut play), some(eq((empty, 400 * MS))), "it counts from when the store was asked");
+    play.now += 399 * MS;
+    expect_that!(asks(&mut play), some(eq((empty, MS))));
+    play.now += MS;
+    expect_that!(play.is_current(), eq(false));
+    expect_that!(asks(&mut play), none());
+    // No store's word makes it longer than a lease is.
+    let asked = play.now;
+    play.said(STORE, Speech::Confirmed { asked, epoch: 1, digest: empty, left: u64::MAX });
+    expect_that!(asks(&mut play), some(eq((empty, CURRENT))));
+}
+
 #[gtest]
 fn one_that_is_cut_off_hears_beats_and_sends_the_server_on() {
     let mut play = Play::new();
--- a/crates/smoker/src/defects.rs
+++ b/crates/smoker/src/defects.rs
@@ -30,7 +30,7 @@
 }
 
 /// All of them.
-pub const ALL: [Defect; 18] = [
+pub const ALL: [Defect; 19] = [
     defect(Broken::Sync, None, Invariant::Stands, 25),
     defect(Broken::Quorum, None, Invariant::Valid, 0),
     defect(Broken::News, None, Invariant::Applied, 0),
@@ -49,6 +49,7 @@
     defect(Broken::OwnRead, Some("cut-off-core"), Invariant::Stands, 0),
     defect(Broken::Answers, Some("whose-answer"), Invariant::WhoseAnswer, 0),
     defect(Broken::Whole, None, Invariant::NeverOld, 0),
+    defect(Broken::Leases, Some("lease-handed-on"), Invariant::NeverOld, 0),
 ];
 
 /// What is broken under this name.
--- a/crates/smoker/src/links.rs
+++ b/crates/smoker/src/links.rs
@@ -6,7 +6,7 @@
 use pinerelay_dance::{Membership, Word as StoreWord};
 use pinerelay_nectar::fence::Word;
 use pinerelay_nectar::purse::Grant;
-use pinerelay_propolis::speech::{self, Answered, Passed, Role, Speech};
+use pinerelay_propolis::speech::{self, Answered, Passed, Role, Speech, CURRENT};
 
 use crate::net::{Connection, CONNECT};
 use crate::plan::{Broken, Micros, SECOND};
@@ -59,6 +59,10 @@
                 (standing.whole, standing.majority, standing.current) = (true, true, true);
                 None
             }
+            Speech::Confirmed { left, .. } if broken == Some(Broken::Leases) => {
+                *left = CURRENT;
+                None
+            }
             Speech::Drawn(grants) if broken == Some(Broken::Units) => {
                 for (_, grant) in grants {
                     if let Grant::Block { units, .. } = grant {
@@ -171,6 +175,18 @@
         true
     }
 
+    /// Has a registry confirm that it is current whatever it knows, where that is put in; tells whether it did.
+    fn confirms_always(&mut self, proc: Proc, peer: Peer, speech: &Speech) -> bool {
+        let Some(Body::Scout(registry)) = &self.procs[proc].body else { return false };
+        let Speech::Confirm(asked) = speech else { return false };
+        if self.plan.broken != Some(Broken::Whole) {
+            return false;
+        }
+        let digest = registry.realms()[0].digest();
+        self.say(proc, &[peer], Speech::Confirmed { asked: *asked, epoch: 0, digest, left: CURRENT });
+        true
+    }
+
     /// Something comes to an end of a connection.
     pub fn came(&mut self, connection: usize, end: usize, coming: Coming) {
         let line = &self.net.connections[connection];
@@ -196,7 +212,7 @@
         match coming {
             Coming::Up => self.give(proc, Input::Up(peer)),
             Coming::Said(speech) => {
-                if !self.reads_alone(proc, peer, &speech) {
+                if !self.reads_alone(proc, peer, &speech) && !self.confirms_always(proc, peer, &speech) {
                     self.give(proc, Input::Said(peer, Rc::unwrap_or_clone(speech)));
                 }
             }
--- a/crates/smoker/src/plan.rs
+++ b/crates/smoker/src/plan.rs
@@ -69,8 +69,10 @@
     OwnRead,
     /// Now and then a store's answer names the number of the next call.
     Answers,
-    /// A registry calls its configuration whole, and the core reached, from the first on.
+    /// A registry calls its configuration whole and current, and the core reached, from the first on.
     Whole,
+    /// Who is asked whether it is current hands on a whole lease, and not what is left of its own.
+    Leases,
 }
 
 /// A play.
--- a/crates/smoker/src/scenarios.rs
+++ b/crates/smoker/src/scenarios.rs
@@ -39,7 +39,7 @@
 }
 
 /// All of them.
-pub const ALL: [Scenario; 5] = [
+pub const ALL: [Scenario; 6] = [
     Scenario {
         name: "cut-off-core",
         text: "a machine of the core is cut off from the others for 20 s; operators, readers, servers and proxies that start \
@@ -48,6 +48,14 @@
         all_fit: false,
         script: cut_off_core,
     },
+    Scenario {
+        name: "lease-handed-on",
+        text: "a machine of the core is cut off with one proxy for a few seconds, over and over; the proxy starts while the \
+               core's leases run out",
+        seconds: 50,
+        all_fit: true,
+        script: lease_handed_on,
+    },
     Scenario {
         name: "one-number",
         text: "operators set and drop one item with other contents under one revision, at once and one after the other; \
@@ -154,6 +162,31 @@
     script
 }
 
+/// Between a store's last word with the others and a proxy's start lies more than one lease, and less than three.
+fn lease_handed_on(plan: &Plan, places: Places, lot: &mut Lot) -> Script {
+    let span = 6 * SECOND;
+    let mut script = Script::new();
+    let mut begin = 4 * SECOND;
+    let mut revision = 1_000;
+    while begin + span < plan.calm_from() {
+        let cut = core(plan, lot);
+        let proxy = places.proxy(lot.upto(plan.proxies as u64) as usize);
+        script.push((begin, trouble(Trouble::Split { core: cut, proxy: places.machine(proxy), span })));
+        let mut at = begin;
+        while at < begin + span {
+            revision += 1;
+            let name = format!("l{}", lot.upto(20));
+            let order = set(&[tenant(&name, revision, &[format!("{name}-{revision}")])]);
+            script.push((at, Act::Order(order, other(plan, lot, cut))));
+            at += lot.within(20_000, 100_000);
+        }
+        let start = begin + lot.within(2 * SECOND, 5 * SECOND);
+        script.push((start, trouble(Trouble::Kill(proxy, SECOND / 10))));
+        begin += span + lot.within(3 * SECOND, 4 * SECOND);
+    }
+    script
+}
+
 fn one_number(plan: &Plan, _: Places, lot: &mut Lot) -> Script {
     let mut script = Script::new();
     let mut orders = 0;
--- a/crates/smoker/tests/scenarios.rs
+++ b/crates/smoker/tests/scenarios.rs
@@ -27,6 +27,13 @@
     expect_that!(figures.times.get("proxies killed"), some(gt(&6)));
 }
 
+#[gtest]
+fn a_proxy_that_starts_while_leases_run_out_is_not_whole_with_what_is_old() {
+    let figures = plays("lease-handed-on", 0..12);
+    expect_that!(figures.times.get("taken"), some(gt(&1_000)));
+    expect_that!(figures.times.get("proxies killed"), some(gt(&30)));
+}
+
 #[gtest]
 fn one_number_has_one_content_and_what_was_taken_is_not_refused() {
     let figures = plays("one-number", 0..6);
--- a/crates/smoker/tests/seeds.rs
+++ b/crates/smoker/tests/seeds.rs
@@ -50,6 +50,8 @@
         let breach = play(&Plan { cores, ..Plan::small(seed) }).err();
         expect_that!(breach, none(), "{cores} cores, seed {seed}");
     }
+    // NeverOld: leases that were added to each other.
+    expect_that!(play(&Plan::small(11_837)).err(), none());
 }
 
 #[gtest]
