--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -636,6 +636,11 @@
         all.extend(scouts.values());
         out.push(Output::SayAll(all.clone(), Speech::Standing(self.standing(now))));
         out.push(Output::SayAll(all, Speech::Digest(self.digests())));
+        // Danger: two registries that reach for each other have two links, and each may say its own on another one. One on
+        // which an end hears nothing is cut there.
+        let others =
+            self.of(Role::Scout).into_iter().filter(|peer| !scouts.values().any(|said| said == peer));
+        out.push(Output::SayAll(others.collect(), Speech::Here));
         let wall = self.wall(now);
         self.realms[1].forget_if(|item| Server::past(item, wall));
         self.held.retain(|id| self.realms[1].get(&Key::new(Kind::Server, id.as_str())).is_some());
