--- a/crates/forager/tests/in_force.rs
+++ b/crates/forager/tests/in_force.rs
@@ -9,7 +9,7 @@
 use pinerelay_cells::routes::Table;
 use pinerelay_cells::Cells;
 use pinerelay_forager::hearing::{Hearing, Output};
-use pinerelay_propolis::speech::{compare, mend, Hello, Role, Speech, Standing};
+use pinerelay_propolis::speech::{compare, mend, Hello, Role, Speech, Standing, CURRENT};
 use proptest::prelude::*;
 
 const CONFIG: u8 = 0;
@@ -134,6 +134,10 @@
                 Speech::Digest([digest, _]) if digest != self.registry.digest() => {
                     self.to_proxy.push(compare(&self.registry, CONFIG));
                 }
+                Speech::Confirm(asked) => {
+                    let digest = self.registry.digest();
+                    self.to_proxy.push(Speech::Confirmed { asked, epoch: 1, digest, left: CURRENT });
+                }
                 _ => {}
             }
         }
--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -16,7 +16,7 @@
 use pinerelay_nectar::well::{Well, SHARE_LIFE};
 use pinerelay_nectar::Micros;
 use pinerelay_propolis::link::Peer;
-use pinerelay_propolis::speech::{Answered, Hello, Passed, Role, Speech, Standing};
+use pinerelay_propolis::speech::{Answered, Hello, Passed, Role, Speech, Standing, CURRENT};
 
 use crate::dispatch::Call;
 use current::Lease;
@@ -358,9 +358,13 @@
                     out.push(Output::Say(peer, Speech::Confirm(now)));
                 }
             }
-            (Role::Comb, Speech::Confirmed { asked, epoch, digest }) => {
-                self.confirmed(now, peer, (asked, epoch, digest));
+            (Role::Comb, Speech::Confirmed { asked, epoch, digest, left }) => {
+                let until = asked.saturating_add(left.min(CURRENT));
+                if asked <= now && now < until {
+                    self.confirmed(peer, epoch, digest, until);
+                }
             }
+            (Role::Forager, Speech::Confirm(asked)) => out.extend(self.confirm(now, peer, asked)),
             (Role::Comb, Speech::Answer(number, answered)) => self.answered(peer, number, answered, out),
             (_, Speech::Roll) => out.push(Output::Say(peer, Speech::Rolled(self.roll()))),
             (_, Speech::Ask) => out.push(Output::Say(peer, Speech::Figures(self.figures(now)))),
@@ -572,6 +576,11 @@
         out.push(Output::SayAll(all, Speech::Standing(self.standing(now))));
         out.push(Output::SayAll(registries, Speech::Digest(self.digests())));
         self.tell_proxies(proxies, out);
+        // Danger: two registries that reach for each other have two links, and each may say its own on another one. One on
+        // which an end hears nothing is cut there.
+        let others =
+            self.of(Role::Scout).into_iter().filter(|peer| !scouts.values().any(|said| said == peer));
+        out.push(Output::SayAll(others.collect(), Speech::Here));
         let wall = self.wall(now);
         self.realms[1].forget_if(|item| Server::past(item, wall));
         self.held.retain(|id| self.realms[1].get(&Key::new(Kind::Server, id.as_str())).is_some());
--- a/crates/scout/src/registry/relay.rs
+++ b/crates/scout/src/registry/relay.rs
@@ -38,7 +38,7 @@
 
 impl Partial {
     /// Whether proxies are not told yet.
-    fn withheld(self, now: Micros) -> bool {
+    pub(super) fn withheld(self, now: Micros) -> bool {
         matches!(self, Partial::Since(since) if now < since + PARTIAL_FOR)
     }
 }
