--- a/crates/smoker/src/check.rs
+++ b/crates/smoker/src/check.rs
@@ -1,16 +1,19 @@
 //! What must hold, checked while a play runs. The first breach ends it; a quota's once it is known by how much.
 
+mod invariant;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use pinerelay_cells::item::Version;
 use pinerelay_cells::{call, judge, Cells, Item, Key};
-use thiserror::Error;
 
 use crate::figures::Figures;
 use crate::orders::Orders;
 use crate::plan::{Micros, SECOND};
 use crate::process::Proc;
 
+pub use invariant::{Breach, Invariant};
+
 /// A change that was acknowledged is in force after this at who is in touch; a server that leaves gets no more.
 pub const APPLY: Micros = 2_500_000;
 /// In touch is who has had no trouble for so long.
@@ -20,85 +23,9 @@
 /// Within this after all faults all copies are the same.
 pub const HEALED: Micros = 8_000_000;
 
-/// An invariant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Invariant {
-    /// What was acknowledged stands on a read at any core.
-    Stands,
-    /// What stands together is valid, and nothing refused is in force.
-    Valid,
-    /// In one life no proxy goes back.
-    NeverBack,
-    /// What was acknowledged is in force at who is in touch.
-    Applied,
-    /// Nobody in touch uses a server that has left.
-    Drained,
-    /// No tenant runs more than its quota in any window.
-    Quota,
-    /// Two never act for one duty.
-    OneDuty,
-    /// After the faults all copies are the same, and every proxy is ready.
-    Heals,
-    /// What was confirmed is on enough synced disks at every moment.
-    Copies,
-    /// Under one revision one content is confirmed.
-    OneContent,
-    /// An order that was taken is never refused.
-    NeverRefused,
-    /// Each answer belongs to a call of this life of its process, and none is answered twice.
-    WhoseAnswer,
-    /// Who is cut off from the core confirms and refuses no order, read or leaving.
-    CutOff,
-    /// Who has been cut off from the core for a while confirms no heartbeats.
-    Beats,
-    /// A proxy that begins does not call a configuration whole that lacks what was acknowledged a while ago.
-    NeverOld,
-    /// A machine that comes back has all that it missed within the time that it counts as lost.
-    CaughtUp,
-}
-
-impl Invariant {
-    /// All of them.
-    pub const ALL: [Invariant; 16] = [
-        Invariant::Stands,
-        Invariant::Valid,
-        Invariant::NeverBack,
-        Invariant::Applied,
-        Invariant::Drained,
-        Invariant::Quota,
-        Invariant::OneDuty,
-        Invariant::Heals,
-        Invariant::Copies,
-        Invariant::OneContent,
-        Invariant::NeverRefused,
-        Invariant::WhoseAnswer,
-        Invariant::CutOff,
-        Invariant::Beats,
-        Invariant::NeverOld,
-        Invariant::CaughtUp,
-    ];
-
-    /// The one of this name.
-    pub fn named(name: &str) -> Option<Invariant> {
-        Invariant::ALL.into_iter().find(|invariant| format!("{invariant:?}") == name)
-    }
-}
-
-/// What was broken, and when.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("seed {seed} at {:.3} s: {invariant:?}: {what}", *at as f64 / 1e6)]
-pub struct Breach {
-    /// The play's.
-    pub seed: u64,
-    /// When.
-    pub at: Micros,
-    /// Which invariant.
-    pub invariant: Invariant,
-    /// What was seen.
-    pub what: String,
-    /// The faults before it: when, what, and the number of whose process or machine.
-    pub trail: Vec<(Micros, &'static str, usize)>,
-}
+/// Breaches of these are counted and end no play, until what they show is mended: a proxy that starts puts a table in force
+/// that has come in part.
+const UNTIL_MENDED: [Invariant; 1] = [Invariant::InPart];
 
 /// Something acknowledged that proxies have yet to follow.
 struct Due<T> {
@@ -118,6 +45,9 @@
     pub counted: BTreeMap<Invariant, u64>,
     /// What was acknowledged, and when.
     acks: Vec<(Micros, Key, u64)>,
+    /// What the first call brought that was acknowledged: every later table has all of it, at these revisions or newer
+    /// ones, unless a drop was called for.
+    first: Vec<(Key, u64)>,
     /// Of each item the newest version that was acknowledged.
     pub newest: BTreeMap<Key, u64>,
     /// Of each item the newest drop that was called for.
@@ -142,8 +72,9 @@
 }
 
 impl Ledger {
-    /// One that counts breaches of these.
-    pub fn counting(counts: Vec<Invariant>) -> Ledger {
+    /// One that counts breaches of these, and of what is not mended yet.
+    pub fn counting(mut counts: Vec<Invariant>) -> Ledger {
+        counts.extend(UNTIL_MENDED);
         Ledger { counts, ..Ledger::default() }
     }
 
@@ -178,6 +109,9 @@
             self.acks.push((now, item.key.clone(), item.version.0));
         }
         let what: Vec<(Key, u64)> = items.iter().map(|i| (i.key.clone(), i.version.0)).collect();
+        if self.first.is_empty() {
+            self.first.clone_from(&what);
+        }
         let (early, waits): (Vec<_>, Vec<_>) = proxies.iter().partition(|(_, (_, cells))| has(cells, &what));
         figures.news.extend(early.iter().map(|_| 0));
         let waits = waits.into_iter().map(|(&proc, _)| proc).collect();
@@ -272,6 +206,9 @@
             self.broken(Invariant::NeverBack, what);
         }
         self.in_force("a proxy", cells);
+        if let Some(what) = self.first_lacks(cells) {
+            self.broken(Invariant::InPart, format!("proxy {proc} has a table in force without {what}"));
+        }
         for due in &mut self.changes {
             if due.waits.contains(&proc) && has(cells, &due.what) {
                 due.waits.remove(&proc);
@@ -280,6 +217,15 @@
         }
     }
 
+    /// What a table lacks of the first configuration, unless a drop of it was called for.
+    fn first_lacks(&self, cells: &Cells) -> Option<String> {
+        let lacks = |(key, version): &&(Key, u64)| {
+            let held = cells.get(key).is_some_and(|item| item.version.0 >= *version);
+            !held && !self.drops.contains_key(key)
+        };
+        self.first.iter().find(lacks).map(|(key, version)| format!("{key:?} at {version}"))
+    }
+
     /// A proxy uses a server, or does not any more.
     pub fn server(&mut self, proc: Proc, id: String, usable: bool) {
         let servers = self.usable.entry(proc).or_default();
