--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -22,6 +22,9 @@
 const UNCONFIRMED: Micros = 10_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
+/// Items that came in pieces are kept out of the table in force for so long at the most. A proxy that was cut off has longer
+/// than this, from the moment when it is reached again, to put in force what was acknowledged meanwhile.
+const PARTIAL_FOR: Micros = 1_000_000;
 
 /// What the proxy wants done.
 #[derive(Debug)]
@@ -30,7 +33,7 @@
     Say(Peer, Speech),
     /// Cut a connection.
     Cut(Peer),
-    /// The configuration has changed.
+    /// This configuration is in force from now on.
     Configured(Arc<Table>),
     /// What is known of a server has changed; none: it has left.
     Server(String, Option<Server>),
@@ -42,10 +45,12 @@
 
 struct Registry {
     hello: Hello,
-    /// How things stood there, and when that was heard.
-    standing: Option<(Standing, Micros)>,
-    /// What its configuration's items came to after that.
+    /// How things stood there.
+    standing: Option<Standing>,
+    /// What its configuration's items came to, as it said last.
     digest: Option<u64>,
+    /// What they came to when it last confirmed that it is current, and until when that counts.
+    confirmed: Option<(u64, Micros)>,
     /// When units were asked for there, of asks without an answer: answers come in the same order.
     draws: VecDeque<Micros>,
     /// When it said something of anti-entropy last.
@@ -60,6 +65,11 @@
     realms: [Cells; 2],
     /// What the configuration's items make.
     table: Arc<Table>,
+    /// The table holds something that is not in force.
+    unpublished: bool,
+    /// Since when the table may hold a part of an operator's call: items came in pieces, and a registry has not yet told of
+    /// the same configuration.
+    partial: Option<Micros>,
     /// The tenants' units that are here.
     pub purse: Purse,
     registries: BTreeMap<Peer, Registry>,
@@ -90,6 +100,8 @@
             seeds,
             realms: Default::default(),
             table: Arc::default(),
+            unpublished: false,
+            partial: None,
             purse: Purse::new(),
             registries: BTreeMap::new(),
             whole: false,
@@ -114,8 +126,8 @@
     pub fn wanted(&self) -> Vec<String> {
         let all: BTreeSet<&String> = self.seeds.iter().chain(&self.known).collect();
         let standings = self.registries.values().filter_map(|r| r.standing.as_ref());
-        let newest = standings.max_by_key(|(s, _)| (s.epoch, s.voters.len()));
-        let voters: Vec<&String> = newest.into_iter().flat_map(|(s, _)| &s.voters).collect();
+        let newest = standings.max_by_key(|s| (s.epoch, s.voters.len()));
+        let voters: Vec<&String> = newest.into_iter().flat_map(|s| &s.voters).collect();
         let mut named = voters.clone();
         named.extend(rendezvous(&self.hello.node, all.into_iter().filter(|ip| !voters.contains(ip))));
         // One that does not answer must not leave it with fewer than there are.
@@ -178,6 +190,11 @@
 
     /// Something was said.
     pub fn said(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
+        self.hear(now, peer, speech, out);
+        self.publish(now, out);
+    }
+
+    fn hear(&mut self, now: Micros, peer: Peer, speech: Speech, out: &mut Vec<Output>) {
         if let Speech::Hello(hello) = speech {
             // One that looks on wants figures alone.
             if hello.role == Role::Visitor {
@@ -188,8 +205,14 @@
                 return out.push(Output::Cut(peer));
             }
             self.known.insert(hello.ip.clone());
-            let registry =
-                Registry { hello, standing: None, digest: None, draws: VecDeque::new(), mended: None };
+            let registry = Registry {
+                hello,
+                standing: None,
+                digest: None,
+                confirmed: None,
+                draws: VecDeque::new(),
+                mended: None,
+            };
             self.registries.insert(peer, registry);
             out.push(Output::Say(peer, Speech::Digest(self.digests())));
             return;
@@ -199,9 +222,14 @@
             Speech::Standing(standing) => {
                 self.counted |= standing.majority;
                 self.known.extend(standing.scouts.iter().cloned());
-                registry.standing = Some((standing, now));
-                // What it had before may be older than that it is current; what it has now follows.
-                registry.digest = None;
+                if standing.current && !self.whole {
+                    out.push(Output::Say(peer, Speech::Confirm(now)));
+                }
+                registry.standing = Some(standing);
+            }
+            Speech::Confirmed { asked, digest, left, .. } if asked <= now => {
+                registry.confirmed = Some((digest, asked.saturating_add(left.min(CURRENT))));
+                self.look(now);
             }
             Speech::Placed { me, nodes } if self.placed != (me, nodes) => {
                 self.placed = (me, nodes);
@@ -228,7 +256,11 @@
             }
             Speech::Mend { realm, items, parts } => {
                 registry.mended = Some(now);
+                let published = !self.unpublished;
                 let goes_on = items.is_empty() || self.merge(now, items, out);
+                if published && self.unpublished {
+                    self.partial.get_or_insert(now);
+                }
                 if let Some(cells) = self.realms.get(usize::from(realm)).filter(|_| goes_on) {
                     out.extend(mend(cells, realm, &parts).map(|speech| Output::Say(peer, speech)));
                 }
@@ -263,21 +295,23 @@
             return;
         }
         let own = self.realms[0].digest();
-        let current = |s: &Standing, at: Micros| s.current && now < at + CURRENT;
-        let standing = |r: &Registry| r.standing.as_ref().map(|(s, at)| (s.whole, current(s, *at)));
-        let same: Vec<(bool, bool)> =
-            self.registries.values().filter(|r| r.digest == Some(own)).filter_map(standing).collect();
-        if same.contains(&(true, true)) {
+        let whole: Vec<&Registry> = self
+            .registries
+            .values()
+            .filter(|r| r.standing.as_ref().is_some_and(|standing| standing.whole))
+            .collect();
+        let current = |r: &Registry| r.confirmed.filter(|(_, until)| now < *until).map(|(digest, _)| digest);
+        if whole.iter().any(|r| current(r) == Some(own)) {
             log::info!("has the whole configuration: {} items", self.realms[0].len());
             self.whole = true;
             return;
         }
-        let all: Vec<(bool, bool)> = self.registries.values().filter_map(standing).collect();
-        let alone = all.iter().any(|(whole, _)| *whole) && !all.iter().any(|(_, current)| *current);
+        let alone = !whole.is_empty() && self.registries.values().all(|r| current(r).is_none());
+        let same = whole.iter().any(|r| r.digest == Some(own));
         let stood_still = now > self.ticked + STOOD_STILL;
         self.alone = alone.then(|| self.alone.filter(|_| !stood_still).unwrap_or(now));
         let long = self.alone.is_some_and(|since| now >= since + UNCONFIRMED);
-        if long && !self.unconfirmed && same.contains(&(true, false)) {
+        if long && !self.unconfirmed && same {
             log::warn!("serves {} items that no registry confirms as current", self.realms[0].len());
             self.unconfirmed = true;
         }
@@ -302,19 +336,36 @@
             }
         }
         if configured {
+            self.unpublished = true;
             self.look(now);
-            out.push(Output::Configured(self.table.clone()));
         }
         news
     }
 
+    /// Puts the table in force, unless it may hold a part of what is to take force together: the first table before all of
+    /// it has come, or a part of an operator's call (a key that passes from one tenant to another would be nobody's).
+    fn publish(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let confirmed = self.whole || self.unconfirmed;
+        if !self.unpublished || !confirmed {
+            return;
+        }
+        let own = self.realms[0].digest();
+        let as_told = self.registries.values().any(|registry| registry.digest == Some(own));
+        let partial = self.partial.is_some_and(|since| now < since + PARTIAL_FOR);
+        if as_told || !partial {
+            self.partial = None;
+            self.unpublished = false;
+            out.push(Output::Configured(self.table.clone()));
+        }
+    }
+
     /// Asks for the units that are wanted now, each at the registry whose duty it is.
     pub fn ask(&mut self, now: Micros, out: &mut Vec<Output>) {
         let asks = self.purse.asks(now);
         if asks.is_empty() {
             return;
         }
-        let sound = |r: &&Registry| r.standing.as_ref().is_some_and(|(s, _)| s.majority);
+        let sound = |r: &&Registry| r.standing.as_ref().is_some_and(|s| s.majority);
         let alive: BTreeMap<String, Peer> = self
             .registries
             .iter()
@@ -354,6 +405,7 @@
         out.extend(ended.into_iter().map(|(id, admission)| Output::Admitted(id, admission)));
         self.ask(now, out);
         self.look(now);
+        self.publish(now, out);
         self.ticked = now;
         if now >= self.here_at {
             self.here_at = now + HERE;
--- a/crates/forager/tests/outlet.rs
+++ b/crates/forager/tests/outlet.rs
@@ -8,6 +8,7 @@
 use std::rc::{Rc, Weak};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
+use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -16,7 +17,10 @@
 use hyper::{Method, Response, Uri};
 use mountbend::interface::{Event, Micros, Outcome, RequestId, ServerId};
 use pinerelay_forager::flow::{Fate, Flow, Forward};
-use pinerelay_forager::outlet::{Hosts, Outlet};
+use pinerelay_forager::forwarded::{Breach, Forwarded, Frame, Received};
+use pinerelay_forager::hosts::Hosts;
+use pinerelay_forager::outlet::Outlet;
+use pinerelay_forager::request::REQUEST_ID;
 use pinerelay_nectar::budget;
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::clock::Clock;
@@ -111,11 +115,18 @@
 }
 
 fn forward() -> Forward {
-    Forward {
+    let received = Received {
         method: Method::POST,
-        uri: Uri::from_static("/once/1"),
-        headers: HeaderMap::new(),
+        target: Uri::from_static("/once/1"),
+        host: HeaderValue::from_static("a.example"),
         id: HeaderValue::from_static("r"),
+        tenant: None,
+        frame: Frame::Length(4),
+        wait: Duration::from_secs(2),
+    };
+    let headers = HeaderMap::from_iter([(REQUEST_ID, received.id.clone())]);
+    Forward {
+        request: Forwarded::new(received, headers),
         body: Payload::Whole(Bytes::from_static(b"body")),
         repeatable: false,
         servers: 2,
@@ -132,7 +143,7 @@
 fn nothing_is_written_of_a_request_that_its_client_was_promised_never_runs() {
     play(async |play| {
         let promised = forward();
-        promised.fate.promised.set(true);
+        promised.fate.withdrawn.set(true);
         expect_that!(play.attempt(promised, 1_000_000).await, eq((Outcome::Ignored, false)));
         expect_that!((play.hosts.figures().1, play.told.try_recv().is_err()), eq((0, true)));
         // The connection that was made for it serves the next one.
@@ -153,6 +164,23 @@
     });
 }
 
+#[gtest]
+fn nothing_is_written_of_a_request_that_breaks_the_boundary() {
+    play(async |play| {
+        let broken = Forward { body: Payload::Whole(Bytes::from_static(b"another")), ..forward() };
+        let fate = broken.fate.clone();
+        expect_that!(play.attempt(broken, 1_000_000).await, eq((Outcome::Ignored, false)));
+        expect_that!(fate.breach.get(), some(eq(Breach::BodyFrame)));
+        expect_that!((play.hosts.figures().1, play.told.try_recv().is_err()), eq((0, true)));
+        expect_that!(
+            play.attempt(forward(), 3_000_000).await,
+            eq((Outcome::Ignored, false)),
+            "more time than it has"
+        );
+        expect_that!(play.attempt(forward(), 1_000_000).await, eq((Outcome::Ok, true)));
+    });
+}
+
 #[gtest]
 fn an_attempt_that_has_written_nothing_may_always_be_cancelled() {
     play(async |play| {
