--- a/crates/cells/src/call.rs
+++ b/crates/cells/src/call.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 
 use crate::item::{Cells, Item, Key, Kind};
+use crate::json::{self, Bounds, JsonError};
 
 /// Why a call can't be taken: where in it, as a JSON pointer, and what is wanted there.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Error)]
@@ -32,6 +33,15 @@
     }
 }
 
+impl From<JsonError> for Unfit {
+    fn from(error: JsonError) -> Unfit {
+        Unfit::new("", error.to_string())
+    }
+}
+
+/// No item's name is longer, in bytes.
+pub const NAME_MOST: usize = 1_024;
+
 /// The name of the one item of limits.
 pub const LIMITS: &str = "limits";
 
@@ -42,8 +52,12 @@
 /// Reads a `config.update` call: its items, each with its version. Whether they fit each other is told by
 /// [`crate::judge`].
 pub fn read(body: &[u8]) -> Result<Vec<Item>, Unfit> {
-    let call: Value =
-        sonic_rs::from_slice(body).map_err(|e| Unfit::new("", format!("no whole JSON: {e}")))?;
+    read_within(body, &json::CALL)
+}
+
+/// As [`read`], within other bounds: what stands may come to more than one call.
+pub fn read_within(body: &[u8], bounds: &Bounds) -> Result<Vec<Item>, Unfit> {
+    let call = json::parse(body, bounds)?;
     if !call.is_object() {
         return Err(Unfit::new("", "an object with `upsert` and `remove` is wanted"));
     }
@@ -148,7 +162,7 @@
     let mut out = String::from("{");
     for (name, kind) in LISTS {
         let records: Vec<Value> =
-            cells.standing(kind).filter_map(|(_, value)| sonic_rs::from_slice(value).ok()).collect();
+            cells.standing(kind).filter_map(|(_, value)| json::parse(value, &json::STORED).ok()).collect();
         let mut columns: Vec<&str> = Vec::new();
         for record in records.iter().filter_map(|r| r.as_object()) {
             for (column, _) in record.iter() {
--- a/crates/cells/src/judge.rs
+++ b/crates/cells/src/judge.rs
@@ -4,7 +4,9 @@
 
 use crate::call::Unfit;
 use crate::item::{Cells, Item, Key, Kind};
+use crate::json;
 use crate::routes::{Limits, Route, Service, Tenant};
+use crate::sendable::sendable;
 
 /// What of an item others depend on.
 enum Ties {
@@ -39,6 +41,21 @@
     ties(item).map(drop)
 }
 
+/// Looks at what a call brings that does not stand yet. What was taken once is acknowledged again, whatever would be wanted
+/// of it today.
+fn changes<'a>(standing: impl Fn(&Key) -> Option<&'a Item>, call: &[Item]) -> Result<(), Unfit> {
+    let mut newer =
+        call.iter().filter(|item| standing(&item.key).is_none_or(|old| old.version.0 < item.version.0));
+    newer.try_for_each(sendable)
+}
+
+/// Whether an item that stands is over a bound on texts that the build which took it did not have. It is left out of the
+/// table and of what has to fit, so that other changes are still taken.
+fn over_bounds(item: &Item) -> bool {
+    let over = |text: &Vec<u8>| json::check(text, &json::STORED).is_err_and(|error| error.is_bound());
+    item.value.as_ref().is_some_and(over)
+}
+
 /// Finds a revision that stands for two contents: in a call, or beside what stands.
 fn conflicts<'a>(standing: impl Fn(&Key) -> Option<&'a Item>, call: &[Item]) -> Result<(), Unfit> {
     let mut sent: BTreeMap<(&Key, u64), &Item> = BTreeMap::new();
@@ -132,7 +149,7 @@
             Ok(Ties::Tenant(keys)) => keys.iter().for_each(|key| {
                 self.own(key, |owners| set(owners, name, stands));
             }),
-            Err(_) if matches!(item.key.kind, Kind::Route | Kind::Tenant) => {
+            Err(_) if matches!(item.key.kind, Kind::Route | Kind::Tenant) && !over_bounds(item) => {
                 self.faults = if stands { self.faults + 1 } else { self.faults - 1 };
             }
             Ok(Ties::Service | Ties::None) | Err(_) => {}
@@ -245,6 +262,7 @@
     pub fn taken(&self, call: &[Item]) -> Result<Vec<Item>, Unfit> {
         call.iter().try_for_each(item)?;
         conflicts(|key| self.get(key), call)?;
+        changes(|key| self.get(key), call)?;
         let mut next = Overlay { cells: self.cells, index: Index::over(&self.index), items: BTreeMap::new() };
         // Of two versions of one item in a call the higher prevails.
         let mut highest: BTreeMap<&Key, &Item> = BTreeMap::new();
@@ -281,6 +299,7 @@
 pub fn taken(standing: &Cells, call: &[Item]) -> Result<Vec<Item>, Unfit> {
     call.iter().try_for_each(item)?;
     conflicts(|key| standing.get(key), call)?;
+    changes(|key| standing.get(key), call)?;
     let mut next = standing.clone();
     let newer: Vec<Item> = call
         .iter()
@@ -301,14 +320,18 @@
 /// Whether all items that stand fit each other.
 pub fn together(cells: &Cells) -> Result<(), Unfit> {
     let services: BTreeSet<&str> = cells.standing(Kind::Service).map(|(name, _)| name).collect();
-    for (name, text) in cells.standing(Kind::Route) {
+    let of = |kind: Kind| {
+        let items = cells.all().filter(move |item| item.key.kind == kind && !over_bounds(item));
+        items.filter_map(|item| Some((item.key.name.as_str(), item.value.as_deref()?)))
+    };
+    for (name, text) in of(Kind::Route) {
         let route = Route::read(name, text)?;
         if let Some((unknown, _)) = route.services.iter().find(|(s, _)| !services.contains(s.as_str())) {
             return Err(no_service(name, unknown));
         }
     }
     let mut owners: BTreeMap<String, &str> = BTreeMap::new();
-    for (name, text) in cells.standing(Kind::Tenant) {
+    for (name, text) in of(Kind::Tenant) {
         for key in Tenant::read(name, text)?.keys {
             if let Some(other) = owners.insert(key, name).filter(|other| *other != name) {
                 return Err(same_key(name, other));
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod call;
 pub mod hash;
 pub mod item;
+pub mod json;
 pub mod judge;
 pub mod merkle;
 pub mod routes;
+pub mod sendable;
 pub mod server;
 pub mod span;
 pub mod verdict;
--- a/crates/cells/src/routes.rs
+++ b/crates/cells/src/routes.rs
@@ -10,6 +10,7 @@
 use crate::call::{Unfit, LIMITS};
 use crate::hash;
 use crate::item::{Cells, Item, Kind, Version};
+use crate::json;
 use crate::span;
 
 /// How much longer than its route's time-out an aim must not be.
@@ -108,7 +109,7 @@
 impl Fields {
     fn of(kind: Kind, name: &str, text: &[u8]) -> Result<Fields, Unfit> {
         let item = format!("{kind:?} {name}");
-        let value = sonic_rs::from_slice(text).map_err(|e| Unfit::new(&item, e.to_string()))?;
+        let value = json::parse(text, &json::STORED).map_err(|e| Unfit::new(&item, e.to_string()))?;
         Ok(Fields { item, value })
     }
 
--- a/crates/cells/src/server.rs
+++ b/crates/cells/src/server.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddrV4;
 
 use bincode::{Decode, Encode};
-use sonic_rs::{JsonValueTrait, Value};
+use sonic_rs::JsonValueTrait;
 
-use crate::call::Unfit;
+use crate::call::{Unfit, NAME_MOST};
 use crate::item::{Item, Key, Kind, Version};
+use crate::json;
 use crate::span;
 
 /// Where a server stands in its life. A later word of the same number of calls is the further one.
@@ -60,13 +61,17 @@
 impl Beat {
     /// Reads the body of a `servers.heartbeat`.
     pub fn read(body: &[u8]) -> Result<Beat, Unfit> {
-        let beat: Value =
-            sonic_rs::from_slice(body).map_err(|e| Unfit::new("", format!("no whole JSON: {e}")))?;
+        let beat = json::parse(body, &json::BEAT)?;
         let wrong = |field: &str, why: &str| Unfit::new(format!("/{field}"), why);
         let text = |field: &str| beat.get(field).and_then(|v| v.as_str()).map(String::from);
         let needed = |field: &str| {
             text(field).filter(|t| !t.is_empty()).ok_or_else(|| wrong(field, "a text is wanted"))
         };
+        for field in ["service", "zone", "revision"] {
+            if text(field).is_some_and(|text| text.len() > NAME_MOST) {
+                return Err(wrong(field, "a shorter text is wanted"));
+            }
+        }
         let state = match needed("state")?.as_str() {
             "ready" => State::Ready,
             "draining" => State::Draining,
--- /dev/null
+++ b/crates/cells/tests/hostile_json.rs
@@ -0,0 +1,212 @@
+//! Texts from outside that are built to do harm. An overflow of the stack ends the process and can't be caught, so each
+//! reader of nested texts runs in a process of its own.
+
+use std::process::Command;
+
+use googletest::prelude::*;
+use pinerelay_cells::json::{self, JsonError};
+use pinerelay_cells::judge::{taken, Standing};
+use pinerelay_cells::routes::{Route, Table, Tenant};
+use pinerelay_cells::server::Beat;
+use pinerelay_cells::{call, Cells, Item, Key, Kind};
+
+/// Names the reader that a child process is to run.
+const CHILD: &str = "PINERELAY_TEST_READER";
+
+/// 500 KB, as a caller sent it.
+fn nested(open: &str, times: usize) -> Vec<u8> {
+    open.repeat(times).into_bytes()
+}
+
+/// Gives a reader texts of each kind of nesting, at each place at which it could recurse.
+fn read_nested(reader: &str) {
+    for open in ["{\"a\":", "[", "{\"upsert\":{\"routes\":{\"records\":[[", "[{\"\":["] {
+        for times in [1_000, 100_000, 400_000] {
+            let text = nested(open, times);
+            match reader {
+                "call" => drop(call::read(&text)),
+                "beat" => drop(Beat::read(&text)),
+                "route" => drop(Route::read("r", &text)),
+                "tenant" => drop(Tenant::read("t", &text)),
+                "standing" => {
+                    let mut cells = Cells::default();
+                    cells.merge(Item::sourced(Key::new(Kind::Route, "r"), 1, Some(text)));
+                    drop(call::write(&cells));
+                    drop(Table::of(&cells));
+                    drop(Standing::new(cells));
+                }
+                other => panic!("no reader {other}"),
+            }
+        }
+    }
+}
+
+#[gtest]
+fn no_nesting_ends_a_process() {
+    if let Ok(reader) = std::env::var(CHILD) {
+        return read_nested(&reader);
+    }
+    let program = std::env::current_exe().expect("this program");
+    for reader in ["call", "beat", "route", "tenant", "standing"] {
+        let mut child = Command::new(&program);
+        let child = child.args(["no_nesting_ends_a_process", "--exact"]).env(CHILD, reader);
+        let ended = child.output().expect("a child process");
+        expect_that!(ended.status.success(), eq(true), "{reader}: {}", ended.status);
+    }
+}
+
+#[gtest]
+fn a_text_at_the_bound_is_read_and_one_over_it_refused() {
+    let deep = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let most = json::CALL.depth;
+    expect_that!(json::parse(deep(most).as_bytes(), &json::CALL).is_ok(), eq(true));
+    let over = json::parse(deep(most + 1).as_bytes(), &json::CALL).map(drop);
+    expect_that!(over, err(eq(&JsonError::Deep { at: most, most })));
+    let hidden = format!("[\"{}\\\"[{{\"]", "[".repeat(most));
+    expect_that!(json::parse(hidden.as_bytes(), &json::CALL).is_ok(), eq(true), "brackets in a string");
+    let side_by_side = format!("[{}1]", "[[]],".repeat(most));
+    expect_that!(json::parse(side_by_side.as_bytes(), &json::CALL).is_ok(), eq(true));
+    let many = format!("[{}1]", "1,".repeat(json::BEAT.values));
+    expect_that!(
+        json::parse(many.as_bytes(), &json::BEAT).map(drop),
+        err(eq(&JsonError::Many(json::BEAT.values)))
+    );
+    let long = format!("\"{}\"", "x".repeat(json::BEAT.bytes));
+    expect_that!(
+        json::parse(long.as_bytes(), &json::BEAT).map(drop),
+        err(eq(&JsonError::Long(json::BEAT.bytes)))
+    );
+}
+
+#[gtest]
+fn a_name_that_stands_twice_is_refused() {
+    let twice = [
+        r#"{"upsert":{},"upsert":{}}"#,
+        r#"{"upsert":{"routes":null,"routes":null}}"#,
+        r#"{"upsert":{},"\u0075psert":{}}"#,
+        r#"{"upsert" : {}, "remove":{"routes":[{"name":"a","revision":1,"name":"b"}]}}"#,
+    ];
+    for text in twice {
+        let unfit = call::read(text.as_bytes()).expect_err(text).to_string();
+        expect_that!(unfit, contains_substring("stands twice in one object"), "{text}");
+    }
+    let wide = |last: &str| {
+        let names: Vec<String> = (0..100).map(|n| format!("\"n{n}\":{n}")).collect();
+        json::check(format!("{{{},\"{last}\":0}}", names.join(",")).as_bytes(), &json::CALL)
+    };
+    expect_that!(wide("n100"), ok(anything()));
+    expect_that!(wide("n3"), err(anything()));
+    expect_that!(wide("n73"), err(anything()));
+    let apart = br#"[{"a":1},{"a":{"a":"a"}},"a"]"#;
+    expect_that!(json::check(apart, &json::CALL), ok(anything()));
+}
+
+#[gtest]
+fn odd_numbers_and_texts_are_refused() {
+    let call = |revision: &str, name: &str| {
+        let body = format!("{{\"remove\":{{\"routes\":[{{\"name\":{name},\"revision\":{revision}}}]}}}}");
+        call::read(body.as_bytes()).map(|items| items.len())
+    };
+    expect_that!(call("7", "\"r\""), ok(eq(&1)));
+    expect_that!(call("18446744073709551615", "\"r\""), ok(eq(&1)));
+    let numbers = [
+        "NaN",
+        "1e999",
+        "-1",
+        "18446744073709551616",
+        "7.5",
+        "1e400",
+        "Infinity",
+        "0x7",
+        "07",
+        "--1",
+        "\"7\"",
+    ];
+    for number in numbers {
+        expect_that!(call(number, "\"r\""), err(anything()), "{number}");
+    }
+    for name in ["\"\"", "\"\\ud800\"", "\"\\udc00x\"", "\"\\u12\"", "\"\\q\"", "7", "null"] {
+        expect_that!(call("7", name), err(anything()), "{name}");
+    }
+    let mut body = br#"{"remove":{"routes":[{"name":"r?","revision":7}]}}"#.to_vec();
+    let at = body.iter().position(|&byte| byte == b'?').expect("the mark");
+    for byte in [0xff, 0xc0, 0x80, 0x00, 0x1f] {
+        body[at] = byte;
+        expect_that!(call::read(&body), err(anything()), "{byte:#x}");
+    }
+}
+
+fn change(tenant: &str, revision: u64, key: &str, prefix: &str) -> Vec<Item> {
+    let tenant = sonic_rs::to_string(tenant).expect("a text");
+    let key = sonic_rs::to_string(key).expect("a text");
+    let prefix = sonic_rs::to_string(prefix).expect("a text");
+    let body = format!(
+        r#"{{"upsert":{{"tenants":{{"column_names":["name","revision","api_keys"],"records":[[{tenant},{revision},[{key}]]]}},
+        "routes":{{"column_names":["name","revision","host","path_prefix","route_type","timeout","service"],
+        "records":[["r",{revision},"a.example",{prefix},"safe","1s","s"]]}},
+        "services":{{"column_names":["name","revision"],"records":[["s",{revision}]]}}}}}}"#
+    );
+    call::read(body.as_bytes()).expect("a call")
+}
+
+#[gtest]
+fn what_no_request_can_hold_is_refused() {
+    let judged = |tenant: &str, key: &str, prefix: &str| {
+        let call = change(tenant, 1, key, prefix);
+        let whole = taken(&Cells::default(), &call);
+        expect_that!(Standing::default().taken(&call), eq(&whole));
+        whole.map(|items| items.len()).map_err(|unfit| unfit.to_string())
+    };
+    expect_that!(judged("yefi830", "xd9dnn2ctnfzs989anu6", "/x/"), ok(eq(&3)));
+    expect_that!(judged("A tenant, 7~", "a b=\u{e9}", "/x/%20;=@/"), ok(eq(&3)));
+    let long = "n".repeat(call::NAME_MOST + 1);
+    for tenant in ["caf\u{e9}", " a", "a ", "a\tb", "a\u{0}", "a\r\nX-Tenant: b", "\u{7f}", &long] {
+        expect_that!(judged(tenant, "k", "/x/"), err(anything()), "{tenant:?}");
+    }
+    let long = "k".repeat(pinerelay_cells::sendable::KEY_MOST + 1);
+    for key in [" k", "k ", "\tk", "k\n", "k\u{0}", "k\u{7f}", "k\u{fffd}", &long] {
+        expect_that!(judged("t", key, "/x/"), err(contains_substring("api_keys")), "{key:?}");
+    }
+    for prefix in ["/x y/", "/x?y/", "/x#y/", "/\u{0}/", "/x\r\n/", "/\u{7f}/"] {
+        expect_that!(judged("t", "k", prefix), err(contains_substring("path_prefix")), "{prefix:?}");
+    }
+}
+
+#[gtest]
+fn what_an_earlier_build_took_stands_and_is_acknowledged_again() {
+    let old = change("caf\u{e9}", 5, "k\n", "/x y/");
+    let mut cells = Cells::default();
+    cells.merge_all(old.clone());
+    let standing = Standing::new(cells.clone());
+    expect_that!(taken(&cells, &old), ok(is_empty()));
+    expect_that!(standing.taken(&old), ok(is_empty()));
+    let older = change("caf\u{e9}", 3, "k\n", "/x y/");
+    expect_that!(standing.taken(&older), ok(is_empty()));
+    let other = change("t2", 6, "k2", "/x/");
+    expect_that!(standing.taken(&other).map(|items| items.len()), ok(eq(&3)), "others are taken beside it");
+    expect_that!(taken(&cells, &other).map(|items| items.len()), ok(eq(&3)));
+    let newer = change("caf\u{e9}", 7, "k", "/x/");
+    expect_that!(standing.taken(&newer), err(contains_display("X-Tenant")));
+    expect_that!(Table::of(&cells).named("caf\u{e9}"), some(anything()));
+}
+
+fn contains_display(part: &'static str) -> impl for<'a> Matcher<&'a call::Unfit> {
+    predicate(move |unfit: &call::Unfit| unfit.to_string().contains(part))
+}
+
+#[gtest]
+fn an_item_that_is_nested_too_deeply_does_not_keep_others_from_being_taken() {
+    let deep = format!("{{\"x\":{}{}}}", "[".repeat(4_000), "]".repeat(4_000)).into_bytes();
+    for kind in [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits] {
+        let mut cells = Cells::default();
+        cells.merge(Item::sourced(Key::new(kind, "deep"), 1, Some(deep.clone())));
+        let call = change("t", 1, "k", "/x/");
+        expect_that!(taken(&cells, &call).map(|items| items.len()), ok(eq(&3)), "{kind:?}");
+        let mut standing = Standing::new(cells);
+        expect_that!(standing.taken(&call).map(|items| items.len()), ok(eq(&3)), "{kind:?}");
+        standing.merge_all(call);
+        expect_that!(Table::of(standing.cells()).tenant("k"), some(anything()));
+        let drops = Item::sourced(Key::new(kind, "deep"), 2, None);
+        expect_that!(standing.taken(&[drops]).map(|items| items.len()), ok(eq(&1)), "{kind:?}");
+    }
+}
--- a/crates/waggle/src/check.rs
+++ b/crates/waggle/src/check.rs
@@ -1,7 +1,7 @@
 //! Whether a call's body can be taken, with the daemon's own code, and where in the body it can't.
 
 use pinerelay_cells::call::{self, Unfit};
-use pinerelay_cells::{judge, Cells, Item, Key, Kind};
+use pinerelay_cells::{json, judge, Cells, Item, Key, Kind};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 use crate::command::KINDS;
@@ -11,7 +11,7 @@
 /// at fault has one fault, as nothing after it can be read.
 pub fn check(standing: &Cells, body: &[u8]) -> Result<Vec<Item>, Vec<Unfit>> {
     let items = call::read(body).map_err(|unfit| vec![unfit])?;
-    let whole: Value = sonic_rs::from_slice(body).unwrap_or_default();
+    let whole = json::parse(body, &json::CALL).unwrap_or_default();
     let mut faults = Vec::new();
     for item in &items {
         if let Err(unfit) = judge::item(item) {
--- a/crates/waggle/src/diff.rs
+++ b/crates/waggle/src/diff.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use pinerelay_cells::{Cells, Item, Key};
+use pinerelay_cells::{json, Cells, Item, Key};
 use sonic_rs::{JsonContainerTrait, Value};
 
 use crate::table::{Cell, Table};
@@ -71,7 +71,7 @@
 }
 
 fn fields(item: Option<&Item>) -> BTreeMap<String, String> {
-    let value = item.and_then(|item| sonic_rs::from_slice::<Value>(item.value.as_deref()?).ok());
+    let value = item.and_then(|item| json::parse(item.value.as_deref()?, &json::STORED).ok());
     let object = value.as_ref().and_then(|value| value.as_object());
     let text = |value: &Value| sonic_rs::to_string(value).unwrap_or_default();
     object.iter().flat_map(|o| o.iter()).map(|(name, value)| (name.to_string(), text(value))).collect()
--- a/crates/waggle/src/rpc.rs
+++ b/crates/waggle/src/rpc.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
-use pinerelay_cells::{call, Cells};
+use pinerelay_cells::{call, json, Cells};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -119,6 +119,7 @@
 /// Items of the text that `config.read` answers.
 pub fn parse(text: &str) -> Result<Cells, call::Unfit> {
     let mut cells = Cells::default();
-    cells.merge_all(call::read(format!("{{\"upsert\":{text}}}").as_bytes())?);
+    let call = format!("{{\"upsert\":{text}}}");
+    cells.merge_all(call::read_within(call.as_bytes(), &json::STORED)?);
     Ok(cells)
 }
