--- a/crates/cells/src/call.rs
+++ b/crates/cells/src/call.rs
@@ -1,6 +1,6 @@
 //! The operator's calls as items, and items as the answer to a read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use sonic_rs::{pointer, JsonContainerTrait, JsonValueTrait, Value};
@@ -103,6 +103,10 @@
         v.as_str().ok_or_else(place)
     });
     let columns = columns.collect::<Result<Vec<_>, _>>()?;
+    let mut known = BTreeSet::new();
+    if let Some(n) = columns.iter().position(|column| !known.insert(column)) {
+        return Err(Unfit::new(format!("{at}/column_names/{n}"), "it stands there twice"));
+    }
     for (n, record) in part("records")?.iter().enumerate() {
         let at = format!("{at}/records/{n}");
         let values = record.as_array().ok_or(Unfit::new(&at, "a list of values is wanted"))?;
--- a/crates/cells/tests/hostile_json.rs
+++ b/crates/cells/tests/hostile_json.rs
@@ -90,6 +90,9 @@
         let unfit = call::read(text.as_bytes()).expect_err(text).to_string();
         expect_that!(unfit, contains_substring("stands twice in one object"), "{text}");
     }
+    let columns =
+        br#"{"upsert":{"services":{"column_names":["name","revision","name"],"records":[["a",1,"b"]]}}}"#;
+    expect_that!(call::read(columns).map_err(|unfit| unfit.at), err(eq("/upsert/services/column_names/2")));
     let wide = |last: &str| {
         let names: Vec<String> = (0..100).map(|n| format!("\"n{n}\":{n}")).collect();
         json::check(format!("{{{},\"{last}\":0}}", names.join(",")).as_bytes(), &json::CALL)
--- a/crates/propolis/src/link.rs
+++ b/crates/propolis/src/link.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -37,6 +38,13 @@
 /// Connections that others may have to this process at once.
 const ACCEPTED_MOST: usize = 1_024;
 
+/// What has come on all links and is no whole message yet may take so many bytes; over it the link that holds most is cut.
+/// One message of the greatest length fits: its buffer grows by doubling.
+const RECEIVING_MOST: usize = 40 << 20;
+/// Messages that have come and that the process has not taken may come to so many KiB, each to one more than its own; links
+/// are read no further meanwhile. Danger: a peer can write messages of five bytes faster than they are dealt with.
+const UNTAKEN_MOST: u32 = 4 * 1024;
+
 /// What happens on links.
 #[derive(Debug)]
 pub enum Event {
@@ -51,12 +59,29 @@
 struct Line {
     queue: UnboundedSender<Bytes>,
     queued: Rc<Cell<usize>>,
+    /// What its buffer for messages that come holds, in bytes.
+    receiving: usize,
     cut: Rc<Notify>,
 }
 
+/// What happens, and the room that it takes until it is taken.
+type Told = (Event, Option<OwnedSemaphorePermit>);
+
+/// Where the events of a process's links come out, in their order.
+pub struct Events(UnboundedReceiver<Told>);
+
+impl Events {
+    /// The next; none: there are no links any more.
+    pub async fn recv(&mut self) -> Option<Event> {
+        self.0.recv().await.map(|(event, _)| event)
+    }
+}
+
 /// The links of a process.
 pub struct Links {
-    tell: UnboundedSender<Event>,
+    tell: UnboundedSender<Told>,
+    untaken: Arc<Semaphore>,
+    receiving: Cell<usize>,
     lines: RefCell<BTreeMap<Peer, Line>>,
     last: Cell<Peer>,
     accepted: Cell<usize>,
@@ -84,19 +109,23 @@
 
 impl Drop for Listed {
     fn drop(&mut self) {
-        self.links.lines.borrow_mut().remove(&self.peer);
+        if let Some(line) = self.links.lines.borrow_mut().remove(&self.peer) {
+            self.links.receiving.set(self.links.receiving.get() - line.receiving);
+        }
         if self.told {
-            let _ = self.links.tell.send(Event::Down(self.peer));
+            let _ = self.links.tell.send((Event::Down(self.peer), None));
         }
     }
 }
 
 impl Links {
     /// No links yet, and where their events come out.
-    pub fn new() -> (Rc<Links>, UnboundedReceiver<Event>) {
+    pub fn new() -> (Rc<Links>, Events) {
         let (tell, told) = unbounded_channel();
         let links = Links {
             tell,
+            untaken: Arc::new(Semaphore::new(UNTAKEN_MOST as usize)),
+            receiving: Cell::new(0),
             lines: RefCell::default(),
             last: Cell::new(0),
             accepted: Cell::new(0),
@@ -104,7 +133,7 @@
             come: Cell::new(0),
             garbled: Cell::new(0),
         };
-        (Rc::new(links), told)
+        (Rc::new(links), Events(told))
     }
 
     /// Of all links, for the process's figures: how many there are, bytes said and heard, and those that were garbled. The
@@ -200,6 +229,26 @@
         }
     }
 
+    /// A link's buffer for what comes holds so much now.
+    fn receives(&self, peer: Peer, bytes: usize) {
+        let mut lines = self.lines.borrow_mut();
+        let Some(line) = lines.get_mut(&peer) else { return };
+        let before = std::mem::replace(&mut line.receiving, bytes);
+        self.receiving.set(self.receiving.get() - before + bytes);
+        if self.receiving.get() > RECEIVING_MOST {
+            if let Some(most) = lines.values().max_by_key(|line| line.receiving) {
+                most.cut.notify_one();
+            }
+        }
+    }
+
+    /// Tells what was said on a link, once there is room for it.
+    async fn tell_said(&self, peer: Peer, speech: Speech, bytes: usize) {
+        let room = (1 + bytes / 1024).min(UNTAKEN_MOST as usize) as u32;
+        let room = self.untaken.clone().acquire_many_owned(room).await.ok();
+        let _ = self.tell.send((Event::Said(peer, speech), room));
+    }
+
     /// Carries one connection until it ends.
     async fn carry(self: Rc<Self>, stream: TcpStream, other: SocketAddrV4) {
         // Without these what is late is later, not wrong.
@@ -209,7 +258,7 @@
         self.last.set(peer);
         let (queue, mut queued) = unbounded_channel::<Bytes>();
         let (held, cut) = (Rc::new(Cell::new(0_usize)), Rc::new(Notify::new()));
-        let line = Line { queue, queued: held.clone(), cut: cut.clone() };
+        let line = Line { queue, queued: held.clone(), receiving: 0, cut: cut.clone() };
         self.lines.borrow_mut().insert(peer, line);
         let mut listed = Listed { links: self.clone(), peer, told: false };
         let (mut from, mut to) = stream.into_split();
@@ -242,11 +291,15 @@
                     Ok(Ok(some @ 1..)) => self.come.set(self.come.get() + some as u64),
                     _ => return Ok::<(), Garbled>(()),
                 }
+                self.receives(peer, come.held());
                 if come.greeted()? && !std::mem::replace(told, true) {
-                    let _ = tell.send(Event::Up(peer, other));
+                    let _ = tell.send((Event::Up(peer, other), None));
                 }
+                let mut left = come.waits();
                 while let Some(speech) = come.take()? {
-                    let _ = tell.send(Event::Said(peer, speech));
+                    let bytes = left - come.waits();
+                    left = come.waits();
+                    self.tell_said(peer, speech, bytes).await;
                 }
             }
         };
--- a/crates/propolis/src/settings.rs
+++ b/crates/propolis/src/settings.rs
@@ -210,6 +210,16 @@
             let why = format!("{first} to {last} are too few ports: three are wanted");
             return Err(unfit("internal_ports".into(), why));
         }
+        let bounds = &settings.bounds;
+        let figures = [
+            ("retry_ratio", bounds.retry_ratio),
+            ("retry_extra", bounds.retry_extra),
+            ("quota_overrun", bounds.quota_overrun),
+            ("quota_margin", bounds.quota_margin),
+        ];
+        if let Some((name, _)) = figures.iter().find(|(_, figure)| !(figure.is_finite() && *figure >= 0.0)) {
+            return Err(unfit(format!("bounds.{name}"), "a number from 0 on is wanted".into()));
+        }
         Ok(settings)
     }
 
--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -1,6 +1,7 @@
 //! What the system's own processes say to each other, and how it is written on the wire.
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bincode::error::DecodeError;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use pinerelay_cells::merkle::Part;
@@ -13,6 +14,8 @@
 
 /// No message is longer, in bytes.
 pub const LONGEST: usize = 16 << 20;
+/// The first message of a connection tells who speaks, and is no longer than this, in bytes.
+pub const HELLO_MOST: usize = 4 * 1024;
 /// So much is read at once, and so much of a buffer is kept, in bytes.
 const ROOM: usize = 4 * 1024;
 const KEPT: usize = 16 * 1024;
@@ -205,15 +208,35 @@
     #[error("no greeting of this protocol")]
     Greeting,
     /// The length is over the limit.
-    #[error("a message of {0} bytes is over the limit of {LONGEST}")]
+    #[error("a message of {0} bytes is over the limit of {LONGEST}, or of {HELLO_MOST} for the first")]
     Long(usize),
     /// What came can't be read.
     #[error("no message: {0}")]
     Unread(String),
 }
 
-fn config() -> Configuration<LittleEndian, Varint, Limit<LONGEST>> {
-    bincode::config::standard().with_limit::<LONGEST>()
+/// What is read of a message may take so many bytes of memory. Danger: a length in it is believed before what it tells of
+/// has been read, so that without a bound a message of ten bytes has 16 MiB allocated. A bound is at least 64 bytes for
+/// each byte of a message up to [`MIDDLING`]; what takes most, an item without name and value, takes under 20.
+const OF_SMALL: usize = 256 * 1024;
+const OF_MIDDLING: usize = 8 << 20;
+/// The longest messages that have these bounds, in bytes.
+const SMALL: usize = 4 * 1024;
+const MIDDLING: usize = 128 * 1024;
+
+fn config<const MOST: usize>() -> Configuration<LittleEndian, Varint, Limit<MOST>> {
+    bincode::config::standard().with_limit::<MOST>()
+}
+
+/// Reads a message, and tells how many of its bytes that took.
+fn decode(body: &[u8]) -> Result<(Speech, usize), DecodeError> {
+    if body.len() <= SMALL {
+        bincode::decode_from_slice(body, config::<OF_SMALL>())
+    } else if body.len() <= MIDDLING {
+        bincode::decode_from_slice(body, config::<OF_MIDDLING>())
+    } else {
+        bincode::decode_from_slice(body, config::<LONGEST>())
+    }
 }
 
 /// A message as it goes on the wire: its length, then itself.
@@ -241,6 +264,8 @@
 pub struct Incoming {
     come: BytesMut,
     greeted: bool,
+    /// The first message has come.
+    met: bool,
 }
 
 impl Incoming {
@@ -267,29 +292,44 @@
 
     /// The next whole message, if there is one.
     pub fn take(&mut self) -> Result<Option<Speech>, Garbled> {
-        if self.greeted()? {
-            next(&mut self.come)
-        } else {
-            Ok(None)
+        if !self.greeted()? {
+            return Ok(None);
         }
+        let most = if self.met { LONGEST } else { HELLO_MOST };
+        let speech = next_within(&mut self.come, most)?;
+        self.met |= speech.is_some();
+        Ok(speech)
+    }
+
+    /// How many bytes have come and were not taken.
+    pub fn waits(&self) -> usize {
+        self.come.len()
+    }
+
+    /// The memory that it holds, in bytes.
+    pub fn held(&self) -> usize {
+        self.come.capacity()
     }
 }
 
 /// Takes the next whole message off what has come, if there is one.
 pub fn next(come: &mut BytesMut) -> Result<Option<Speech>, Garbled> {
+    next_within(come, LONGEST)
+}
+
+fn next_within(come: &mut BytesMut, most: usize) -> Result<Option<Speech>, Garbled> {
     if come.len() < 4 {
         return Ok(None);
     }
     let length = u32::from_le_bytes([come[0], come[1], come[2], come[3]]) as usize;
-    if length > LONGEST {
+    if length > most {
         return Err(Garbled::Long(length));
     }
     if come.len() < 4 + length {
         // Grows with what comes, and not with what is promised.
         return Ok(None);
     }
-    let (speech, read) = bincode::decode_from_slice(&come[4..4 + length], config())
-        .map_err(|error| Garbled::Unread(error.to_string()))?;
+    let (speech, read) = decode(&come[4..4 + length]).map_err(|error| Garbled::Unread(error.to_string()))?;
     if read != length {
         return Err(Garbled::Unread("bytes are left over".into()));
     }
