--- a/crates/propolis/src/speech.rs
+++ b/crates/propolis/src/speech.rs
@@ -219,9 +219,11 @@
 /// has been read, so that without a bound a message of ten bytes has 16 MiB allocated. A bound is at least 64 bytes for
 /// each byte of a message up to [`MIDDLING`]; what takes most, an item without name and value, takes under 20.
 const OF_SMALL: usize = 256 * 1024;
+const OF_SHORT: usize = 1 << 20;
 const OF_MIDDLING: usize = 8 << 20;
 /// The longest messages that have these bounds, in bytes.
 const SMALL: usize = 4 * 1024;
+const SHORT: usize = 16 * 1024;
 const MIDDLING: usize = 128 * 1024;
 
 fn config<const MOST: usize>() -> Configuration<LittleEndian, Varint, Limit<MOST>> {
@@ -232,6 +234,8 @@
 fn decode(body: &[u8]) -> Result<(Speech, usize), DecodeError> {
     if body.len() <= SMALL {
         bincode::decode_from_slice(body, config::<OF_SMALL>())
+    } else if body.len() <= SHORT {
+        bincode::decode_from_slice(body, config::<OF_SHORT>())
     } else if body.len() <= MIDDLING {
         bincode::decode_from_slice(body, config::<OF_MIDDLING>())
     } else {
--- a/crates/scout/src/run.rs
+++ b/crates/scout/src/run.rs
@@ -23,7 +23,6 @@
 use pinerelay_propolis::settings::Settings;
 use pinerelay_propolis::speech::{Answered, Hello, Role, Speech};
 use pinerelay_propolis::watch;
-use pinerelay_traffic::body::{whole, BadBody};
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::front::{last, Front, Handler};
 use pinerelay_traffic::listen::{listen, Gate};
@@ -35,13 +34,12 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until, Instant};
 
+use crate::bodies::{Bodies, Untaken};
 use crate::dispatch::{self, Call};
 use crate::registry::{error, Birth, Output, Registry};
 
 /// How often time passes for the state machine.
 const TICK: Duration = Duration::from_millis(100);
-/// No body of a call is longer, in bytes.
-const BODY_MOST: usize = 8 << 20;
 /// How long a head may take.
 const HEAD_WAIT: Duration = Duration::from_secs(3);
 /// How long a caller's connection may stand idle.
@@ -55,6 +53,7 @@
 struct Scout {
     registry: RefCell<Registry>,
     links: Rc<Links>,
+    bodies: Rc<Bodies>,
     zone: String,
     calls: RefCell<BTreeMap<u64, oneshot::Sender<Answered>>>,
     last_call: Cell<u64>,
@@ -88,6 +87,7 @@
     let scout = Rc::new_cyclic(|me| Scout {
         registry: RefCell::new(Registry::new(0, birth)),
         links: links.clone(),
+        bodies: Bodies::of(settings.limits.memory_mb),
         zone: settings.zone.clone(),
         calls: RefCell::default(),
         last_call: Cell::new(0),
@@ -183,10 +183,13 @@
             return error(503, "the registry ends");
         }
         let (head, body) = request.into_parts();
-        let body = match whole(body, BODY_MOST).await {
-            Ok(body) => body,
-            Err(BadBody::TooLong) => return error(413, "the body is over 8 MiB"),
-            Err(BadBody::Malformed | BadBody::Broken) => return error(400, "the body is not whole"),
+        // Danger: what it holds is free once the call is answered, and no sooner.
+        let (body, _held) = match self.bodies.take(body).await {
+            Ok(taken) => taken,
+            Err(Untaken::Long) => return error(413, "the body is over 8 MiB"),
+            Err(Untaken::Full) => return error(503, "other calls hold too much"),
+            Err(Untaken::Late) => return error(408, "the body has not come in time"),
+            Err(Untaken::Unread(_)) => return error(400, "the body is not whole"),
         };
         match dispatch::read(head.method.as_str(), head.uri.path(), head.uri.query(), &body) {
             Ok(call) => self.call(call).await,
@@ -230,7 +233,7 @@
         let mut response = Response::new(Full::new(Bytes::from(body)).map_err(never));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if self.ending.get() || status == 400 || status == 413 {
+        if self.ending.get() || matches!(status, 400 | 408 | 413) {
             last(&mut response);
         }
         response
