--- a/crates/forager/src/run.rs
+++ b/crates/forager/src/run.rs
@@ -36,8 +36,8 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::hearing::{Hearing, Output};
+use crate::hosts::Hosts;
 use crate::inlet::{Admits, Inlet};
-use crate::outlet::Hosts;
 use crate::services::Services;
 
 /// How often time passes for what is heard: while a request waits for a unit, and else.
@@ -215,7 +215,11 @@
         let ready = !self.ending.get()
             && self.hearing.borrow().whole()
             && self.services.servers() > 0
-            && self.inlet.borrow().upgrade().is_some_and(|inlet| !inlet.table.load().is_empty());
+            && self
+                .inlet
+                .borrow()
+                .upgrade()
+                .is_some_and(|inlet| inlet.table.load().as_ref().is_some_and(|table| !table.is_empty()));
         if self.ready.replace(ready) != ready {
             log::info!("is {}", if ready { "ready" } else { "not ready" });
         }
@@ -257,6 +261,12 @@
             all.extend(
                 reasons.map(|(r, n)| (format!("forager_unserved_total{{reason=\"{r}\"}}"), *n as f64)),
             );
+            let breaches = inlet.figures.breaches.borrow();
+            let breaches = breaches.iter();
+            all.extend(
+                breaches
+                    .map(|(b, n)| (format!("forager_forward_breaches_total{{check=\"{b}\"}}"), *n as f64)),
+            );
             let [with, without] = inlet.figures.deferred.get();
             all.push(("forager_deferred_total".into(), with as f64));
             all.push(("forager_beyond_total".into(), without as f64));
