--- a/crates/cells/src/judge.rs
+++ b/crates/cells/src/judge.rs
@@ -1,6 +1,7 @@
 //! Whether items that are to stand together fit each other.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
 
 use crate::call::Unfit;
 use crate::item::{Cells, Item, Key, Kind};
@@ -165,6 +166,21 @@
     index: Index<'static>,
 }
 
+/// The index follows from the items.
+impl PartialEq for Standing {
+    fn eq(&self, other: &Standing) -> bool {
+        self.cells == other.cells
+    }
+}
+
+impl Eq for Standing {}
+
+impl Hash for Standing {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.cells.hash(state);
+    }
+}
+
 impl Standing {
     /// Of these items; costs by all of them.
     pub fn new(cells: Cells) -> Standing {
--- a/crates/dance/src/caller.rs
+++ b/crates/dance/src/caller.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pinerelay_cells::call::{self, Unfit};
-use pinerelay_cells::{judge, Cells, Item};
+use pinerelay_cells::judge::Standing;
+use pinerelay_cells::{Cells, Item};
 
 use crate::range;
 use crate::word::{Ballot, Batch, Member, Membership, Name, Pending, Word};
@@ -214,7 +215,7 @@
     }
 
     /// A voter's answer. `own` are the settled items here, and all that a promise has told of are among them.
-    pub fn heard(&mut self, now: Micros, from: &str, word: Word, own: &Cells, out: &mut Vec<Step>) {
+    pub fn heard(&mut self, now: Micros, from: &str, word: Word, own: &Standing, out: &mut Vec<Step>) {
         match word {
             Word::Deny { ballot, higher } => {
                 self.know(higher);
@@ -231,7 +232,7 @@
                 if turn.batch.is_none() {
                     self.decide(now, own, out);
                 }
-                self.put(own, out);
+                self.put(own.cells(), out);
             }
             Word::Kept { ballot, incarnation } => {
                 let Some(turn) = self.turn.as_mut().filter(|turn| turn.ballot == ballot) else { return };
@@ -264,7 +265,7 @@
     }
 
     /// Once enough have promised, what stands is known, and what of the calls fits it.
-    fn decide(&mut self, now: Micros, own: &Cells, out: &mut Vec<Step>) {
+    fn decide(&mut self, now: Micros, own: &Standing, out: &mut Vec<Step>) {
         self.give_up(now, out);
         let Some(turn) = self.turn.as_mut() else { return };
         let enough = |of: &Membership| {
@@ -290,16 +291,16 @@
         }
         // Danger: those who are to vote next may do so already, and what they have agreed on since is known to them alone.
         if let Some(next) = batch.membership.clone().filter(|next| !enough(next)) {
-            return self.ask(next.names(), own, out);
+            return self.ask(next.names(), own.cells(), out);
         }
-        let mut next = own.clone();
+        let mut next = own.overlay();
         next.merge_all(batch.items.iter().cloned());
         let mut read = Vec::new();
         for Waiting { id, request, .. } in &self.waiting {
             match request {
                 Request::Mend | Request::Change(_) => turn.answers.push((*id, Reply::Taken)),
                 Request::Read => read.push(*id),
-                Request::Update(items) => match judge::taken(&next, items) {
+                Request::Update(items) => match next.taken(items) {
                     Ok(newer) => {
                         next.merge_all(newer.iter().cloned());
                         batch.items.extend(newer);
@@ -310,7 +311,10 @@
             }
         }
         if !read.is_empty() {
-            let text = call::write(&next);
+            let text = match batch.items.is_empty() {
+                true => call::write(own.cells()),
+                false => call::write(&next.to_cells()),
+            };
             turn.answers.extend(read.into_iter().map(|id| (id, Reply::Stands(text.clone()))));
         }
         // What has been overtaken is put again as nothing, or it would be pending for ever, and nobody there ever current.
--- a/crates/dance/src/store.rs
+++ b/crates/dance/src/store.rs
@@ -327,10 +327,10 @@
                 let merged = self.voter.merge(cells.clone());
                 self.news(merged, out);
                 let word = Word::Promise { ballot, incarnation, at, pending, ranges, cells };
-                self.caller.heard(now, from, word, self.voter.cells(), steps);
+                self.caller.heard(now, from, word, self.voter.settled(), steps);
             }
             Word::Deny { .. } | Word::Kept { .. } => {
-                self.caller.heard(now, from, word, self.voter.cells(), steps);
+                self.caller.heard(now, from, word, self.voter.settled(), steps);
             }
             Word::Members(membership) => self.learn(now, membership, out),
             Word::Digest { life, sent, digest, epoch, incarnation, highest } => {
--- a/crates/dance/src/voter.rs
+++ b/crates/dance/src/voter.rs
@@ -1,5 +1,6 @@
 //! One store's vote: what it has promised, put and settled.
 
+use pinerelay_cells::judge::Standing;
 use pinerelay_cells::{Cells, Item};
 
 use crate::range;
@@ -88,7 +89,8 @@
     promised: Ballot,
     at: Ballot,
     pending: Pending,
-    cells: Cells,
+    /// The settled items.
+    settled: Standing,
 }
 
 /// What comes of the first turn.
@@ -127,7 +129,7 @@
             promised,
             at: kept.at,
             pending: kept.pending,
-            cells,
+            settled: Standing::new(cells),
         }
     }
 
@@ -150,7 +152,12 @@
 
     /// The settled items.
     pub fn cells(&self) -> &Cells {
-        &self.cells
+        self.settled.cells()
+    }
+
+    /// The settled items, with what ties them together.
+    pub fn settled(&self) -> &Standing {
+        &self.settled
     }
 
     /// The highest ballot that it knows of.
@@ -192,8 +199,8 @@
     pub fn promise(&self, ballot: Ballot, ranges: &[u64]) -> Word {
         match self.incarnation {
             Some(incarnation) if ballot == self.promised => {
-                let own = range::ranges(&self.cells);
-                let cells = range::differing(&self.cells, &own, ranges).cloned().collect();
+                let own = range::ranges(self.cells());
+                let cells = range::differing(self.cells(), &own, ranges).cloned().collect();
                 Word::Promise {
                     ballot,
                     incarnation,
@@ -216,7 +223,7 @@
             return Put::Answer(Word::Deny { ballot, higher: self.promised });
         }
         (self.promised, self.at, self.pending) = (ballot, ballot, Some(batch));
-        let news = self.cells.merge_all(fill);
+        let news = self.settled.merge_all(fill);
         let put = Some((ballot, self.pending.clone()));
         let change = Change { put, settled: news.clone(), ..Change::default() };
         Put::After(news, change)
@@ -224,7 +231,7 @@
 
     /// What has been agreed on; the items that are news here, and what is to be written.
     pub fn settle(&mut self, ballot: Ballot, items: Vec<Item>) -> (Vec<Item>, Change) {
-        let news = self.cells.merge_all(items);
+        let news = self.settled.merge_all(items);
         let mut change = Change { settled: news.clone(), ..Change::default() };
         // What was put under a lower ballot and agreed on, those who kept this one hold as well.
         if ballot >= self.at {
@@ -239,7 +246,7 @@
 
     /// Settled items that others hand over.
     pub fn merge(&mut self, items: Vec<Item>) -> (Vec<Item>, Change) {
-        let news = self.cells.merge_all(items);
+        let news = self.settled.merge_all(items);
         let change = Change { settled: news.clone(), ..Change::default() };
         (news, change)
     }
