--- a/crates/smoker/src/faults.rs
+++ b/crates/smoker/src/faults.rs
@@ -152,16 +152,19 @@
         }
     }
 
-    /// What a process that begins is told of the core: at the first start the same for all; later some list of any age.
-    pub fn seeds(&mut self, first: bool) -> Vec<String> {
+    /// What a process that begins on a machine is told of the core: at the first start the same for all; later some list of any
+    /// age. One that names no other machine of the core would be found by nobody.
+    pub fn seeds(&mut self, machine: usize, first: bool) -> Vec<String> {
         let mut all = self.core.clone();
         if !first && self.plan.faults && self.lot.chance(2) {
             all.extend(&self.left);
             for n in (1..all.len()).rev() {
                 all.swap(n, self.lot.upto(n as u64 + 1) as usize);
             }
-            if all.iter().take(3).all(|machine| self.left.contains(machine)) {
-                all[0] = self.any_core();
+            if all.iter().take(3).all(|other| *other == machine || self.left.contains(other)) {
+                let others: Vec<usize> =
+                    self.core.iter().copied().filter(|other| *other != machine).collect();
+                all[0] = others[self.lot.upto(others.len() as u64) as usize];
             }
         }
         all.iter().take(3).map(|&machine| self.places.ip(machine)).collect()
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -254,7 +254,7 @@
         }
         let role = self.places.role(proc);
         let kept = if role == Role::Comb { self.disks[machine].read() } else { None };
-        let seeds = self.seeds(first);
+        let seeds = self.seeds(machine, first);
         let process = &mut self.procs[proc];
         process.life += 1;
         process.begun = self.now;
--- a/crates/smoker/tests/seeds.rs
+++ b/crates/smoker/tests/seeds.rs
@@ -52,6 +52,8 @@
     }
     // NeverOld: leases that were added to each other.
     expect_that!(play(&Plan::small(11_837)).err(), none());
+    // Heals: one that was told of itself and of machines that had left alone was found by nobody.
+    expect_that!(play(&Plan { spares: 2, ..Plan::small(648) }).err(), none());
 }
 
 #[gtest]
