--- a/crates/dance/examples/turn.rs
+++ b/crates/dance/examples/turn.rs
@@ -112,17 +112,19 @@
     let begun = Instant::now();
     let mut all = Stores::new(&items);
     println!("three stores begin with {} items: {:.0} ms", items.len(), begun.elapsed().as_secs_f64() * 1e3);
-    let calls: [(&str, fn(u64) -> Request); 2] = [
-        ("one changed tenant", |turn| Request::Update(vec![tenant(turn as usize * 100, turn + 2)])),
-        ("a read", |_| Request::Read),
-    ];
-    for (what, request) in calls {
-        all.spent = Default::default();
-        for turn in 0..TURNS {
-            let reply = all.call(turn + 1, request(turn));
-            assert!(matches!(reply, Some(Reply::Taken | Reply::Stands(_))), "{reply:?}");
-        }
-        let [own, others] = all.spent.map(|spent| spent.as_secs_f64() * 1e3 / TURNS as f64);
-        println!("{what}: {own:.3} ms at the store that is called, {others:.3} ms at the two others");
+    timed(&mut all, "one changed tenant", |turn| {
+        Request::Update(vec![tenant(turn as usize * 100, turn + 2)])
+    });
+    timed(&mut all, "a read", |_| Request::Read);
+}
+
+/// Tells what calls cost on average, one after the other.
+fn timed(all: &mut Stores, what: &str, request: impl Fn(u64) -> Request) {
+    all.spent = Default::default();
+    for turn in 0..TURNS {
+        let reply = all.call(turn + 1, request(turn));
+        assert!(matches!(reply, Some(Reply::Taken | Reply::Stands(_))), "{reply:?}");
     }
+    let [own, others] = all.spent.map(|spent| spent.as_secs_f64() * 1e3 / TURNS as f64);
+    println!("{what}: {own:.3} ms at the store that is called, {others:.3} ms at the two others");
 }
