--- a/crates/forager/src/flow.rs
+++ b/crates/forager/src/flow.rs
@@ -65,6 +65,10 @@
     fn stops_when_gone(forward: &Forward) -> bool {
         forward.repeatable
     }
+
+    fn outlasts_cancel(_: &Forward) -> bool {
+        true
+    }
 }
 
 /// What an answer's head means.
--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -116,6 +116,9 @@
             // Danger: one that is cancelled on the way is dropped here, and has reached its server all the same.
             fate.verdict.set(before.and(Verdict::MayHaveRun));
             fate.arrived.set(fate.arrived.get() + 1);
+            if let Some(core) = self.core.upgrade() {
+                core.attempt_goes(id, number);
+            }
             let heard = connection.heard();
             let answer = tokio::select! {
                 biased;
--- a/crates/traffic/src/node.rs
+++ b/crates/traffic/src/node.rs
@@ -26,11 +26,15 @@
     sent: Micros,
     /// Its task, while the attempt is out.
     task: Option<AbortHandle>,
+    /// The decisions have given it up for another one, which has not been written yet.
+    superseded: bool,
 }
 
 struct Open<T: Traffic> {
     /// Where the final answer goes; none once it has been given or the client has gone.
     answer: Option<oneshot::Sender<Answer<T>>>,
+    /// The decisions' final answer, which holds if no superseded attempt brings a better one.
+    fallback: Option<Answer<T>>,
     forward: Rc<T::Forward>,
     /// Attempts are given up at this time.
     stop: Micros,
@@ -144,9 +148,11 @@
             Action::Fail { id, why } => self.finish(&id, Answer::Failed(why)),
             Action::Cancel { id, attempt } => {
                 let forward = self.open.borrow().get(&id).map(|open| open.forward.clone());
-                // Danger: a server's silence is no reason to end what may not be sent to another.
-                if forward.is_none_or(|forward| self.peers.upstream.goes_on(&forward)) {
-                    self.end(&id, attempt as usize, Outcome::Cancelled, None);
+                match forward {
+                    // Danger: a server's silence is no reason to end what may not be sent to another.
+                    Some(forward) if !self.peers.upstream.goes_on(&forward) => {}
+                    Some(forward) if T::outlasts_cancel(&forward) => self.supersede(&id, attempt as usize),
+                    _ => self.end(&id, attempt as usize, Outcome::Cancelled, None),
                 }
             }
             Action::Probe { server } => self.peers.upstream.probe(server),
@@ -176,8 +182,14 @@
         let (sender, receiver) = oneshot::channel();
         let stop = T::stop(&forward, request.due);
         let try_limit = T::tries(&forward).unwrap_or(self.try_limit.get());
-        let open =
-            Open { answer: Some(sender), forward: Rc::new(forward), stop, attempts: Vec::new(), try_limit };
+        let open = Open {
+            answer: Some(sender),
+            fallback: None,
+            forward: Rc::new(forward),
+            stop,
+            attempts: Vec::new(),
+            try_limit,
+        };
         match self.open.borrow_mut().entry(request.id.clone()) {
             std::collections::btree_map::Entry::Occupied(_) => return Err(Duplicate),
             std::collections::btree_map::Entry::Vacant(place) => place.insert(open),
@@ -221,7 +233,64 @@
         Waited { node: self.clone(), id }
     }
 
+    /// Tells the decisions that an attempt is over, and lets it go on until another one is written. Danger: there may be no
+    /// connection for another, and the server that is given up on may be at work.
+    fn supersede(&self, id: &RequestId, number: usize) {
+        let mut requests = self.open.borrow_mut();
+        let Some(open) = requests.get_mut(id) else { return };
+        let finished = open.answer.is_none();
+        let Some(attempt) = open.attempts.get_mut(number).filter(|a| a.task.is_some()) else { return };
+        if std::mem::replace(&mut attempt.superseded, true) {
+            return;
+        }
+        let (server, spent) = (attempt.server, self.clock.now().saturating_sub(attempt.sent));
+        drop(requests);
+        self.ended(id, number, server, Outcome::Cancelled, spent, finished);
+    }
+
+    /// A superseded attempt is over, of which the decisions know already; with a body, it has served the request.
+    fn superseded_over(&self, id: &RequestId, body: Option<T::Whole>) {
+        let mut requests = self.open.borrow_mut();
+        let Some(open) = requests.get_mut(id) else { return };
+        let served = body.is_some();
+        let out = open.attempts.iter().any(|attempt| attempt.task.is_some());
+        let answer = match body {
+            Some(body) => Some(Answer::Served(body)),
+            None if !out => open.fallback.take(),
+            None => None,
+        };
+        let waiting = answer.is_some().then(|| open.answer.take()).flatten();
+        drop(requests);
+        if let (Some(sender), Some(answer)) = (waiting, answer) {
+            let _ = sender.send(answer);
+        }
+        if served {
+            self.event(Event::Gone { id: id.clone() });
+            self.break_off(id);
+        }
+        self.forget(id);
+    }
+
+    fn ended(
+        &self,
+        id: &RequestId,
+        number: usize,
+        server: ServerId,
+        outcome: Outcome,
+        spent: Micros,
+        finished: bool,
+    ) {
+        let (id, attempt) = (id.clone(), number as u32);
+        self.event(Event::Ended(Ended { id, attempt, server, outcome, spent, finished, final_units: None }));
+    }
+
     fn finish(&self, id: &RequestId, answer: Answer<T>) {
+        if let Some(open) = self.open.borrow_mut().get_mut(id) {
+            if open.attempts.iter().any(|attempt| attempt.superseded && attempt.task.is_some()) {
+                open.fallback = Some(answer);
+                return;
+            }
+        }
         if let Some(sender) = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take()) {
             // A client that has just gone is told of by its connection.
             let _ = sender.send(answer);
@@ -245,22 +314,12 @@
             return;
         };
         let number = open.attempts.len();
-        let mut attempt = Attempt { server, sent: now, task: None };
+        let mut attempt = Attempt { server, sent: now, task: None, superseded: false };
         if open.answer.is_none() || number >= open.try_limit || now >= open.stop {
             open.attempts.push(attempt);
             let finished = open.answer.is_none();
             drop(requests);
-            let outcome = Outcome::Ignored;
-            let attempt = number as u32;
-            return self.event(Event::Ended(Ended {
-                id,
-                attempt,
-                server,
-                outcome,
-                spent: 0,
-                finished,
-                final_units: None,
-            }));
+            return self.ended(&id, number, server, Outcome::Ignored, 0, finished);
         }
         let stop = if timeout > 0 { open.stop.min(now + timeout) } else { open.stop };
         let task = self.peers.upstream.attempt(id, number, server, open.forward.clone(), stop);
@@ -278,6 +337,10 @@
             // Closes the connection too: that is how an app server learns of it.
             task.abort();
         }
+        if attempt.superseded {
+            drop(requests);
+            return self.superseded_over(id, body);
+        }
         let (server, spent) = (attempt.server, self.clock.now().saturating_sub(attempt.sent));
         if let Some(body) = body {
             if let Some(sender) = open.answer.take() {
@@ -286,16 +349,7 @@
         }
         let finished = open.answer.is_none();
         drop(requests);
-        let attempt = number as u32;
-        self.event(Event::Ended(Ended {
-            id: id.clone(),
-            attempt,
-            server,
-            outcome,
-            spent,
-            finished,
-            final_units: None,
-        }));
+        self.ended(id, number, server, outcome, spent, finished);
     }
 }
 
@@ -342,6 +396,14 @@
         self.end(id, number, outcome, body);
     }
 
+    fn attempt_goes(&self, id: &RequestId, number: usize) {
+        let mut requests = self.open.borrow_mut();
+        let Some(open) = requests.get_mut(id) else { return };
+        let earlier = open.attempts.iter_mut().take(number).filter(|attempt| attempt.superseded);
+        // Closes the connections: so the servers learn of it.
+        earlier.filter_map(|attempt| attempt.task.take()).for_each(|task| task.abort());
+    }
+
     fn answer_begins(&self, id: &RequestId, number: usize, answer: T::Long) -> bool {
         let waits = self.open.borrow_mut().get_mut(id).and_then(|o| o.answer.take());
         let sent = waits.is_some_and(|sender| sender.send(Answer::Long(answer)).is_ok());
--- a/crates/traffic/src/ports.rs
+++ b/crates/traffic/src/ports.rs
@@ -31,6 +31,8 @@
     fn attempt_over(&self, id: &RequestId, number: usize, outcome: Outcome, answer: Option<T::Whole>);
     /// An attempt's long answer has begun, and goes to the client as it comes; false if nobody waits for it.
     fn answer_begins(&self, id: &RequestId, number: usize, answer: T::Long) -> bool;
+    /// An attempt's request is about to be written: earlier attempts that it takes the place of end.
+    fn attempt_goes(&self, _id: &RequestId, _number: usize) {}
 }
 
 /// A kind of traffic: what goes on to its servers, and what comes back.
@@ -49,6 +51,10 @@
     fn stops_when_gone(_forward: &Self::Forward) -> bool {
         false
     }
+    /// Whether an attempt at a silent server goes on until another one is written: with no other, its answer still counts.
+    fn outlasts_cancel(_forward: &Self::Forward) -> bool {
+        false
+    }
 }
 
 /// Where the shared counts live: an amount is added to a named count in one step, and its total comes back.
