--- a/crates/scout/src/registry/current.rs
+++ b/crates/scout/src/registry/current.rs
@@ -92,7 +92,9 @@
     pub(super) fn confirm(&self, now: Micros, peer: Peer, asked: Micros) -> Option<Output> {
         let left = self.lease.until.saturating_sub(now);
         let (epoch, digest) = (self.fence.epoch(now).0, self.realms[0].digest());
-        (left > 0).then_some(Output::Say(peer, Speech::Confirmed { asked, epoch, digest, left }))
+        // Danger: a part of an operator's call is no configuration to start with.
+        let whole = !self.partial.withheld(now);
+        (left > 0 && whole).then_some(Output::Say(peer, Speech::Confirmed { asked, epoch, digest, left }))
     }
 
     /// Tells the proxies at once when it has become current, or is so no more: who starts waits for it.
@@ -107,6 +109,6 @@
         }
         let proxies = self.of(Role::Forager);
         out.push(Output::SayAll(proxies.clone(), Speech::Standing(self.standing(now))));
-        out.push(Output::SayAll(proxies, Speech::Digest(self.digests())));
+        self.tell_proxies(proxies, out);
     }
 }
