--- a/crates/forager/src/outlet.rs
+++ b/crates/forager/src/outlet.rs
@@ -140,8 +140,7 @@
             }
             match answer {
                 Ok(Exchanged::Whole(means, response, keep)) => {
-                    let executed = means == Means::Answer && response.status().is_success();
-                    let clean = leaves_nothing(&connection, upload, executed);
+                    let clean = leaves_nothing(&connection, upload);
                     let settled = Settlement::of(means, forward.repeatable, clean);
                     fate.verdict.set(before.and(settled.verdict));
                     match (settled.line, keep) {
@@ -162,7 +161,6 @@
                 }
                 Ok(Exchanged::Long(head, first, rest, keep)) => {
                     fate.verdict.set(Verdict::Ran);
-                    let executed = head.status.is_success();
                     let (answer, ended) = Download::new(first, rest, hosts.common.room.pipe_at_once());
                     if !self.core.upgrade().is_some_and(|core| core.answer_begins(id, number, (head, answer)))
                     {
@@ -170,8 +168,7 @@
                     }
                     return match ended.await {
                         Ok(End::Whole) => {
-                            if let Some(keep) = keep.filter(|_| leaves_nothing(&connection, upload, executed))
-                            {
+                            if let Some(keep) = keep.filter(|_| leaves_nothing(&connection, upload)) {
                                 hosts.pool.give_back(server, connection, generation, keep);
                             }
                             (Outcome::Ok, None)
@@ -277,8 +274,8 @@
 
 /// Whether nothing of a request can be left on its connection behind its answer, which may have come early. Danger: a
 /// server that does not read on takes the rest of a body for the next request.
-fn leaves_nothing(connection: &Connection, upload: Option<&Rc<Upload>>, executed: bool) -> bool {
-    upload.is_none_or(|upload| upload.whole()) && connection.passage().taken(executed)
+fn leaves_nothing(connection: &Connection, upload: Option<&Rc<Upload>>) -> bool {
+    upload.is_none_or(|upload| upload.whole()) && connection.passage().taken()
 }
 
 /// For how long a connection may stand idle, by what the server says.
--- a/crates/forager/tests/proxy.rs
+++ b/crates/forager/tests/proxy.rs
@@ -82,6 +82,8 @@
         answer("r1", "hello").replace("X-Server-Seal", "Content-Encoding: gzip\r\nX-Server-Seal"),
         answer("r1", "hello").replace("Content-Length: 5", "Content-Length: 50"),
         answer("r1", "hello").replace("Content-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked"),
+        answer("r1", "hello").replace("Content-Length: 5", "Transfer-Encoding: chunkedxyz"),
+        answer("r1", "hello").replace("Content-Length: 5", "Transfer-Encoding: gzip, chunked"),
         "what is this\r\n\r\n".to_string(),
     ];
     for spoilt in odd {
--- a/crates/smoker/src/defects.rs
+++ b/crates/smoker/src/defects.rs
@@ -30,7 +30,7 @@
 }
 
 /// All of them.
-pub const ALL: [Defect; 19] = [
+pub const ALL: [Defect; 20] = [
     defect(Broken::Sync, None, Invariant::Stands, 25),
     defect(Broken::Quorum, None, Invariant::Valid, 0),
     defect(Broken::News, None, Invariant::Applied, 0),
@@ -38,6 +38,7 @@
     defect(Broken::Copies, None, Invariant::Heals, 0),
     defect(Broken::Hold, None, Invariant::Copies, 0),
     defect(Broken::Memory, None, Invariant::NeverBack, 0),
+    defect(Broken::Pieces, None, Invariant::InPart, 0),
     defect(Broken::Units, None, Invariant::Quota, 0),
     defect(Broken::Fence, None, Invariant::OneDuty, 0),
     defect(Broken::Refusal, None, Invariant::Copies, 0),
--- a/crates/smoker/src/faults.rs
+++ b/crates/smoker/src/faults.rs
@@ -1,5 +1,7 @@
 //! What goes wrong by lot: never more at once than is tolerated, and at the worst moments.
 
+use pinerelay_cells::Cells;
+
 use crate::plan::{Broken, Micros, SECOND};
 use crate::process::Proc;
 use crate::trouble::{Trouble, Ways};
@@ -286,11 +288,12 @@
             let short = self.lot.within(SECOND / 5, SECOND);
             match what {
                 0 if self.plan.broken == Some(Broken::Memory) => {
-                    // Its state is lost, and nobody is told that another life began.
+                    // Its state is lost, and nobody is told that another life began: what is in force is nothing.
                     let seen = self.ledger.remembered(proc);
                     self.kill(proc, false);
                     self.start(proc, false);
                     self.ledger.remember(proc, seen);
+                    self.ledger.configured(self.now, proc, &Cells::default(), &mut self.figures);
                     self.net.machines[machine].trouble = self.now;
                 }
                 0 => {
--- a/crates/smoker/src/plan.rs
+++ b/crates/smoker/src/plan.rs
@@ -49,6 +49,8 @@
     Hold,
     /// A proxy forgets all, within one life.
     Memory,
+    /// A proxy puts in force each piece of a configuration that comes.
+    Pieces,
     /// A block holds twice the units that were counted.
     Units,
     /// A duty is taken without the others' promise.
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -330,6 +330,19 @@
                 Output::Proxy(heard) => self.heard(proc, heard),
             }
         }
+        self.put_pieces_in_force(proc);
+    }
+
+    /// The defect of a proxy that puts in force whatever has come.
+    fn put_pieces_in_force(&mut self, proc: Proc) {
+        if self.plan.broken != Some(Broken::Pieces) {
+            return;
+        }
+        let Some(Body::Proxy(hearing)) = &self.procs[proc].body else { return };
+        let items = &hearing.realms()[0];
+        if !items.is_empty() {
+            self.ledger.configured(self.now, proc, items, &mut self.figures);
+        }
     }
 
     fn heard(&mut self, proc: Proc, heard: Heard) {
--- a/crates/traffic/src/http.rs
+++ b/crates/traffic/src/http.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -277,6 +277,15 @@
     match (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING)) {
         (true, true) => false,
         (false, false) => closes() || response.status() == StatusCode::NO_CONTENT,
-        _ => !response.status().is_informational(),
+        (true, false) => !response.status().is_informational(),
+        (false, true) => chunked_alone(headers) && !response.status().is_informational(),
     }
 }
+
+/// Whether a body comes in chunks and in no other coding. Danger: the client library reads a body of a coding that it does
+/// not know up to the connection's end, and what comes is not the body.
+fn chunked_alone(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let chunked = codings.next().is_some_and(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    chunked && codings.next().is_none()
+}
--- a/crates/traffic/src/passage.rs
+++ b/crates/traffic/src/passage.rs
@@ -27,10 +27,10 @@
 impl Passage {
     /// Whether the peer can be taken to have had the whole request before its answer began.
     ///
-    /// The socket's send buffer hides what has left this machine. So the answer either is proof itself (`executed`: the peer
-    /// has carried the request out), or the request fits one segment, or so much time has passed that the slowest link has
-    /// carried all of it.
-    pub fn taken(&self, executed: bool) -> bool {
+    /// The socket's send buffer hides what has left this machine, and an answer proves nothing: a server may answer before it
+    /// has read a body. So either the request fits one segment, or so much time has passed that the slowest link has carried
+    /// all of it.
+    pub fn taken(&self) -> bool {
         let (Some(begun), Some(flushed), Some(answered)) = (self.begun, self.flushed, self.answered) else {
             return false;
         };
@@ -38,6 +38,6 @@
             return false;
         }
         let on_the_way = Duration::from_micros(self.bytes.saturating_mul(1_000_000) / SLOWEST_LINK);
-        executed || self.bytes <= ONE_SEGMENT || answered.duration_since(begun) >= on_the_way
+        self.bytes <= ONE_SEGMENT || answered.duration_since(begun) >= on_the_way
     }
 }
--- a/crates/traffic/tests/passage.rs
+++ b/crates/traffic/tests/passage.rs
@@ -16,25 +16,22 @@
 #[gtest]
 fn a_request_is_taken_once_the_slowest_link_has_carried_it() {
     // 24 kB and a head take 0.097 s at 2 Mbit/s.
-    expect_that!(passage(24_300, 0, 98).taken(false), eq(true));
-    expect_that!(passage(24_300, 0, 97).taken(false), eq(false));
-    expect_that!(passage(60_300, 0, 200).taken(false), eq(false));
-    expect_that!(passage(u64::MAX, 0, 200).taken(false), eq(false));
+    expect_that!(passage(24_300, 0, 98).taken(), eq(true));
+    expect_that!(passage(24_300, 0, 97).taken(), eq(false));
+    expect_that!(passage(60_300, 0, 200).taken(), eq(false));
+    expect_that!(passage(u64::MAX, 0, 200).taken(), eq(false));
 }
 
 #[gtest]
-fn one_segment_and_an_answer_that_shows_that_it_was_carried_out_need_no_time() {
-    expect_that!(passage(ONE_SEGMENT, 0, 0).taken(false), eq(true));
-    expect_that!(passage(ONE_SEGMENT + 1, 0, 0).taken(false), eq(false));
-    expect_that!(passage(60_000, 0, 1).taken(true), eq(true));
+fn one_segment_needs_no_time() {
+    expect_that!(passage(ONE_SEGMENT, 0, 0).taken(), eq(true));
+    expect_that!(passage(ONE_SEGMENT + 1, 0, 0).taken(), eq(false));
 }
 
 #[gtest]
 fn nothing_is_taken_that_had_not_gone_out_when_its_answer_began() {
-    for executed in [false, true] {
-        expect_that!(passage(300, 2, 1).taken(executed), eq(false));
-        expect_that!(Passage { flushed: None, ..passage(300, 0, 500) }.taken(executed), eq(false));
-        expect_that!(Passage { answered: None, ..passage(300, 0, 500) }.taken(executed), eq(false));
-        expect_that!(Passage::default().taken(executed), eq(false));
-    }
+    expect_that!(passage(300, 2, 1).taken(), eq(false));
+    expect_that!(Passage { flushed: None, ..passage(300, 0, 500) }.taken(), eq(false));
+    expect_that!(Passage { answered: None, ..passage(300, 0, 500) }.taken(), eq(false));
+    expect_that!(Passage::default().taken(), eq(false));
 }
