--- a/crates/forager/src/hearing.rs
+++ b/crates/forager/src/hearing.rs
@@ -22,7 +22,7 @@
 const UNCONFIRMED: Micros = 10_000_000;
 /// A gap between two ticks by which the process has stood still: what it did not hear tells nothing.
 const STOOD_STILL: Micros = 700_000;
-/// Items that came in pieces are kept out of the table in force for so long at the most. A proxy that was cut off has longer
+/// Items that came in pieces are kept out of a table in force for so long at the most, but for the first one. A proxy that was cut off has longer
 /// than this, from the moment when it is reached again, to put in force what was acknowledged meanwhile.
 const PARTIAL_FOR: Micros = 1_000_000;
 
@@ -67,6 +67,8 @@
     table: Arc<Table>,
     /// The table holds something that is not in force.
     unpublished: bool,
+    /// A table with routes is in force.
+    serves: bool,
     /// Since when the table may hold a part of an operator's call: items came in pieces, and a registry has not yet told of
     /// the same configuration.
     partial: Option<Micros>,
@@ -101,6 +103,7 @@
             realms: Default::default(),
             table: Arc::default(),
             unpublished: false,
+            serves: false,
             partial: None,
             purse: Purse::new(),
             registries: BTreeMap::new(),
@@ -351,10 +354,11 @@
         }
         let own = self.realms[0].digest();
         let as_told = self.registries.values().any(|registry| registry.digest == Some(own));
-        let partial = self.partial.is_some_and(|since| now < since + PARTIAL_FOR);
+        let partial = self.partial.is_some_and(|since| !self.serves || now < since + PARTIAL_FOR);
         if as_told || !partial {
             self.partial = None;
             self.unpublished = false;
+            self.serves = !self.table.is_empty();
             out.push(Output::Configured(self.table.clone()));
         }
     }
--- a/crates/forager/tests/in_force.rs
+++ b/crates/forager/tests/in_force.rs
@@ -186,6 +186,28 @@
     play.in_force.iter().for_each(|table| check(table));
 }
 
+#[gtest]
+fn the_first_configuration_takes_force_whole_also_where_it_takes_long_to_come() {
+    let mut play = Play::new();
+    // The whole system starts: there is nothing yet, and that is confirmed.
+    let first = std::mem::take(&mut play.registry);
+    play.pulse();
+    while play.deliver() {
+        play.answer();
+    }
+    expect_that!(play.hearing.whole(), eq(true));
+    play.registry = first;
+    play.to_proxy.push(Speech::Digest([play.registry.digest(), 0]));
+    while play.deliver() {
+        play.tick(700 * MILLISECOND);
+        play.answer();
+    }
+    play.in_force.iter().for_each(|table| check(table));
+    play.settle();
+    expect_that!(play.in_force.len(), eq(1));
+    play.in_force.iter().for_each(|table| check(table));
+}
+
 #[gtest]
 fn with_news_of_a_route_before_all_else_nothing_is_in_force() {
     let mut play = Play::new();
