--- /dev/null
+++ b/crates/dance/tests/model/shared.rs
@@ -0,0 +1,96 @@
+//! Values that states share, and what is worked out once.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashMap;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::ops::Deref;
+use std::sync::{Arc, Mutex};
+
+/// A value with its hash beside it: states share what no step has touched.
+pub struct Shared<T>(pub u64, pub Arc<T>);
+
+impl<T: Hash> From<T> for Shared<T> {
+    fn from(value: T) -> Shared<T> {
+        Shared(hash_of(&value), Arc::new(value))
+    }
+}
+
+impl<T> Clone for Shared<T> {
+    fn clone(&self) -> Shared<T> {
+        Shared(self.0, Arc::clone(&self.1))
+    }
+}
+
+impl<T: PartialEq> PartialEq for Shared<T> {
+    fn eq(&self, other: &Shared<T>) -> bool {
+        self.0 == other.0 && (Arc::ptr_eq(&self.1, &other.1) || self.1 == other.1)
+    }
+}
+
+impl<T: Eq> Eq for Shared<T> {}
+
+impl<T> Hash for Shared<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl<T> Deref for Shared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.1
+    }
+}
+
+impl<T: Hash + Clone> Shared<T> {
+    /// Changes it, for this state alone.
+    pub fn change<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
+        let mut value = T::clone(self);
+        let result = change(&mut value);
+        *self = value.into();
+        result
+    }
+}
+
+impl<T: fmt::Debug> fmt::Debug for Shared<T> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.1.fmt(f)
+    }
+}
+
+pub fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What comes of the same once more. Two that differ and have one hash are taken for the same, as states are.
+#[derive(Debug)]
+pub struct Memo<T>(Vec<Mutex<HashMap<u64, T>>>);
+
+impl<T> Default for Memo<T> {
+    fn default() -> Memo<T> {
+        Memo((0..32).map(|_| Mutex::default()).collect())
+    }
+}
+
+/// Another scope's begins empty.
+impl<T> Clone for Memo<T> {
+    fn clone(&self) -> Memo<T> {
+        Memo::default()
+    }
+}
+
+impl<T: Clone> Memo<T> {
+    pub fn of(&self, key: u64, make: impl FnOnce() -> T) -> T {
+        let of = &self.0[key as usize % self.0.len()];
+        if let Some(known) = of.lock().expect("no panic").get(&key) {
+            return known.clone();
+        }
+        let value = make();
+        of.lock().expect("no panic").insert(key, value.clone());
+        value
+    }
+}
