--- a/crates/dance/tests/model/main.rs
+++ b/crates/dance/tests/model/main.rs
@@ -6,6 +6,7 @@
 mod defects;
 mod play;
 mod properties;
+mod replacement;
 mod scope;
 mod searches;
 mod shared;
@@ -15,6 +16,8 @@
 mod world;
 
 use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::hash::Hash;
 use std::time::Instant;
 
 use stateright::{Checker, HasDiscoveries, Model};
@@ -26,13 +29,23 @@
 use crate::walks::{walk, wide};
 
 /// A property's name, and the steps that lead there.
-type Found = (&'static str, Vec<Step>);
+type Found<A = Step> = (&'static str, Vec<A>);
 
 /// What was found, how many states were seen, and to which depth.
 fn search(scope: Scope) -> (Vec<Found>, usize, usize) {
-    let threads = std::thread::available_parallelism().map_or(2, |n| n.get().min(4));
     let depth = scope.depth;
-    let checker = scope
+    explore(scope, depth)
+}
+
+/// The same of any model.
+fn explore<M>(model: M, depth: usize) -> (Vec<Found<M::Action>>, usize, usize)
+where
+    M: Model + Send + Sync + 'static,
+    M::State: Clone + Debug + Hash + PartialEq + Send + Sync,
+    M::Action: Clone + Debug + PartialEq + Send + Sync,
+{
+    let threads = std::thread::available_parallelism().map_or(2, |n| n.get().min(4));
+    let checker = model
         .checker()
         .threads(threads)
         .target_max_depth(depth)
