--- a/crates/dance/tests/model/replacement/scopes.rs
+++ b/crates/dance/tests/model/replacement/scopes.rs
@@ -115,6 +115,7 @@
         a_lost_disk_at_the_pace(more),
         the_proposer_starts_again(more),
         a_lost_disk_and_a_start(more),
+        cut_off_from_all(more),
     ]
 }
 
@@ -285,6 +286,20 @@
     }
 }
 
+fn cut_off_from_all(more: u32) -> Scope {
+    let links = vec![at(0, 2, &[Step::CutOff(C)]), at(4, 11 + more, &[Step::Rejoin(C)])];
+    let there = vec![at(0, 11 + more, &[Step::Call(3), Step::Call(4)])];
+    Scope {
+        meets: vec![REPLACED, BACK, AFTER],
+        ..scope(
+            "one that is cut off from all runs on and is called",
+            4,
+            13 + more,
+            vec![links, there, order(2, 4, 11 + more), losing(4, 7 + more)],
+        )
+    }
+}
+
 /// Each defect with the scope that is to find it, and what it is to break.
 pub fn defects() -> Vec<(Defect, Scope, &'static [&'static str])> {
     vec![
--- a/crates/dance/tests/model/replacement/steps.rs
+++ b/crates/dance/tests/model/replacement/steps.rs
@@ -22,6 +22,11 @@
             Step::Thaw(me) if world.machines[me].frozen => world.machines[me].frozen = false,
             Step::Cut(a, b) => _ = world.cuts.insert((a.min(b), a.max(b))),
             Step::Join(a, b) => return world.cuts.remove(&(a.min(b), a.max(b))),
+            Step::CutOff(me) => {
+                let others = (0..self.cores).filter(|other| *other != me);
+                world.cuts.extend(others.map(|other| (me.min(other), me.max(other))));
+            }
+            Step::Rejoin(me) => world.cuts.retain(|(a, b)| *a != me && *b != me),
             Step::Lose(kind) if world.loses.is_none() => world.loses = Some(kind),
             Step::Call(n) if running(world, self.calls[n].0) && !world.machines[self.calls[n].0].frozen => {
                 self.call(world, n);
--- a/crates/dance/tests/model/replacement/world.rs
+++ b/crates/dance/tests/model/replacement/world.rs
@@ -73,6 +73,9 @@
     Thaw(usize),
     Cut(usize, usize),
     Join(usize, usize),
+    /// All its links are cut.
+    CutOff(usize),
+    Rejoin(usize),
     /// Words of this kind are lost for the next half second.
     Lose(Kind),
     Call(usize),
