--- a/crates/smoker/src/check.rs
+++ b/crates/smoker/src/check.rs
@@ -23,6 +23,9 @@
 /// Within this after all faults all copies are the same.
 pub const HEALED: Micros = 8_000_000;
 
+/// A proxy that starts serves what no registry has confirmed once it was in touch with none that is current for so long.
+pub const UNCONFIRMED: Micros = 10 * SECOND;
+
 /// Something acknowledged that proxies have yet to follow.
 struct Due<T> {
     at: Micros,
@@ -127,13 +130,24 @@
         Some(format!("{key:?} at {version}, acknowledged at {:.3} s", *at as f64 / 1e6))
     }
 
-    /// A proxy calls its configuration whole.
-    pub fn whole(&mut self, now: Micros, proc: Proc, cells: &Cells) {
+    /// A proxy serves a configuration that a registry has confirmed as current.
+    pub fn confirmed(&mut self, now: Micros, proc: Proc, cells: &Cells) {
         if let Some(what) = self.lacks(now.saturating_sub(CONTACT), cells) {
             self.broken(Invariant::NeverOld, format!("proxy {proc} is whole without {what}"));
         }
     }
 
+    /// A proxy begins to serve a configuration that no registry has confirmed, after so long in which it ran and was in touch
+    /// with no current registry. After less than `UNCONFIRMED` it may not, be its configuration old or not.
+    pub fn unconfirmed(&mut self, proc: Proc, alone: Micros) {
+        if alone < UNCONFIRMED {
+            let alone = alone as f64 / 1e6;
+            let what =
+                format!("proxy {proc} serves unconfirmed after {alone:.3} s without a current registry");
+            self.broken(Invariant::Unconfirmed, what);
+        }
+    }
+
     /// A read has been answered; `floor` had been acknowledged before it.
     pub fn read(&mut self, floor: &BTreeMap<Key, u64>, text: &str, orders: &Orders) {
         let Ok(stands) = call::read(format!("{{\"upsert\":{text}}}").as_bytes()) else {
--- a/crates/smoker/src/defects.rs
+++ b/crates/smoker/src/defects.rs
@@ -30,7 +30,7 @@
 }
 
 /// All of them.
-pub const ALL: [Defect; 20] = [
+pub const ALL: [Defect; 22] = [
     defect(Broken::Sync, None, Invariant::Stands, 25),
     defect(Broken::Quorum, None, Invariant::Valid, 0),
     defect(Broken::News, None, Invariant::Applied, 0),
@@ -51,6 +51,8 @@
     defect(Broken::Answers, Some("whose-answer"), Invariant::WhoseAnswer, 0),
     defect(Broken::Whole, None, Invariant::NeverOld, 0),
     defect(Broken::Leases, Some("lease-handed-on"), Invariant::NeverOld, 0),
+    defect(Broken::Confirmations, None, Invariant::Unconfirmed, 0),
+    defect(Broken::Haste, Some("cut-off-core"), Invariant::Unconfirmed, 0),
 ];
 
 /// What is broken under this name.
--- a/crates/smoker/src/lib.rs
+++ b/crates/smoker/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`world::play`] plays it, checks the invariants all the while, and tells the figures or what was broken, and when.
 
 pub mod check;
+pub mod contact;
 pub mod defects;
 pub mod disk;
 pub mod faults;
--- a/crates/smoker/src/links.rs
+++ b/crates/smoker/src/links.rs
@@ -73,9 +73,10 @@
             }
             _ => None,
         };
-        let news = match &speech {
+        let unsaid = match &speech {
             Speech::News(_) => broken == Some(Broken::News),
             Speech::Mend { items, .. } => !items.is_empty() && broken == Some(Broken::News),
+            Speech::Confirmed { .. } => broken == Some(Broken::Confirmations),
             _ => false,
         };
         let said = Rc::new(speech);
@@ -86,7 +87,7 @@
                 continue;
             }
             let other = self.net.connections[connection].ends[1 - end].0;
-            if news && self.places.role(other) == Role::Forager {
+            if unsaid && self.places.role(other) == Role::Forager {
                 continue;
             }
             let way = [self.places.machine(proc), self.places.machine(other)];
--- a/crates/smoker/src/look.rs
+++ b/crates/smoker/src/look.rs
@@ -33,6 +33,7 @@
                 self.figures.gaps.push(self.now - since);
             }
         }
+        self.look_at_contacts();
         if self.now.is_multiple_of(5 * LOOK) {
             let proxies = proxies(self.places, &self.procs, &self.net);
             let (core, halted) = (self.faults.core_trouble(self.now), self.faults.halted);
--- a/crates/smoker/src/plan.rs
+++ b/crates/smoker/src/plan.rs
@@ -75,6 +75,10 @@
     Whole,
     /// Who is asked whether it is current hands on a whole lease, and not what is left of its own.
     Leases,
+    /// No registry's confirmation comes to a proxy.
+    Confirmations,
+    /// A proxy's clock goes so fast that it soon serves what nobody has confirmed.
+    Haste,
 }
 
 /// A play.
--- a/crates/smoker/src/process.rs
+++ b/crates/smoker/src/process.rs
@@ -22,6 +22,9 @@
 /// How often servers tell of themselves.
 pub const HEARTBEAT: Micros = 1_500_000;
 
+/// So many times too fast goes a clock that is hasty. From tick to tick that is less than a standstill.
+const HASTE: u64 = 8;
+
 /// Which process is where.
 #[derive(Debug, Clone, Copy)]
 pub struct Places {
@@ -309,6 +312,15 @@
     pub busy: bool,
 }
 
+/// By what right a proxy serves its configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Basis {
+    /// A registry has confirmed it as current.
+    Confirmed,
+    /// No registry was current for so long that it serves what it has.
+    Unconfirmed,
+}
+
 /// A process, or where one was.
 #[derive(Default)]
 pub struct Process {
@@ -330,16 +342,18 @@
     pub dials: BTreeMap<Proc, Dial>,
     /// The table in force, of a proxy.
     pub table: Option<Arc<Table>>,
-    /// Whether it has called its configuration whole, of a proxy.
-    pub whole: bool,
+    /// By what right it serves its configuration, of a proxy; none: it does not serve yet.
+    pub basis: Option<Basis>,
     /// Its last call from outside.
     pub last_call: u64,
+    /// Its clock goes too fast, where that is put in.
+    pub hasty: bool,
 }
 
 impl Process {
     /// Its own clock: a proxy's is the time of day at its begin, and all go on steadily.
     pub fn clock(&self, now: Micros) -> Micros {
         let from = if matches!(self.body, Some(Body::Proxy(_))) { self.wall * SECOND } else { 0 };
-        from + now - self.begun
+        from + (now - self.begun) * if self.hasty { HASTE } else { 1 }
     }
 }
--- a/crates/smoker/tests/scenarios.rs
+++ b/crates/smoker/tests/scenarios.rs
@@ -27,6 +27,15 @@
     expect_that!(figures.times.get("proxies killed"), some(gt(&6)));
 }
 
+/// A proxy starts beside a cut core ten seconds before the cut ends, and serves what nobody has confirmed just after.
+#[gtest]
+fn who_was_in_touch_with_no_current_registry_for_ten_seconds_serves_unconfirmed() {
+    for seed in [119, 238, 242] {
+        let figures = plays("cut-off-core", seed..seed + 1);
+        expect_that!(figures.times.get("served unconfirmed"), some(eq(&1)), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn a_proxy_that_starts_while_leases_run_out_is_not_whole_with_what_is_old() {
     let figures = plays("lease-handed-on", 0..12);
