--- a/crates/smoker/src/contact.rs
+++ b/crates/smoker/src/contact.rs
@@ -97,7 +97,20 @@
         let blocked = self.net.blocked(here, there).max(self.net.blocked(there, here));
         let held_up = blocked.max(line.held[0]).max(line.held[1]).max(self.procs[other].frozen) > self.now;
         let clock = self.procs[other].clock(self.now);
-        matches!(&self.procs[other].body, Some(Body::Scout(registry)) if !held_up && registry.is_current(clock))
+        let Some(Body::Scout(registry)) = &self.procs[other].body else { return false };
+        !held_up && (self.reaches_quorum(there) || registry.is_current(clock))
+    }
+
+    /// Whether a machine's registry can have its configuration confirmed, whatever it and the stores make of that: stores of a
+    /// quorum run, and nothing is cut between their machines and this one.
+    fn reaches_quorum(&self, machine: usize) -> bool {
+        let voters = self.voting_machines();
+        let reached = voters.iter().filter(|voter| {
+            let store = &self.procs[self.places.store(**voter)];
+            let blocked = self.net.blocked(machine, **voter).max(self.net.blocked(**voter, machine));
+            store.body.is_some() && store.frozen.max(blocked) <= self.now
+        });
+        reached.count() > voters.len() / 2
     }
 
     /// Judges what a proxy serves, whenever that changes: confirmed, or by its rule for when no registry is current.
--- a/crates/smoker/src/orders.rs
+++ b/crates/smoker/src/orders.rs
@@ -242,6 +242,11 @@
                 self.voting = membership;
             }
         }
+        self.voting_machines()
+    }
+
+    /// The machines whose stores vote, by the newest word that was looked at.
+    pub fn voting_machines(&self) -> Vec<usize> {
         let machine = |ip: String| Some(self.places.machine(self.places.at(&ip, Role::Comb)?));
         self.voting.names().into_iter().filter_map(machine).collect()
     }
