--- a/crates/scout/src/registry.rs
+++ b/crates/scout/src/registry.rs
@@ -359,9 +359,14 @@
                 }
             }
             (Role::Comb, Speech::Confirmed { asked, epoch, digest, left }) => {
-                let until = asked.saturating_add(left.min(CURRENT));
-                if asked <= now && now < until {
-                    self.confirmed(peer, epoch, digest, until);
+                // Duties have time for a store's whole word behind what is left of it: `JOINT` counts on twice `CURRENT`.
+                let acts_until = asked.saturating_add(CURRENT);
+                if asked <= now && now < acts_until {
+                    self.fence.confirmed(epoch, acts_until);
+                }
+                let current_until = asked.saturating_add(left.min(CURRENT));
+                if asked <= now && now < current_until {
+                    self.confirmed(peer, digest, current_until);
                 }
             }
             (Role::Forager, Speech::Confirm(asked)) => out.extend(self.confirm(now, peer, asked)),
--- a/crates/scout/src/registry/current.rs
+++ b/crates/scout/src/registry/current.rs
@@ -82,8 +82,7 @@
     }
 
     /// A store has confirmed that its copy, which came to this digest, is current until then.
-    pub(super) fn confirmed(&mut self, peer: Peer, epoch: u64, digest: u64, until: Micros) {
-        self.fence.confirmed(epoch, until);
+    pub(super) fn confirmed(&mut self, peer: Peer, digest: u64, until: Micros) {
         self.lease.confirmed.insert(peer, (digest, until));
         self.look();
     }
