Sight: voters heard against the quorum, and what each proxy has in force

Cause: neither log nor metric told a missing quorum from a late machine, nor a proxy without a table from one with a table of nothing. No logic changes. Measured: tests of exporter, store, consensus pass; lints clean.

--- a/crates/config-state/src/routing_table.rs
+++ b/crates/config-state/src/routing_table.rs
@@ -142,6 +142,11 @@
         self.tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name)).ok()
     }
 
+    /// The number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(|routes| routes.len()).sum()
+    }
+
     /// The route of a request: the longest matching prefix of its host. `host` may carry a port.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let with_port = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -8,8 +8,8 @@
 use pinerelay_config_state::server::Server;
 use pinerelay_config_state::{Item, ItemSet, Key, Kind};
 use pinerelay_consensus::{
-    Input, Membership, Message, Micros, Output as StoreOutput, PersistentState, Reply, Request, RequestId,
-    StateChange, Store, StoreConfig,
+    Input, Membership, Message, Micros, Output as StoreOutput, PersistentState, QuorumHealth, Reply, Request,
+    RequestId, StateChange, Store, StoreConfig,
 };
 use pinerelay_peer_link::link::{ConnectionId, KEEPALIVE_INTERVAL};
 use pinerelay_peer_link::message::{
@@ -100,6 +100,8 @@
     /// Writes that have not ended.
     open_writes: usize,
     sent_status: Option<Status>,
+    /// How many voters were heard when that was logged last.
+    logged_health: QuorumHealth,
     next_keepalive: Micros,
     last_tick: Micros,
     /// When the process went on after its last stall.
@@ -142,6 +144,7 @@
             last_call: 0,
             open_writes: 0,
             sent_status: None,
+            logged_health: QuorumHealth::default(),
             next_keepalive: 0,
             last_tick: 0,
             resumed_at: None,
@@ -212,6 +215,7 @@
         }
         self.next_keepalive = now + KEEPALIVE_INTERVAL.as_micros() as Micros;
         self.send_status(self.status(now), out);
+        self.log_quorum_health(now);
         out.push(Output::Broadcast(self.connections_of(Role::ConfigStore), PeerMessage::KeepAlive));
         self.write_runtime_items(now, out);
     }
@@ -364,13 +368,30 @@
         has_new
     }
 
+    /// Logs how many of the voters are heard, if that has changed.
+    fn log_quorum_health(&mut self, now: Micros) {
+        let health = self.store.quorum_health(now);
+        if self.logged_health == health {
+            return;
+        }
+        self.logged_health = health;
+        let QuorumHealth { voters, heard, needed } = health;
+        let level = if health.has_quorum() { log::Level::Info } else { log::Level::Warn };
+        log::log!(level, "hears {heard} of {voters} voters, {needed} are a quorum");
+    }
+
     /// Metrics of the store.
     pub fn metrics(&self) -> Vec<Metric> {
+        let health = self.store.quorum_health(self.last_tick);
         let is_complete = self.sent_status.as_ref().is_some_and(|status| status.is_complete);
         vec![
             Metric::new("config_store_items", self.store.items().len() as f64),
             Metric::flag("config_store_complete", self.store.is_complete()),
             Metric::flag("config_store_complete_reported", is_complete),
+            Metric::new("config_store_voters", health.voters as f64),
+            Metric::new("config_store_voters_heard", health.heard as f64),
+            Metric::new("config_store_quorum", health.needed as f64),
+            Metric::new("config_store_spare_voters", health.spare_voters() as f64),
             Metric::new("config_store_open_writes", self.open_writes as f64),
             Metric::new("config_store_open_calls", self.calls.len() as f64),
             Metric::new("config_store_calls_total", self.last_call as f64),
--- a/crates/consensus/src/failure_detector.rs
+++ b/crates/consensus/src/failure_detector.rs
@@ -81,6 +81,13 @@
         alive.map(|(name, _)| name.clone())
     }
 
+    /// Whether a member has been heard lately, with the disk with which it votes.
+    pub fn hears(&self, now: Micros, member: &Member) -> bool {
+        self.peers.get(&member.name).is_some_and(|peer| {
+            peer.incarnation == Some(member.incarnation) && now < peer.last_heartbeat + FAILURE_TIMEOUT
+        })
+    }
+
     /// The members that should vote, if others than these. A store that has lost its disk votes with its new incarnation, and
     /// one that has failed gives way to another that is there. One member changes at a time.
     pub fn replacement(&self, now: Micros, members: &[Member]) -> Option<Vec<Member>> {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -28,6 +28,7 @@
 pub use message::{Ballot, Batch, Member, Membership, Message, StoreName};
 pub use persistent_state::{PersistentState, StateChange};
 pub use proposer::{Reply, Request, RequestId};
+pub use quorum::QuorumHealth;
 pub use store::{Input, Output, Store, StoreConfig};
 
 /// Time in microseconds. Zero is an arbitrary moment, the same for all calls of one state machine.
--- a/crates/consensus/src/store.rs
+++ b/crates/consensus/src/store.rs
@@ -9,6 +9,7 @@
 use crate::message::{Ballot, Batch, Member, Membership, Message, StoreName};
 use crate::persistent_state::{PersistentState, StateChange};
 use crate::proposer::{Action, Proposer, Reply, Request, RequestId};
+use crate::quorum::{quorum_size, QuorumHealth};
 use crate::Micros;
 
 mod lease;
@@ -244,6 +245,21 @@
         self.lease.left(now)
     }
 
+    /// How many of the voting stores are there.
+    pub fn quorum_health(&self, now: Micros) -> QuorumHealth {
+        let members = &self.membership.members;
+        let own_incarnation = self.acceptor.incarnation();
+        let is_heard = |member: &&Member| {
+            let is_self = member.name == self.config.name && own_incarnation == Some(member.incarnation);
+            is_self || self.failure_detector.hears(now, member)
+        };
+        QuorumHealth {
+            voters: members.len(),
+            heard: members.iter().filter(is_heard).count(),
+            needed: quorum_size(&self.membership, self.config.tolerated_losses),
+        }
+    }
+
     /// The stores that it has to reach: those that vote, and its seeds.
     pub fn peers(&self) -> Vec<StoreName> {
         let names = self.membership.names().into_iter().chain(self.config.seeds.clone());
--- a/crates/exporter/tests/alerts.rs
+++ b/crates/exporter/tests/alerts.rs
@@ -64,6 +64,24 @@
             "core_without_majority",
             ("registry_majority", steps(&[(1.0, 3), (0.0, 5), (1.0, 4)]), 0, steps(&[(1.0, 12)])),
         ),
+        (
+            "quorum_lost",
+            (
+                "config_store_spare_voters",
+                steps(&[(1.0, 3), (-1.0, 5), (1.0, 4)]),
+                4,
+                steps(&[(1.0, 3), (-1.0, 2), (0.0, 5), (1.0, 4)]),
+            ),
+        ),
+        (
+            "no_spare_voter",
+            (
+                "config_store_spare_voters",
+                steps(&[(1.0, 3), (0.0, 20), (2.0, 4)]),
+                30,
+                steps(&[(1.0, 3), (0.0, 12), (1.0, 4)]),
+            ),
+        ),
         (
             "store_incomplete",
             (
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -68,7 +68,13 @@
 
 fn request_metrics(handler: &RequestHandler) -> Vec<Metric> {
     let counts = &handler.counts;
-    let mut metrics = Vec::new();
+    let in_force = handler.routing_table();
+    let mut metrics = vec![
+        Metric::flag("proxy_configured", in_force.is_some()),
+        Metric::new("proxy_routes", in_force.as_ref().map_or(0, |table| table.route_count()) as f64),
+        Metric::new("proxy_tenants", in_force.as_ref().map_or(0, |table| table.tenants().len()) as f64),
+        Metric::new("proxy_configurations_total", counts.configurations.get() as f64),
+    ];
     for (status, count) in counts.statuses.borrow().iter() {
         metrics.push(Metric::new(format!("proxy_answers_total{{status=\"{status}\"}}"), *count as f64));
     }
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -83,6 +83,8 @@
     pub deferred: Cell<u64>,
     /// Requests beyond quota that were rejected without one.
     pub rejected_without_time: Cell<u64>,
+    /// Routing tables that were put in force.
+    pub configurations: Cell<u64>,
     /// Requests that were not sent, by the check that they failed.
     pub violations: RefCell<BTreeMap<&'static str, u64>>,
 }
@@ -159,8 +161,15 @@
         })
     }
 
+    /// The routing table in force.
+    pub(crate) fn routing_table(&self) -> Option<Arc<RoutingTable>> {
+        self.table.load_full()
+    }
+
     /// Puts a routing table in force.
     pub fn set_routing_table(&self, table: Arc<RoutingTable>) {
+        increment(&self.counts.configurations);
+        log::info!("puts {} routes and {} tenants in force", table.route_count(), table.tenants().len());
         self.room.lengthen(table.limits.max_body_bytes);
         self.servers.set_max_connections(table.services.values());
         self.table.store(Some(table));
