Twice the tolerated losses and one more vote; nothing is no complete configuration

Cause: an update needs one copy more than may be lost, and the voters were those that the seeds name: three. For two losses that is all three, so one voter that is away left no quorum to write, read or repair with. And a proxy that was told that there is nothing took what came next for complete. Change: stores join the voters until there are 2 x tolerate.machines + 1; all changes of names that are due are one; proxies link to all voters. Without an item a proxy is not complete.

--- a/crates/consensus/src/failure_detector.rs
+++ b/crates/consensus/src/failure_detector.rs
@@ -1,4 +1,4 @@
-//! Which stores are there, by their heartbeats, and which of them should vote in place of one that is not.
+//! Which stores are there, by their heartbeats, and which of them should vote.
 
 use std::collections::BTreeMap;
 
@@ -15,6 +15,8 @@
 const EQUAL_WITHIN: Micros = 1_200_000;
 /// A store that has been there for longer is taken even if its replica differs: what it lacks comes with the change.
 const REPLICA_PATIENCE: Micros = 1_500_000;
+/// Where fewer stores are there than members are missing, one that has been there for so long joins all the same.
+const PATIENCE: Micros = 5_000_000;
 /// A gap between two ticks after which the process has stalled: what it did not hear meanwhile tells nothing.
 const STALL: Micros = 700_000;
 
@@ -88,40 +90,83 @@
         })
     }
 
-    /// The members that should vote, if others than these. A store that has lost its disk votes with its new incarnation, and
-    /// one that has failed gives way to another that is there. One member changes at a time.
-    pub fn replacement(&self, now: Micros, members: &[Member]) -> Option<Vec<Member>> {
-        let renewed = self.renewed_member(now, members);
-        let (index, by) = renewed.or_else(|| self.failed_member(now, members))?;
-        let mut next = members.to_vec();
-        next[index] = by;
-        next.sort();
-        Some(next)
+    /// The members that should vote, if others than these. A store that has lost its disk votes with its new incarnation, one
+    /// that has failed gives way to another that is there, and others join until there are as many members as wanted.
+    ///
+    /// All that is known to be due is one change: the next change of names has to wait, and further members may be lost
+    /// meanwhile.
+    pub fn next_members(&self, now: Micros, members: &[Member], wanted: usize) -> Option<Vec<Member>> {
+        self.with_new_disks(now, members).or_else(|| self.with_spares(now, members, wanted))
     }
 
-    /// A member whose disk was lost and that is back: its index, and the member that it is now.
-    fn renewed_member(&self, now: Micros, members: &[Member]) -> Option<(usize, Member)> {
-        let others = members.iter().enumerate().filter(|(_, member)| member.name != self.own_name);
-        others.into_iter().find_map(|(index, member)| {
-            let peer = self.peers.get(&member.name).filter(|peer| peer.is_ready(now))?;
-            let incarnation = peer.incarnation.filter(|incarnation| *incarnation != member.incarnation)?;
-            Some((index, Member { name: member.name.clone(), incarnation }))
-        })
+    /// The members, those whose disk was lost and that are back with their new incarnations; `None` if there are none.
+    fn with_new_disks(&self, now: Micros, members: &[Member]) -> Option<Vec<Member>> {
+        let renewed = members.iter().map(|member| self.renewed_member(now, member));
+        let next: Vec<Member> =
+            renewed.zip(members).map(|(renewed, member)| renewed.unwrap_or(member.clone())).collect();
+        (next != members).then_some(next)
+    }
+
+    /// The member that a store has become by the loss of its disk.
+    fn renewed_member(&self, now: Micros, member: &Member) -> Option<Member> {
+        let peer = self.peers.get(&member.name).filter(|peer| peer.is_ready(now))?;
+        let incarnation = peer.incarnation.filter(|incarnation| *incarnation != member.incarnation)?;
+        Some(Member { name: member.name.clone(), incarnation })
+    }
+
+    /// The members, with spare stores in place of those that have failed and as further ones; `None` if there is no change.
+    fn with_spares(&self, now: Micros, members: &[Member], wanted: usize) -> Option<Vec<Member>> {
+        if members.iter().any(|member| self.is_suspected(now, member)) {
+            return None;
+        }
+        let failed = members.iter().filter(|member| self.has_failed(now, member)).count();
+        let missing = wanted.saturating_sub(members.len());
+        let mut spares = self.spares(now, members);
+        if spares.len() < failed + missing {
+            // Those that are there replace what has failed; what is still missing may be about to come.
+            let replacing = spares.len().min(failed);
+            let patient =
+                spares.split_off(replacing).into_iter().filter(|(_, since)| now >= since + PATIENCE);
+            spares.extend(patient.collect::<Vec<_>>());
+        }
+        let mut spares = spares.into_iter().map(|(member, _)| member);
+        let replace = |member: &Member| {
+            let spare = if self.has_failed(now, member) { spares.next() } else { None };
+            spare.unwrap_or(member.clone())
+        };
+        let mut next: Vec<Member> = members.iter().map(replace).collect();
+        next.extend(spares.take(missing));
+        next.sort();
+        (next != members).then_some(next)
     }
 
-    /// A member that has failed: its index, and a store that can replace it.
-    fn failed_member(&self, now: Micros, members: &[Member]) -> Option<(usize, Member)> {
-        let index = members.iter().position(|member| self.has_failed(now, member))?;
+    /// Stores that could vote and do not, each with since when it has been there.
+    fn spares(&self, now: Micros, members: &[Member]) -> Vec<(Member, Micros)> {
         let is_member = |name: &StoreName| members.iter().any(|member| member.name == *name);
-        let mut spares = self.peers.iter().filter(|(name, peer)| {
+        let spares = self.peers.iter().filter(|(name, peer)| {
             peer.is_ready(now) && now >= peer.since + STABLE_AFTER && !is_member(name)
         });
-        let spare = spares.find_map(|(name, peer)| Some((name.clone(), peer.incarnation?)));
-        spare.map(|(name, incarnation)| (index, Member { name, incarnation }))
+        let member = |(name, peer): (&StoreName, &Peer)| {
+            Some((Member { name: name.clone(), incarnation: peer.incarnation? }, peer.since))
+        };
+        spares.filter_map(member).collect()
     }
 
-    fn has_failed(&self, now: Micros, member: &Member) -> bool {
+    /// For how long nothing has been heard of a member; 0 for this store itself.
+    fn silence(&self, now: Micros, member: &Member) -> Micros {
+        if member.name == self.own_name {
+            return 0;
+        }
         let last_heartbeat = self.peers.get(&member.name).map_or(0, |peer| peer.last_heartbeat);
-        member.name != self.own_name && now >= last_heartbeat.max(self.watching_since) + FAILURE_TIMEOUT
+        now.saturating_sub(last_heartbeat.max(self.watching_since))
+    }
+
+    fn has_failed(&self, now: Micros, member: &Member) -> bool {
+        self.silence(now, member) >= FAILURE_TIMEOUT
+    }
+
+    /// Whether a member is silent and may be about to fail.
+    fn is_suspected(&self, now: Micros, member: &Member) -> bool {
+        (INTERRUPTION..FAILURE_TIMEOUT).contains(&self.silence(now, member))
     }
 }
--- a/crates/consensus/src/quorum.rs
+++ b/crates/consensus/src/quorum.rs
@@ -33,6 +33,12 @@
     majority.max((tolerated_losses + 1).min(members))
 }
 
+/// How many members a membership should have at least: with fewer, the losses that the deployment tolerates could leave less
+/// than a quorum, and nothing could be read, written or repaired any more.
+pub fn wanted_members(tolerated_losses: usize) -> usize {
+    2 * tolerated_losses + 1
+}
+
 /// Whether enough members are in a set.
 pub fn is_quorum(
     membership: &Membership,
--- a/crates/consensus/src/store.rs
+++ b/crates/consensus/src/store.rs
@@ -371,7 +371,7 @@
             self.write(change.clone(), Some(AfterWrite::NotifyAcceptor(change)), effects.out);
         }
         self.recover_pending(now, effects);
-        self.replace_member(now, effects);
+        self.change_members(now, effects);
         let observed = self.acceptor.highest_ballot();
         self.proposer.tick(now, self.acceptor.items(), observed, &mut effects.actions);
         if now >= self.next_heartbeat {
--- a/crates/consensus/src/store/replacement.rs
+++ b/crates/consensus/src/store/replacement.rs
@@ -1,8 +1,10 @@
-//! Changes of the membership: a voting store that has lost its disk, or has failed, is replaced.
+//! Changes of the membership: a voting store that has lost its disk, or has failed, is replaced, and others join until the
+//! losses that the deployment tolerates leave a quorum.
 
 use super::{Effects, Store, OWN_REQUEST};
 use crate::message::{Member, Membership, StoreName};
 use crate::proposer::Request;
+use crate::quorum::wanted_members;
 use crate::Micros;
 
 /// After a change of the members' names the next such change waits so long. By then nobody acts by the membership before it,
@@ -36,10 +38,10 @@
 }
 
 impl Store {
-    /// Proposes new members, where a voting store has lost its disk or has failed and another one is there.
-    pub(super) fn replace_member(&mut self, now: Micros, effects: &mut Effects) {
+    /// Proposes new members, where others should vote than do.
+    pub(super) fn change_members(&mut self, now: Micros, effects: &mut Effects) {
         let is_recent = self.has_changed_names_recently(now);
-        let members = self.replacement_members(now).filter(|next| !is_recent || self.has_same_names(next));
+        let members = self.next_members(now).filter(|next| !is_recent || self.has_same_names(next));
         let Some(members) = members else { return self.replacement.reset() };
         let since = self.replacement.take_since(&members).unwrap_or(now);
         if now < since + self.rank() * TURN || self.proposer.is_busy() {
@@ -51,11 +53,13 @@
         self.propose(now, OWN_REQUEST, Request::ChangeMembership(next), effects);
     }
 
-    fn replacement_members(&self, now: Micros) -> Option<Vec<Member>> {
+    fn next_members(&self, now: Micros) -> Option<Vec<Member>> {
         if !self.is_voter() {
             return None;
         }
-        self.failure_detector.replacement(now, &self.membership.members)
+        // At the first start the seeds vote, which may be too few.
+        let wanted = wanted_members(self.config.tolerated_losses);
+        self.failure_detector.next_members(now, &self.membership.members, wanted)
     }
 
     /// Whether the members' names have changed less than [`MEMBERSHIP_CHANGE_INTERVAL`] ago.
--- a/crates/peer-link/src/message.rs
+++ b/crates/peer-link/src/message.rs
@@ -8,9 +8,9 @@
 pub use pinerelay_consensus::store::LEASE_DURATION;
 use pinerelay_consensus::{Membership, Message as ConsensusMessage};
 
-/// The number of registries that a proxy is linked to: those that duties are spread over, of which there are no more, and
-/// others where these are not reached.
-pub const REGISTRIES_PER_PROXY: usize = 3;
+/// The number of registries that a proxy is linked to at least. It is linked to all voters, which duties are spread over, and
+/// to others where fewer voters are reached.
+pub const MIN_REGISTRIES_PER_PROXY: usize = 3;
 
 /// The realm of the configuration's items.
 pub const CONFIG_REALM: u8 = 0;
--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -13,7 +13,7 @@
 use pinerelay_config_state::{Item, ItemSet, Kind};
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{
-    Hello, PeerMessage, RegistryStatus, Role, CONFIG_REALM, LEASE_DURATION, REGISTRIES_PER_PROXY,
+    Hello, PeerMessage, RegistryStatus, Role, CONFIG_REALM, LEASE_DURATION, MIN_REGISTRIES_PER_PROXY,
     RUNTIME_REALM,
 };
 
@@ -144,10 +144,10 @@
         let others = rendezvous_order(&self.own_hello.node, others);
         // A registry that does not answer must not leave it with fewer links than there could be.
         let linked: BTreeSet<&String> = self.registries.values().map(|registry| &registry.hello.ip).collect();
-        let mut wanted: Vec<String> = Vec::new();
-        for ip in voters.iter().copied().chain(others) {
+        let mut wanted: Vec<String> = voters.iter().map(|ip| (*ip).clone()).collect();
+        for ip in others {
             let reached = wanted.iter().filter(|ip| linked.contains(ip)).count();
-            if reached < REGISTRIES_PER_PROXY {
+            if reached < MIN_REGISTRIES_PER_PROXY {
                 wanted.push(ip.clone());
             }
         }
@@ -373,7 +373,8 @@
     /// Checks whether the configuration here is that of a registry whose own is complete and current. A registry that was cut
     /// off with its store is complete, but may be out of date.
     fn check_complete(&mut self, now: Micros) {
-        if self.is_complete {
+        // That there is nothing yet is confirmed at the first start. It says nothing of what comes next, which may be a part.
+        if self.is_complete || self.config_items().is_empty() {
             return;
         }
         let own_digest = self.config_items().digest();
--- a/crates/registry/src/registry/replication.rs
+++ b/crates/registry/src/registry/replication.rs
@@ -8,9 +8,7 @@
 use pinerelay_config_state::server::Server;
 use pinerelay_config_state::Item;
 use pinerelay_peer_link::link::ConnectionId;
-use pinerelay_peer_link::message::{
-    Hello, PeerMessage, Role, CONFIG_REALM, REGISTRIES_PER_PROXY, RUNTIME_REALM,
-};
+use pinerelay_peer_link::message::{Hello, PeerMessage, Role, CONFIG_REALM, RUNTIME_REALM};
 
 use super::{Output, Registry, STATUS_INTERVAL};
 
@@ -118,9 +116,8 @@
     /// Whether a process is a registry that sends its updates to all proxies itself; anti-entropy brings what they miss. A
     /// registry that does not vote has no proxies, and while voters change one that does may not have them yet.
     fn reaches_all_proxies(&self, peer: &Hello) -> bool {
-        let proxies_link_to_all =
-            self.voters.len() <= REGISTRIES_PER_PROXY && !self.duties.is_joint(self.last_tick);
-        peer.role == Role::Registry && proxies_link_to_all && self.voters.contains(&peer.ip)
+        let is_settled = !self.duties.is_joint(self.last_tick);
+        peer.role == Role::Registry && is_settled && self.voters.contains(&peer.ip)
     }
 
     pub(super) fn on_digests(
