Sight of stalls and lease requests; a failing test of the requests while nobody counts

Cause: with five voters a large core that has lost power is readable again, but its duties come and go: proxies ask for each tenant every 25 ms. No logic changes. Measured: 76,000 lease requests of one proxy in 10 s while its clients sent 289 requests.

--- a/crates/admission/src/lease_cache/tests.rs
+++ b/crates/admission/src/lease_cache/tests.rs
@@ -202,3 +202,54 @@
     expect_that!(cache.tick(500_000 + super::tenant::WAIT_TIMEOUT), len(eq(1)), "no count has answered");
     expect_that!(cache.rejections(), eq(RejectionCounts { total: 6, unanswered: 1 }));
 }
+
+// After all machines of a large core had lost power, registries had their duties back within 0.4 s ("acts for 6 of 16
+// slices"), lost them 2.5 s later and did not get them back for good: 285 proxies asked for each of 190 tenants again every
+// 25 ms, whether a client had asked or not, and the registries had a third of a processor. Three of four requests were
+// rejected as long as the clients went on.
+#[gtest]
+fn while_nobody_counts_leases_are_requested_no_more_often_than_clients_ask() {
+    const TENANTS: usize = 190;
+    const TICK: Micros = 25_000;
+    const SECONDS: Micros = 10;
+    let mut cache = LeaseCache::new();
+    let (mut arrivals, mut lease_requests) = (0, 0);
+    for now in (0..SECONDS * 1_000_000).step_by(TICK as usize) {
+        // A client asks every 100 ms, and for each tenant at the start.
+        let due = if now == 0 { TENANTS } else { usize::from(now % 100_000 == 0) };
+        for _ in 0..due {
+            let tenant = format!("t{}", arrivals % TENANTS);
+            cache.admit(now, &tenant, QUOTA, arrivals as RequestId);
+            arrivals += 1;
+        }
+        cache.tick(now);
+        for request in cache.lease_requests(now) {
+            lease_requests += 1;
+            cache.granted(now, now, &request.tenant, LeaseGrant::NotOwner);
+        }
+    }
+    expect_that!(lease_requests, ge(TENANTS), "each tenant is asked for");
+    // While a client's request waits for 0.3 s, its lease may be requested some times.
+    expect_that!(lease_requests, le(5 * arrivals), "of {arrivals} clients' requests");
+}
+
+#[gtest]
+fn a_count_that_is_there_again_is_found_by_the_next_request() {
+    let mut cache = LeaseCache::new();
+    cache.admit(0, "t", QUOTA, 1);
+    let mut now = 0;
+    while now < 5_000_000 {
+        cache.tick(now);
+        for request in cache.lease_requests(now) {
+            cache.granted(now, now, &request.tenant, LeaseGrant::NotOwner);
+        }
+        now += 25_000;
+    }
+    // Its share is spent or was never granted, so the request is rejected; but it brings the lease for those after it.
+    cache.admit(now, "t", QUOTA, 2);
+    let requests = cache.lease_requests(now);
+    expect_that!(requests, len(eq(1)));
+    let grant = LeaseGrant::Units { units: 2.0, duration: 1_000_000, fencing_token: 1, share: 0.1 };
+    cache.granted(now, now, "t", grant);
+    expect_that!(cache.admit(now + 1, "t", QUOTA, 3), eq(Admission::Admitted));
+}
--- a/crates/exporter/src/metric_names.rs
+++ b/crates/exporter/src/metric_names.rs
@@ -107,6 +107,15 @@
         help: "Deregistrations that no other registry confirmed in time",
     },
     KnownMetric { name: "registry_servers_lost_total", help: "Servers that the registry has marked as lost" },
+    KnownMetric { name: "registry_stalls_total", help: "Times that the registry has stood still" },
+    KnownMetric {
+        name: "registry_lease_requests_total",
+        help: "Lease requests of proxies, for one tenant each",
+    },
+    KnownMetric {
+        name: "registry_lease_requests_misdirected_total",
+        help: "Lease requests for tenants that another registry counts",
+    },
     KnownMetric {
         name: "registry_update_age_seconds",
         help: "Time since the registry's state was last equal to that of a store or another registry",
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -229,6 +229,8 @@
         let has_stalled = now > self.last_tick + STALL;
         if now > self.last_tick + CALL_STALL {
             self.resumed_at = Some(now);
+            self.counters.stalls += 1;
+            log::warn!("has stood still for {} ms", (now - self.last_tick) / 1_000);
         }
         self.last_tick = now;
         if has_stalled {
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -179,6 +179,7 @@
         if !requests.iter().all(has_allocator) {
             self.update_allocators(now);
         }
+        self.counters.lease_requests += requests.len() as u64;
         let mut grants = Vec::with_capacity(requests.len());
         for request in requests {
             let grant = self.grant_lease(now, node, &request);
@@ -193,6 +194,7 @@
         let slice = slice_of(&request.tenant);
         let Some(tenant) = self.table.tenant_by_name(&request.tenant) else { return LeaseGrant::NotOwner };
         if !self.duties.holds(now, slice) {
+            self.counters.lease_requests_misdirected += 1;
             return LeaseGrant::NotOwner;
         }
         let quota = quota_of(tenant);
--- a/crates/registry/src/registry/status.rs
+++ b/crates/registry/src/registry/status.rs
@@ -13,6 +13,12 @@
     pub heartbeats: u64,
     /// Heartbeats that were not acknowledged, as no majority was reached.
     pub heartbeats_rejected: u64,
+    /// Gaps between two ticks in which calls and updates waited.
+    pub stalls: u64,
+    /// Lease requests of proxies, for one tenant each.
+    pub lease_requests: u64,
+    /// Those of them for which the duty is not here.
+    pub lease_requests_misdirected: u64,
     pub units_leased: u64,
     /// Lease requests for which no unit was left.
     pub leases_exhausted: u64,
@@ -77,7 +83,8 @@
     pub(super) fn metrics(&self, now: Micros) -> Vec<Metric> {
         let seconds = |duration: Micros| duration as f64 / 1e6;
         let Counters { heartbeats, heartbeats_rejected, units_leased, leases_exhausted, .. } = self.counters;
-        let Counters { deregistrations_rejected, servers_lost, .. } = self.counters;
+        let Counters { deregistrations_rejected, servers_lost, stalls, .. } = self.counters;
+        let Counters { lease_requests, lease_requests_misdirected, .. } = self.counters;
         let pending = self.endpoints.pending_deregistrations();
         let update_age = seconds(now.saturating_sub(self.last_equal));
         vec![
@@ -99,6 +106,9 @@
             Metric::new("registry_duties", self.duties.held_count(now) as f64),
             Metric::new("registry_heartbeats_total", heartbeats as f64),
             Metric::new("registry_calls_forwarded_total", self.calls.total as f64),
+            Metric::new("registry_stalls_total", stalls as f64),
+            Metric::new("registry_lease_requests_total", lease_requests as f64),
+            Metric::new("registry_lease_requests_misdirected_total", lease_requests_misdirected as f64),
             Metric::new("registry_units_leased_total", units_leased as f64),
             Metric::new("registry_leases_exhausted_total", leases_exhausted as f64),
         ]
