Lease requests follow the clients' requests while nobody counts

Cause: while its requests for units fail, a proxy asked for each tenant that it had ever seen each 25 ms. 285 proxies with 190 tenants kept registries that have a third of a processor, and links of 2 Mbit/s, so busy that duties were lost again as soon as they were had, and updates were late behind the answers. Change: such a proxy asks with its clients' requests, once when it begins to spend its share, and each five seconds besides; until it is cut off the pause after a failure doubles. The count works out by itself how a share that it was told of grows, so the quota does not rest on how often that is told.

--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use mountbend::measure::{Bucket, Rate};
+use mountbend::measure::{lot, Bucket, Rate};
 use mountbend::schedule::Schedule;
 
 use super::{Admission, Decision, RequestId};
@@ -26,6 +26,13 @@
 pub(super) const WAIT_TIMEOUT: Micros = 300_000;
 /// After it was told that no unit is left, a proxy asks again no sooner.
 const EXHAUSTED_BACKOFF: Micros = 25_000;
+/// A proxy whose requests fail asks with its clients' requests, and without them once in this time or a quarter less. All
+/// proxies fail at once when nobody counts, for all tenants: their requests must not keep the counts from coming back.
+const PROBE_INTERVAL: Micros = 5_000_000;
+/// The part of that by which probes are spread.
+const PROBE_SPREAD: f64 = 0.25;
+/// How often the pause after a failed request is doubled, before the proxy is cut off.
+const MAX_DOUBLINGS: u32 = 3;
 /// A proxy whose requests have failed for so long is cut off, and spends the share that it was granted last, from its first
 /// failed request on. The count reserves that share from when it last heard the proxy, which is no later, or the proxy reports
 /// what it has spent.
@@ -85,6 +92,14 @@
     share_asked_at: Micros,
     /// Since when lease requests have failed.
     failing_since: Option<Micros>,
+    /// How many have failed in a row.
+    failures: u32,
+    /// Whether a client's request has come since a lease was requested last.
+    has_new_arrival: bool,
+    /// Whether the count was asked, and told what is left, since the share has been spent.
+    has_reported_share: bool,
+    /// When the count is asked without a client's request.
+    probe_at: Micros,
     /// What is there of the share meanwhile.
     share_bucket: Option<Bucket>,
     /// Units that were spent of the share, in all.
@@ -97,6 +112,7 @@
     /// Counts a client's request, and notes the quota in force.
     pub(super) fn count_arrival(&mut self, now: Micros, quota: Quota) {
         self.quota = quota;
+        self.has_new_arrival = true;
         self.demand.add(now, 1.0, RATE_WINDOW);
     }
 
@@ -166,7 +182,8 @@
 
     /// A count has answered. The share counts from when it was requested: by then the count had not granted it to others.
     fn set_share(&mut self, asked_at: Micros, share: f64) {
-        (self.failing_since, self.share_bucket, self.share_spent_lately) = (None, None, 0.0);
+        (self.failing_since, self.failures, self.has_reported_share) = (None, 0, false);
+        (self.share_bucket, self.share_spent_lately) = (None, 0.0);
         (self.share, self.share_asked_at) = (share, asked_at);
     }
 
@@ -200,7 +217,7 @@
         }
         let (units, target) = (self.units(now), self.target_units(now));
         // A proxy whose requests have failed goes on to ask; otherwise it would spend its share for good.
-        let least = if self.failing_since.is_some() { 1.0 } else { 0.0 };
+        let least = if self.is_probe_due(now) { 1.0 } else { 0.0 };
         let waiting = (self.waiting.len() as f64).max(least);
         if waiting == 0.0 && units >= target / 2.0 {
             return 0.0;
@@ -209,6 +226,18 @@
         (waiting + (target - units).round().max(0.0)).max(0.0)
     }
 
+    /// Whether a proxy whose requests have failed asks again, also for no request that waits. What it spends of its share is
+    /// reported with the request that follows; how the rest grows the count knows by itself once it has been told of it.
+    fn is_probe_due(&self, now: Micros) -> bool {
+        let is_unreported = self.is_cut_off(now) && !self.has_reported_share;
+        self.failing_since.is_some() && (self.has_new_arrival || is_unreported || now >= self.probe_at)
+    }
+
+    fn schedule_probe(&mut self, now: Micros) {
+        let spread = lot(&mut now.clone()) * PROBE_SPREAD;
+        self.probe_at = now + (PROBE_INTERVAL as f64 * (1.0 - spread)) as Micros;
+    }
+
     /// The lease request to send now, if any.
     pub(super) fn lease_request(&mut self, now: Micros, tenant: &str) -> Option<LeaseRequest> {
         let wanted = self.wanted_units(now);
@@ -217,6 +246,9 @@
         }
         if wanted >= 1.0 {
             self.requested_at = Some(now);
+            self.has_new_arrival = false;
+            self.has_reported_share = self.is_cut_off(now);
+            self.schedule_probe(now);
         }
         Some(LeaseRequest {
             tenant: tenant.into(),
@@ -233,12 +265,16 @@
     /// A lease request has reached nobody, or nobody who counts for the tenant.
     pub(super) fn request_failed(&mut self, now: Micros) {
         self.requested_at = None;
-        self.not_owner(now);
+        self.failed(now, now);
     }
 
-    fn not_owner(&mut self, now: Micros) {
-        self.backoff_until = now + EXHAUSTED_BACKOFF;
-        self.failing_since.get_or_insert(now);
+    /// A lease request that was made at `asked_at` has failed.
+    fn failed(&mut self, now: Micros, asked_at: Micros) {
+        self.failing_since.get_or_insert(asked_at);
+        // What is spent of the share is reported without delay.
+        let doublings = if self.is_cut_off(now) { 0 } else { self.failures.min(MAX_DOUBLINGS) };
+        self.backoff_until = now + (EXHAUSTED_BACKOFF << doublings);
+        self.failures += 1;
     }
 
     /// Takes the answer to a lease request; returns whether a count has given it.
@@ -266,7 +302,7 @@
                 true
             }
             LeaseGrant::NotOwner => {
-                self.not_owner(now);
+                self.failed(now, now);
                 false
             }
         }
--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -57,12 +57,16 @@
         self.granted_share.max(self.earlier_share)
     }
 
-    /// The most that it may still spend of what it has had of its share so far.
-    fn unspent(&self, quota: Quota) -> f64 {
+    /// The most that it may still spend of what it has had of its share so far. What was left when it asked has grown since.
+    fn unspent(&self, now: Micros, quota: Quota) -> f64 {
+        let balance = max_share_balance(quota, self.share());
         if self.is_missing {
-            self.reserved.min(max_share_balance(quota, self.share()))
+            self.reserved.min(balance)
+        } else if self.share_left > 0.0 {
+            let grown = self.share() * quota.rate * seconds(now.saturating_sub(self.last_request));
+            (self.share_left + grown).min(balance).max(self.share_left)
         } else {
-            self.share_left
+            0.0
         }
     }
 
@@ -133,13 +137,13 @@
     pub fn full(now: Micros, quota: Quota) -> QuotaAllocator {
         let mut allocator = QuotaAllocator::new(now, quota);
         allocator.unknown_shares = 0.0;
-        allocator.level = allocator.capacity(0.0);
+        allocator.level = allocator.capacity(now, 0.0);
         allocator
     }
 
     /// The most that the bucket may hold: the burst without what proxies may have left, and at least one unit.
-    fn capacity(&self, reserved_share: f64) -> f64 {
-        let unspent: f64 = self.lessees.values().map(|lessee| lessee.unspent(self.quota)).sum();
+    fn capacity(&self, now: Micros, reserved_share: f64) -> f64 {
+        let unspent: f64 = self.lessees.values().map(|lessee| lessee.unspent(now, self.quota)).sum();
         (self.quota.burst * (1.0 - reserved_share) - unspent).max(1.0)
     }
 
@@ -166,7 +170,7 @@
         }
         self.unknown_reserved += reserved_share * full_rate * elapsed;
         let rate = self.quota.rate * (1.0 - reserved_share - missing_shares).clamp(0.0, 1.0);
-        self.level = (self.level + rate * elapsed).min(self.capacity(reserved_share));
+        self.level = (self.level + rate * elapsed).min(self.capacity(now, reserved_share));
         reserved_share
     }
 
@@ -250,7 +254,7 @@
         self.has_strangers = has_strangers;
         self.settle(now, proxy, usage);
         let wanted = usage.wanted;
-        self.level = (self.level + usage.returned.max(0.0)).min(self.capacity(reserved_share));
+        self.level = (self.level + usage.returned.max(0.0)).min(self.capacity(now, reserved_share));
         let granted = wanted.max(0.0).min(self.level.max(0.0)).floor();
         self.level -= granted;
         let share = self.grant_share(now, proxy, granted, wanted >= 1.0);
