--- a/crates/meadow/src/cli.rs
+++ b/crates/meadow/src/cli.rs
@@ -65,6 +65,7 @@
         "servers answer long bodies on their head, keep the connection, read on later",
     );
     options.optflag("d", "herd", "all proxies are killed at once, three times, while many tenants ask");
+    options.optflag("l", "disks", "the core has five machines, and two lose their disks at once");
     options.optopt("t", "tenants", "how many tenants ask by turns (300)", "N");
     options.optflag("k", "keep", "leave the gateway running at the end, and print its addresses");
     options.optflag("h", "help", "print this and end");
@@ -92,7 +93,12 @@
             number.ok_or(CommandError::Tenants(text))?
         }
     };
-    let troubles = Troubles { tenants, early: found.opt_present("early"), herd: found.opt_present("herd") };
+    let troubles = Troubles {
+        tenants,
+        early: found.opt_present("early"),
+        herd: found.opt_present("herd"),
+        disks: found.opt_present("disks"),
+    };
     Ok(Command::Play(Duration::from_secs_f64(seconds), troubles, found.opt_present("keep")))
 }
 
@@ -166,39 +172,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use googletest::prelude::*;
-
-    use super::*;
-
-    fn said(args: &[&str]) -> std::result::Result<Command, String> {
-        read(args.iter().map(|a| a.to_string())).map_err(|e| e.to_string())
-    }
-
-    #[gtest]
-    fn options_are_read_and_what_is_odd_is_told() {
-        let none = Troubles::default();
-        let play = |seconds, keep| Ok(Command::Play(Duration::from_secs(seconds), none, keep));
-        let both = Ok(Command::Play(
-            Duration::from_secs(20),
-            Troubles { tenants: 40, early: true, herd: true },
-            false,
-        ));
-        expect_that!(said(&["--early", "--herd", "--tenants", "40"]), eq(&both));
-        expect_that!(said(&[]), eq(&play(20, false)));
-        expect_that!(said(&["--seconds", "8", "--keep"]), eq(&play(8, true)));
-        for bad in ["5", "x", "inf", "nan", "-8"] {
-            let told = said(&[&format!("--seconds={bad}")]);
-            expect_that!(told, err(starts_with("--seconds: a number from 6 to 3600")), "{bad}");
-        }
-        for bad in ["0", "50001", "x"] {
-            let told = said(&[&format!("--tenants={bad}")]);
-            expect_that!(told, err(starts_with("--tenants: a number from 1 to 50000")), "{bad}");
-        }
-        expect_that!(said(&["now"]), err(starts_with("\"now\" is no option")));
-        expect_that!(
-            said(&["--help"]),
-            ok(matches_pattern!(Command::Print(contains_substring("Exit codes"))))
-        );
-    }
-}
+mod tests;
--- a/crates/meadow/src/play.rs
+++ b/crates/meadow/src/play.rs
@@ -18,7 +18,7 @@
 use crate::record::Micros;
 use crate::registration::Plan;
 use crate::server::Server;
-use crate::site::{Class, Process, Site, SiteError, MACHINES};
+use crate::site::{Class, Process, Site, SiteError, MACHINES, MAX_CORES};
 use crate::uploader::Uploader;
 
 /// How long the gateway may take until it is ready, on however slow a machine.
@@ -63,11 +63,23 @@
     pub early: bool,
     /// All proxies are killed at once, again and again, while many tenants ask.
     pub herd: bool,
+    /// The core has five machines, and two lose their disks at once, in place of one of three that loses its processes.
+    pub disks: bool,
+}
+
+impl Troubles {
+    fn cores(self) -> usize {
+        if self.disks {
+            MAX_CORES
+        } else {
+            MACHINES
+        }
+    }
 }
 
 impl Default for Troubles {
     fn default() -> Troubles {
-        Troubles { tenants: operator::CROWD, early: false, herd: false }
+        Troubles { tenants: operator::CROWD, early: false, herd: false, disks: false }
     }
 }
 
@@ -129,13 +141,14 @@
     /// Brings a gateway up with its programs from this folder, and waits until all its proxies are ready.
     pub async fn begin(programs: PathBuf, troubles: Troubles) -> Result<Play, PlayError> {
         let field = Field::new();
-        let site = Site::new(programs)?;
-        let start = |class, program| {
-            (0..MACHINES).map(|n| site.start(class, n, program, true)).collect::<Result<Vec<_>, _>>()
+        let cores = troubles.cores();
+        let site = Site::new(programs, cores)?;
+        let start = |class, program, machines| {
+            (0..machines).map(|n| site.start(class, n, program, true)).collect::<Result<Vec<_>, _>>()
         };
-        let stores = start(Class::Core, "config-store")?;
-        let registries = start(Class::Core, "registry")?;
-        let proxies = start(Class::Edge, "proxy")?;
+        let stores = start(Class::Core, "config-store", cores)?;
+        let registries = start(Class::Core, "registry", cores)?;
+        let proxies = start(Class::Edge, "proxy", MACHINES)?;
         let (servers, early, clients) = Default::default();
         let leaving = Rc::default();
         let mut play = Play { field, site, registries, stores, proxies, servers, early, clients, leaving };
@@ -245,7 +258,11 @@
         sleep_until(at(0.28)).await;
         self.server_crashes().await?;
         sleep_until(at(0.42)).await;
-        self.core_is_lost().await?;
+        if troubles.disks {
+            self.disks_are_lost().await?;
+        } else {
+            self.core_is_lost().await?;
+        }
         sleep(SETTLE).await;
         sleep_until(at(0.64)).await;
         self.proxy_ends().await?;
@@ -317,6 +334,30 @@
         Ok(())
     }
 
+    /// As many machines of the core as is tolerated lose their disks, right after an acknowledgement.
+    async fn disks_are_lost(&mut self) -> Result<(), PlayError> {
+        let lost: Vec<usize> = (0..self.site.tolerated_losses()).collect();
+        if !operator::touch(&self.field, &self.site.controls(), (0, TOUCH_REVISION - 1), INSIST).await {
+            return Err(PlayError::Operator("a tenant's new revision"));
+        }
+        for &n in &lost {
+            self.registries[n].kill();
+            self.stores[n].kill();
+            self.site.lose_disk(n)?;
+        }
+        self.field.say(format!("core machines {lost:?} lost their disks"));
+        sleep(DOWN).await;
+        for &n in &lost {
+            self.stores[n] = self.site.start(Class::Core, n, "config-store", false)?;
+            self.registries[n] = self.site.start(Class::Core, n, "registry", false)?;
+        }
+        self.field.say(format!("core machines {lost:?} are back, with empty disks"));
+        if !operator::touch(&self.field, &self.site.controls(), (1, TOUCH_REVISION - 1), INSIST).await {
+            return Err(PlayError::Operator("a tenant's new revision after two disks were lost"));
+        }
+        Ok(())
+    }
+
     async fn proxy_ends(&mut self) -> Result<(), PlayError> {
         self.field.say("proxy 1 was told to end (SIGTERM)");
         let ended = self.proxies[1].end().await;
--- a/crates/meadow/src/site.rs
+++ b/crates/meadow/src/site.rs
@@ -13,8 +13,12 @@
 
 use crate::field;
 
-/// How many machines there are of each class.
+/// How many machines there are of each class, unless the core is larger.
 pub const MACHINES: usize = 3;
+/// The most machines of the core.
+pub const MAX_CORES: usize = 5;
+/// How many machines of the core the settings name.
+const SEEDS: usize = 3;
 /// The machines' zones.
 const ZONES: [&str; MACHINES] = ["north", "middle", "south"];
 /// The programs.
@@ -63,6 +67,7 @@
     folder: PathBuf,
     programs: PathBuf,
     base: u16,
+    cores: usize,
 }
 
 /// One program on one machine. Dropped, it is killed.
@@ -78,7 +83,7 @@
 
 impl Site {
     /// Finds the programs in a folder, and free ports; makes a folder of its own.
-    pub fn new(programs: PathBuf) -> Result<Site, SiteError> {
+    pub fn new(programs: PathBuf, cores: usize) -> Result<Site, SiteError> {
         for name in PROGRAMS {
             let path = programs.join(name);
             if !path.is_file() {
@@ -90,7 +95,7 @@
         let base = bases.into_iter().find(|&base| free(base)).ok_or(SiteError::Ports)?;
         let folder = std::env::temp_dir().join(format!("meadow-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| SiteError::Io(folder.clone(), e))?;
-        Ok(Site { folder, programs, base })
+        Ok(Site { folder, programs, base, cores })
     }
 
     /// Where settings, data and logs are.
@@ -100,7 +105,22 @@
 
     /// Where servers and the operator call.
     pub fn controls(&self) -> Vec<SocketAddrV4> {
-        (0..MACHINES).map(|n| SocketAddrV4::new(machine(Class::Core, n), self.base + CONTROL)).collect()
+        (0..self.cores).map(|n| SocketAddrV4::new(machine(Class::Core, n), self.base + CONTROL)).collect()
+    }
+
+    /// How many machines of the core may be lost at once.
+    pub fn tolerated_losses(&self) -> usize {
+        (self.cores - 1) / 2
+    }
+
+    fn data_folder(&self, n: usize) -> PathBuf {
+        self.folder.join(format!("data-{n}"))
+    }
+
+    /// The disk of a core machine is lost.
+    pub fn lose_disk(&self, n: usize) -> Result<(), SiteError> {
+        let data = self.data_folder(n);
+        fs::remove_dir_all(&data).map_err(|e| SiteError::Io(data, e))
     }
 
     /// Where clients connect to a proxy.
@@ -127,7 +147,7 @@
     fn settings(&self, class: Class, n: usize, program: &str, first_start: bool) -> String {
         let ip = machine(class, n);
         let ms = |time: Duration| format!("\"{}ms\"", time.as_millis());
-        let seeds: Vec<String> = self.controls().iter().map(|c| format!("\"{c}\"")).collect();
+        let seeds: Vec<String> = self.controls().iter().take(SEEDS).map(|c| format!("\"{c}\"")).collect();
         let listen = match program {
             "proxy" => {
                 format!("public_http = \"{}\"\nreadiness = \"{}\"\n", self.public(n), self.readiness(n))
@@ -142,10 +162,15 @@
         let _ = writeln!(text, "internal_ports = [{}, {}]", self.base + INTERNAL, self.base + INTERNAL_LAST);
         let _ = writeln!(text, "seed_nodes = [{}]\nheartbeat = {}", seeds.join(", "), ms(field::HEARTBEAT));
         if program == "config-store" {
-            let _ = writeln!(text, "data_dir = {:?}", self.folder.join(format!("data-{n}")));
+            let _ = writeln!(text, "data_dir = {:?}", self.data_folder(n));
         }
         let zones: Vec<String> = ZONES.iter().map(|zone| format!("{zone} = \"here\"")).collect();
-        let _ = write!(text, "[zones]\n{}\n[listen]\n{listen}[tolerate]\nmachines = 1\n", zones.join("\n"));
+        let losses = self.tolerated_losses();
+        let _ = write!(
+            text,
+            "[zones]\n{}\n[listen]\n{listen}[tolerate]\nmachines = {losses}\n",
+            zones.join("\n")
+        );
         let _ = write!(
             text,
             "[bounds]\ndrain_timeout = {}\napply = {}\ngrace_period = {}\n\
@@ -174,7 +199,7 @@
         fs::write(&settings, self.settings(class, n, program, first_start))
             .map_err(|e| SiteError::Io(settings.clone(), e))?;
         if program == "config-store" {
-            let data = self.folder.join(format!("data-{n}"));
+            let data = self.data_folder(n);
             fs::create_dir_all(&data).map_err(|e| SiteError::Io(data, e))?;
         }
         let mut logs = File::options();
@@ -194,7 +219,7 @@
 
 /// Whether a block of ports is free on all addresses that are used.
 fn free(base: u16) -> bool {
-    let machines = (0..MACHINES).flat_map(|n| [machine(Class::Core, n), machine(Class::Edge, n)]);
+    let machines = (0..MAX_CORES).flat_map(|n| [machine(Class::Core, n), machine(Class::Edge, n)]);
     machines
         .into_iter()
         .all(|ip| (base..base + PORTS).all(|port| TcpListener::bind(SocketAddrV4::new(ip, port)).is_ok()))
