Lease requests: what fails is noted without a time that nobody needs

Cause: reading the change once more. Change: one parameter fewer, a seed by its name, a constant named by what it is for. Behaviour as before. Measured: tests of admission and consensus pass.

--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -234,7 +234,8 @@
     }
 
     fn schedule_probe(&mut self, now: Micros) {
-        let spread = lot(&mut now.clone()) * PROBE_SPREAD;
+        let mut seed = now;
+        let spread = lot(&mut seed) * PROBE_SPREAD;
         self.probe_at = now + (PROBE_INTERVAL as f64 * (1.0 - spread)) as Micros;
     }
 
@@ -265,12 +266,12 @@
     /// A lease request has reached nobody, or nobody who counts for the tenant.
     pub(super) fn request_failed(&mut self, now: Micros) {
         self.requested_at = None;
-        self.failed(now, now);
+        self.failed(now);
     }
 
-    /// A lease request that was made at `asked_at` has failed.
-    fn failed(&mut self, now: Micros, asked_at: Micros) {
-        self.failing_since.get_or_insert(asked_at);
+    /// A lease request has failed.
+    fn failed(&mut self, now: Micros) {
+        self.failing_since.get_or_insert(now);
         // What is spent of the share is reported without delay.
         let doublings = if self.is_cut_off(now) { 0 } else { self.failures.min(MAX_DOUBLINGS) };
         self.backoff_until = now + (EXHAUSTED_BACKOFF << doublings);
@@ -302,7 +303,7 @@
                 true
             }
             LeaseGrant::NotOwner => {
-                self.failed(now, now);
+                self.failed(now);
                 false
             }
         }
--- a/crates/consensus/src/failure_detector.rs
+++ b/crates/consensus/src/failure_detector.rs
@@ -16,7 +16,7 @@
 /// A store that has been there for longer is taken even if its replica differs: what it lacks comes with the change.
 const REPLICA_PATIENCE: Micros = 1_500_000;
 /// Where fewer stores are there than members are missing, one that has been there for so long joins all the same.
-const PATIENCE: Micros = 5_000_000;
+const PARTIAL_GROWTH_AFTER: Micros = 5_000_000;
 /// A gap between two ticks after which the process has stalled: what it did not hear meanwhile tells nothing.
 const STALL: Micros = 700_000;
 
@@ -125,8 +125,10 @@
         if spares.len() < failed + missing {
             // Those that are there replace what has failed; what is still missing may be about to come.
             let replacing = spares.len().min(failed);
-            let patient =
-                spares.split_off(replacing).into_iter().filter(|(_, since)| now >= since + PATIENCE);
+            let patient = spares
+                .split_off(replacing)
+                .into_iter()
+                .filter(|(_, since)| now >= since + PARTIAL_GROWTH_AFTER);
             spares.extend(patient.collect::<Vec<_>>());
         }
         let mut spares = spares.into_iter().map(|(member, _)| member);
