Tests that fail: a node that stops while the store has not answered keeps its lease

A call that is out when the node is told to stop keeps the lease from being handed back, and nothing asks again.

--- a/crates/decisions/tests/quotas.rs
+++ b/crates/decisions/tests/quotas.rs
@@ -205,6 +205,27 @@
     assert_eq!(call(&n.event(Event::Stopping)), None, "handed back once");
 }
 
+// A node that was told to stop while the store had not answered yet kept its lease, and the customer did without those units
+// until the window ended: "61.186756 units stand there, and nothing comes back" on a busy machine.
+#[test]
+fn a_node_that_stops_while_a_call_is_out_hands_its_lease_back_once_that_is_answered() {
+    // What the node tells the store in all, and what its first call asked for.
+    let told = |stops: bool| {
+        let (mut n, mut counter) = (Node::new(settings(), 4), Counter::default());
+        let (_, actions) = n.ask(0, 1.0);
+        let (_, leased) = call(&actions).expect("a lease");
+        if stops {
+            assert_eq!(call(&n.event(Event::Stopping)), None, "how much is left is not known yet");
+        }
+        let all = settle(&mut n, &mut counter, actions);
+        assert_eq!(sent(&all).len(), 1, "the request that waited is served");
+        let calls = all.iter().filter_map(|action| call(std::slice::from_ref(action)));
+        (calls.map(|(_, amount)| amount).sum::<f64>(), leased)
+    };
+    let ((serving, leased), (stopping, _)) = (told(false), told(true));
+    assert!((stopping - serving - (1.0 - leased)).abs() < 1e-6, "{stopping}, {serving} and {leased}");
+}
+
 #[test]
 fn a_restart_promises_afresh() {
     let mut set = settings();
--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -83,6 +83,28 @@
     assert!(status.success(), "{log}");
 }
 
+/// The store's answer to the first call, and what follows from it, is still on its way when the node is told to stop.
+#[test]
+fn a_lease_is_handed_back_at_the_planned_stop_also_if_the_store_is_late() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (app, redis) = (App::new(), start(&runtime));
+    let file = File::new("late", &redis);
+    let edge = Edge::with(&patient(&app), Some(&file.0));
+    let mut client = edge.client();
+    redis.feel(|mood| mood.late = Duration::from_millis(1_500));
+    serve(&app, &mut client, "p-1");
+    drop(client);
+    edge.terminate();
+    let (mut most, patience) = (0.0f64, Instant::now() + Duration::from_secs(30));
+    while stands(&redis).expect("a count") > most - 0.5 {
+        most = most.max(stands(&redis).expect("a count"));
+        assert!(Instant::now() < patience, "{most} units stand there, and nothing comes back");
+        std::thread::yield_now();
+    }
+    let (status, log) = edge.end();
+    assert!(status.success(), "{log}");
+}
+
 #[test]
 fn sighup_moves_the_node_to_another_redis_with_what_it_holds() {
     let runtime = Runtime::new().expect("a runtime");
