A node that stops hands its leases back once the calls that are out are answered

Cause: at the planned stop leases are handed back once, and not where a call to the store is out; nothing asked again, so the customer did without those units until the window ended. Change: a stopping node hands back whenever a call has been answered, also in the moment of the last use.

--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -220,6 +220,10 @@
             self.count(key, 0.0, out);
         }
         self.serve_waiting(key, out);
+        if self.stopping {
+            // A call was out when the node was told to stop, and its lease could not be handed back then.
+            self.hand_back(0, out);
+        }
     }
 
     /// Lets in what waited for a lease, in order; what still lacks units is deferred.
@@ -239,7 +243,7 @@
     /// Gives back the leases of customers not seen for longer than `idle`.
     pub(super) fn hand_back(&mut self, idle: Micros, out: &mut Vec<Action>) {
         let (now, up) = (self.now, self.counter_up());
-        let spare = |c: &Customer| up && now.saturating_sub(c.used_at) > idle && c.call.is_none();
+        let spare = |c: &Customer| up && now.saturating_sub(c.used_at) >= idle && c.call.is_none();
         let spare = self.customers.iter_mut().filter(|(_, c)| spare(c) && c.lease > c.mean / 2.0);
         let back: Vec<_> = spare.map(|(&key, c)| (key, std::mem::take(&mut c.lease))).collect();
         back.into_iter().for_each(|(key, back)| self.count(key, -back, out));
