--- a/crates/decisions/src/control.rs
+++ b/crates/decisions/src/control.rs
@@ -217,10 +217,7 @@
             Event::Gone { id } => self.close(&id),
             Event::Counted { name, outcome, total } => self.on_counted(name, outcome, total, out),
             Event::Timer { .. } => self.on_tick(out),
-            Event::Stopping => {
-                self.stopping = true;
-                self.hand_back(0, out);
-            }
+            Event::Stopping => self.hand_back(0, out),
             // Danger: what is open must not change its effect in flight. A table that shrank is not taken.
             Event::Retuned { classes, try_limit } if classes.len() >= self.set.classes.len() => {
                 (self.set.classes, self.set.limits.try_limit) = (classes, try_limit);
--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -221,7 +221,6 @@
         }
         self.serve_waiting(key, out);
         if self.stopping {
-            // A call was out when the node was told to stop, and its lease could not be handed back then.
             self.hand_back(0, out);
         }
     }
@@ -240,9 +239,10 @@
         }
     }
 
-    /// Gives back the leases of customers not seen for longer than `idle`.
+    /// Gives back leases unused for `idle`; 0: the node stops, and again after each call that was out meanwhile.
     pub(super) fn hand_back(&mut self, idle: Micros, out: &mut Vec<Action>) {
         let (now, up) = (self.now, self.counter_up());
+        self.stopping |= idle == 0;
         let spare = |c: &Customer| up && now.saturating_sub(c.used_at) >= idle && c.call.is_none();
         let spare = self.customers.iter_mut().filter(|(_, c)| spare(c) && c.lease > c.mean / 2.0);
         let back: Vec<_> = spare.map(|(&key, c)| (key, std::mem::take(&mut c.lease))).collect();
