--- a/crates/decisions/src/control/leases.rs
+++ b/crates/decisions/src/control/leases.rs
@@ -239,7 +239,7 @@
         }
     }
 
-    /// Gives back leases unused for `idle`; 0: the node stops, and again after each call that was out meanwhile.
+    /// Gives back leases unused for `idle`; 0: the node stops, and each call that was out does so again.
     pub(super) fn hand_back(&mut self, idle: Micros, out: &mut Vec<Action>) {
         let (now, up) = (self.now, self.counter_up());
         self.stopping |= idle == 0;
