Store tests: a hand-back may fall into the next minute's window

Cause: the test that failed beside load looks at one count, and a count is for a window of a minute; where the minute ends between the request and the planned stop, the lease goes back to the next count. All seven failures stood at 60 to 65 units, which is the window's last second; six plays at one moment failed together. Change: a play in which a second count comes is void and played again, three times at most; a fall of half a unit in a play that lies within a window is wanted as before.

--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -59,50 +59,65 @@
     assert_eq!(client.answer().status(), 200);
 }
 
-#[test]
-fn leases_are_taken_in_redis_and_handed_back_at_the_planned_stop() {
+/// How many counts there are: one for each window of a minute in which the node has called.
+fn counts(redis: &Redis) -> i64 {
+    match redis.look(&["DBSIZE"]) {
+        Reply::Number(counts) => counts,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A node serves a request and stops. Whether its lease was seen to be handed back; `None` if the window ended meanwhile, so
+/// that it went to the count of the next one.
+fn hands_back(name: &str, late: Duration) -> Option<()> {
     let runtime = Runtime::new().expect("a runtime");
     let (app, redis) = (App::new(), start(&runtime));
-    let file = File::new("stop", &redis);
+    let file = File::new(name, &redis);
     let edge = Edge::with(&patient(&app), Some(&file.0));
     let mut client = edge.client();
+    redis.feel(|mood| mood.late = late);
     serve(&app, &mut client, "p-1");
     drop(client);
     // Beside the lease the node tells what of the filling found the bucket full. The last that it does is to give
-    // the rest of the lease back, 0.9 s after the signal. On a busy machine that may be over before the next look here, so
-    // what stood before the signal counts as well.
+    // the rest of the lease back. On a busy machine that may be over before the next look here, so what stood before the
+    // signal counts as well.
     let mut most = stands(&redis).expect("a count");
     edge.terminate();
     let patience = Instant::now() + Duration::from_secs(30);
-    while stands(&redis).expect("a count") > most - 0.5 {
-        most = most.max(stands(&redis).expect("a count"));
+    loop {
+        let now = stands(&redis).expect("a count");
+        if counts(&redis) > 1 {
+            return None;
+        }
+        if now <= most - 0.5 {
+            break;
+        }
+        most = most.max(now);
         assert!(Instant::now() < patience, "{most} units stand there, and nothing comes back");
         std::thread::yield_now();
     }
     let (status, log) = edge.end();
     assert!(status.success(), "{log}");
+    Some(())
+}
+
+/// A window ends once a minute, so that the next play is over before its end.
+fn hands_back_within_a_window(name: &str, late: Duration) {
+    let seen = (0..3).find_map(|_| hands_back(name, late));
+    assert_eq!(seen, Some(()), "three windows ended one after the other");
+}
+
+// "61.186756 units stand there, and nothing comes back": the lease had been handed back in the second after the minute's
+// window had ended, to another count than the one that was looked at.
+#[test]
+fn leases_are_taken_in_redis_and_handed_back_at_the_planned_stop() {
+    hands_back_within_a_window("stop", Duration::ZERO);
 }
 
 /// The store's answer to the first call, and what follows from it, is still on its way when the node is told to stop.
 #[test]
 fn a_lease_is_handed_back_at_the_planned_stop_also_if_the_store_is_late() {
-    let runtime = Runtime::new().expect("a runtime");
-    let (app, redis) = (App::new(), start(&runtime));
-    let file = File::new("late", &redis);
-    let edge = Edge::with(&patient(&app), Some(&file.0));
-    let mut client = edge.client();
-    redis.feel(|mood| mood.late = Duration::from_millis(1_500));
-    serve(&app, &mut client, "p-1");
-    drop(client);
-    edge.terminate();
-    let (mut most, patience) = (0.0f64, Instant::now() + Duration::from_secs(30));
-    while stands(&redis).expect("a count") > most - 0.5 {
-        most = most.max(stands(&redis).expect("a count"));
-        assert!(Instant::now() < patience, "{most} units stand there, and nothing comes back");
-        std::thread::yield_now();
-    }
-    let (status, log) = edge.end();
-    assert!(status.success(), "{log}");
+    hands_back_within_a_window("late", Duration::from_millis(1_500));
 }
 
 #[test]
