Registry: answers by status, unknown calls, and the first server of each version are told

Cause: a 404 that ended an operator's order left no trace here, so a call that is not there, a slow store and a lost answer looked alike; nor was there a trace of which versions of a service have servers. Change: registry_answers_total by status; one line for a call that is not served, and one for the first server of a version.

--- a/crates/exporter/src/metric_names.rs
+++ b/crates/exporter/src/metric_names.rs
@@ -92,6 +92,7 @@
     KnownMetric { name: "registry_duties", help: "Duties that the registry holds" },
     KnownMetric { name: "registry_heartbeats_total", help: "Heartbeats of servers" },
     KnownMetric { name: "registry_open_calls", help: "Calls from outside that are not answered" },
+    KnownMetric { name: "registry_answers_total", help: "Answers to calls from outside, by status" },
     KnownMetric { name: "registry_calls_forwarded_total", help: "Calls forwarded to a store" },
     KnownMetric { name: "registry_units_leased_total", help: "Quota units leased to proxies" },
     KnownMetric {
--- a/crates/registry/src/registry/endpoints.rs
+++ b/crates/registry/src/registry/endpoints.rs
@@ -17,6 +17,9 @@
 /// Another registry has so long to hold a deregistration: the server waits for a second.
 const REPLICATION_TIMEOUT: Micros = 700_000;
 
+/// So many versions of a service are logged.
+const MAX_LOGGED_VERSIONS: usize = 64;
+
 /// When a server was last heard.
 #[derive(Debug, Clone, Copy)]
 struct LastHeartbeat {
@@ -47,6 +50,8 @@
     pending: BTreeMap<u64, PendingDeregistration>,
     /// Servers whose deregistration another registry holds as well.
     replicated: BTreeSet<String>,
+    /// The versions that the servers of each service have had.
+    versions: BTreeMap<String, BTreeSet<String>>,
     /// No server is lost before. Since a majority has been reached this registry may not have been told of all heartbeats.
     losses_from: Micros,
 }
@@ -60,10 +65,20 @@
             ids_by_key_hash: BTreeMap::new(),
             pending: BTreeMap::new(),
             replicated: BTreeSet::new(),
+            versions: BTreeMap::new(),
             losses_from: now,
         }
     }
 
+    /// Logs the first server of a version.
+    fn note_version(&mut self, server: &Server) {
+        let Server { service, revision, .. } = server;
+        let versions = self.versions.entry(service.clone()).or_default();
+        if versions.len() < MAX_LOGGED_VERSIONS && versions.insert(revision.clone()) {
+            log::info!("service {service} has a first server of version {revision}");
+        }
+    }
+
     /// The number of deregistrations that are not acknowledged yet.
     pub(super) fn pending_deregistrations(&self) -> usize {
         self.pending.len()
@@ -226,7 +241,11 @@
         }
         let (id, now) = (&item.key.name, self.last_tick);
         self.endpoints.ids_by_key_hash.insert(item.key.key_hash(), id.clone());
-        let state = item.value.as_deref().and_then(Server::decode).map(|server| server.state);
+        let server = item.value.as_deref().and_then(Server::decode);
+        if let Some(server) = &server {
+            self.endpoints.note_version(server);
+        }
+        let state = server.map(|server| server.state);
         if state == Some(ServerState::Lost) {
             self.endpoints.lost.entry(id.clone()).or_insert(now);
         } else {
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -36,6 +36,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::call_body::{BodyError, BodyMemory};
+use crate::call_counts::CallCounts;
 use crate::control_call::{self, ControlCall};
 use crate::registry::{Output, Registry, RegistryConfig};
 
@@ -65,6 +66,7 @@
     /// The calls that wait for their answer.
     calls: RefCell<BTreeMap<u64, oneshot::Sender<CallReply>>>,
     last_call: Cell<u64>,
+    call_counts: RefCell<CallCounts>,
     started: Instant,
     is_shutting_down: Cell<bool>,
     this: Weak<RunningRegistry>,
@@ -142,6 +144,7 @@
             settings,
             calls: RefCell::default(),
             last_call: Cell::new(0),
+            call_counts: RefCell::default(),
             started: Instant::now(),
             is_shutting_down: Cell::new(false),
             this: this.clone(),
@@ -217,6 +220,7 @@
         let zone = &self.settings.zone;
         metrics.push(Metric::new(format!("registry_info{{zone=\"{zone}\"}}"), 1.0));
         metrics.push(Metric::new("registry_open_calls", self.calls.borrow().len() as f64));
+        metrics.extend(self.call_counts.borrow().metrics());
         metrics.extend(self.links.metrics(Role::Registry.name()));
         metrics
     }
@@ -233,7 +237,10 @@
         };
         match control_call::parse(head.method.as_str(), head.uri.path(), head.uri.query(), &body) {
             Ok(call) => self.carry_out(call).await,
-            Err(error) => CallReply::error(error.status(), &error.to_string()),
+            Err(error) => {
+                self.call_counts.borrow_mut().note_error(&error);
+                CallReply::error(error.status(), &error.to_string())
+            }
         }
     }
 
@@ -279,6 +286,7 @@
 
     async fn answer(&self, request: Request<Incoming>, _: &Wire) -> Response<ReplyBody> {
         let CallReply { status, body } = self.answer_request(request).await;
+        self.call_counts.borrow_mut().count(status);
         let never: fn(Infallible) -> io::Error = |never| match never {};
         let mut response = Response::new(Full::new(Bytes::from(body)).map_err(never));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
