--- a/crates/compatibility/tests/control_answers.rs
+++ b/crates/compatibility/tests/control_answers.rs
@@ -176,6 +176,7 @@
         hello,
         first_start: true,
         time_of_day: 1_700_000_000,
+        rollouts: Default::default(),
         heartbeat_interval: 1_500_000,
         quota_bounds: QuotaBounds::default(),
         seeds: vec![IP.into()],
--- a/crates/config-state/src/error.rs
+++ b/crates/config-state/src/error.rs
@@ -9,8 +9,10 @@
 pub enum ValidationErrorKind {
     /// It is invalid by itself, or beside what is live.
     Invalid,
-    /// It may be valid, but another content was accepted under the same revision.
+    /// It may be valid, but conflicts with what was accepted before.
     Conflict,
+    /// There is nothing of this name.
+    NotFound,
 }
 
 /// An invalid value in a call.
@@ -32,12 +34,17 @@
         ValidationError { location: location.into(), reason: reason.into(), kind }
     }
 
-    /// A value that conflicts with what was accepted under the same revision.
+    /// A value that conflicts with what was accepted before.
     pub fn conflict(location: impl Into<String>, reason: impl Into<String>) -> ValidationError {
         ValidationError { kind: ValidationErrorKind::Conflict, ..ValidationError::invalid(location, reason) }
     }
 
-    /// Whether another content was accepted under the same revision.
+    /// A name that stands for nothing.
+    pub fn not_found(location: impl Into<String>, reason: impl Into<String>) -> ValidationError {
+        ValidationError { kind: ValidationErrorKind::NotFound, ..ValidationError::invalid(location, reason) }
+    }
+
+    /// Whether it conflicts with what was accepted before.
     pub fn is_conflict(&self) -> bool {
         self.kind == ValidationErrorKind::Conflict
     }
--- a/crates/config-state/src/item.rs
+++ b/crates/config-state/src/item.rs
@@ -19,13 +19,15 @@
     Server,
     /// A node of this system.
     Node,
+    /// Which versions of a service's servers have its requests.
+    Rollout,
 }
 
 impl Kind {
-    /// The kinds that make up the operator's configuration.
-    pub const CONFIG: [Kind; 4] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits];
+    /// The kinds that the stores agree on: the operator's configuration and the rollouts.
+    pub const CONFIG: [Kind; 5] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Rollout];
 
-    /// Whether items of this kind belong to the operator's configuration.
+    /// Whether the stores agree on items of this kind.
     pub fn is_config(self) -> bool {
         Kind::CONFIG.contains(&self)
     }
--- a/crates/config-state/src/lib.rs
+++ b/crates/config-state/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`validation`]: whether an update may be applied on top of what is live.
 //! - [`resources`], [`routing_table`]: routes, tenants and services as the data plane uses them.
 //! - [`server`]: backend servers as they report themselves.
+//! - [`rollout`]: which versions of a service's servers have its requests.
 //! - [`execution`]: whether a request may have been executed.
 //! - [`hash`]: hashes that are equal in every process.
 
@@ -24,6 +25,7 @@
 pub mod operator_call;
 pub mod request_syntax;
 pub mod resources;
+pub mod rollout;
 pub mod routing_table;
 pub mod server;
 pub mod validation;
--- /dev/null
+++ b/crates/config-state/src/rollout/tests.rs
@@ -0,0 +1,166 @@
+use googletest::prelude::*;
+
+use super::*;
+use crate::ItemSet;
+
+const NOW_MS: u64 = 1_700_000_000_000;
+
+fn live() -> ItemSet {
+    let mut live = ItemSet::default();
+    live.merge(Item::with_revision(Key::new(Kind::Service, "s"), 1, Some(b"{}".to_vec())));
+    let versions = vec!["v1".into()];
+    apply(&mut live, &RolloutChange::SetBaseline { service: "s".into(), versions }).expect("a baseline");
+    live
+}
+
+fn start(target: &str, at_ms: u64) -> RolloutChange {
+    let order = RolloutOrder { service: "s".into(), target: target.into(), deadline_ms: 12_000 };
+    RolloutChange::Start { order, ordered_at_ms: at_ms }
+}
+
+fn apply(live: &mut ItemSet, change: &RolloutChange) -> std::result::Result<bool, ValidationError> {
+    let item = change.apply(|key| live.get(key))?;
+    Ok(item.is_some_and(|item| live.merge(item)))
+}
+
+fn current(live: &ItemSet) -> Rollout {
+    live.get(&Rollout::key("s")).and_then(Rollout::of).expect("a rollout")
+}
+
+fn advance(live: &mut ItemSet, stage: Stage) -> std::result::Result<bool, ValidationError> {
+    let revision = live.get(&Rollout::key("s")).map_or(0, |item| item.version.revision);
+    apply(live, &RolloutChange::Advance { service: "s".into(), revision, stage })
+}
+
+#[gtest]
+fn a_version_that_no_rollout_has_let_in_is_closed() {
+    let mut live = live();
+    expect_that!(current(&live).access("v1"), eq(VersionAccess::Open));
+    expect_that!(current(&live).access("v2"), eq(VersionAccess::Closed));
+    expect_that!(current(&live).render(), none());
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    expect_that!(current(&live).access("v2"), eq(VersionAccess::ByPermit));
+    expect_that!(current(&live).access("v3"), eq(VersionAccess::Closed));
+}
+
+#[gtest]
+fn each_stage_opens_what_it_says() {
+    let mut live = live();
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    let access = |live: &ItemSet| (current(live).access("v1"), current(live).access("v2"));
+    use VersionAccess::{ByPermit, Closed, Open};
+    expect_that!(access(&live), eq((Open, ByPermit)));
+    for (stage, expected) in [(Stage::Ramp, (Open, ByPermit)), (Stage::Cutover, (Closed, Open))] {
+        expect_that!(advance(&mut live, stage), ok(eq(&true)));
+        expect_that!(access(&live), eq(expected));
+    }
+    let mut reverted = live.clone();
+    expect_that!(advance(&mut reverted, Stage::Reverted), ok(eq(&true)));
+    expect_that!(access(&reverted), eq((Open, Closed)));
+    expect_that!(advance(&mut live, Stage::Finished), ok(eq(&true)));
+    expect_that!(access(&live), eq((Closed, Open)));
+}
+
+#[gtest]
+fn a_rollout_ends_once() {
+    let mut live = live();
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    expect_that!(advance(&mut live, Stage::Finished), err(anything()), "not before the other stages");
+    expect_that!(advance(&mut live, Stage::Reverted), ok(eq(&true)));
+    for stage in [Stage::Ramp, Stage::Cutover, Stage::Finished, Stage::Canary, Stage::Baseline] {
+        expect_that!(advance(&mut live, stage), err(anything()), "{stage:?}");
+    }
+    expect_that!(advance(&mut live, Stage::Reverted), ok(eq(&false)));
+}
+
+#[gtest]
+fn a_stage_that_was_decided_on_an_older_item_is_rejected() {
+    let mut live = live();
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    let revision = live.get(&Rollout::key("s")).expect("an item").version.revision;
+    let late = RolloutChange::Advance { service: "s".into(), revision, stage: Stage::Reverted };
+    advance(&mut live, Stage::Ramp).expect("the next stage");
+    expect_that!(apply(&mut live, &late), err(predicate(|error: &ValidationError| error.is_conflict())));
+}
+
+#[gtest]
+fn an_order_that_comes_again_is_acknowledged_again_and_another_one_is_not() {
+    let mut live = live();
+    expect_that!(apply(&mut live, &start("v2", NOW_MS)), ok(eq(&true)));
+    let order = current(&live).order;
+    expect_that!(apply(&mut live, &start("v2", NOW_MS + 900)), ok(eq(&false)));
+    expect_that!(
+        apply(&mut live, &start("v3", NOW_MS + 900)),
+        err(predicate(|error: &ValidationError| error.is_conflict()))
+    );
+    advance(&mut live, Stage::Reverted).expect("reverted");
+    // The caller may not have had its answer yet.
+    expect_that!(apply(&mut live, &start("v2", NOW_MS + 5_000)), ok(eq(&false)));
+    expect_that!(
+        apply(&mut live, &start("v2", NOW_MS + 60_000)),
+        err(predicate(|error: &ValidationError| error.is_conflict()))
+    );
+    expect_that!(apply(&mut live, &start("v3", NOW_MS + 60_000)), ok(eq(&true)));
+    expect_that!(current(&live).stable, elements_are![eq("v1")]);
+    expect_that!(current(&live).order, gt(order));
+}
+
+#[gtest]
+fn the_next_rollout_begins_where_the_last_one_has_ended() {
+    let mut live = live();
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    for stage in [Stage::Ramp, Stage::Cutover, Stage::Finished] {
+        advance(&mut live, stage).expect("the next stage");
+    }
+    expect_that!(apply(&mut live, &start("v2", NOW_MS + 60_000)), ok(eq(&false)), "it has them already");
+    expect_that!(apply(&mut live, &start("v3", NOW_MS + 60_000)), ok(eq(&true)));
+    expect_that!(current(&live).stable, elements_are![eq("v2")]);
+}
+
+#[gtest]
+fn an_order_for_no_service_or_for_the_version_in_service_is_rejected() {
+    let mut empty = ItemSet::default();
+    expect_that!(apply(&mut empty, &start("v2", NOW_MS)), err(anything()));
+    let mut live = live();
+    expect_that!(
+        apply(&mut live, &start("v1", NOW_MS)),
+        err(predicate(|error: &ValidationError| error.is_conflict()))
+    );
+}
+
+#[gtest]
+fn a_baseline_overrides_no_rollout() {
+    let mut live = live();
+    apply(&mut live, &start("v2", NOW_MS)).expect("an order");
+    let versions = vec!["v9".into()];
+    let baseline = RolloutChange::SetBaseline { service: "s".into(), versions };
+    expect_that!(apply(&mut live, &baseline), ok(eq(&false)));
+}
+
+#[gtest]
+fn orders_are_read_and_others_are_not() {
+    let parse = |body: &str| RolloutOrder::parse(body.as_bytes());
+    let order = parse(r#"{"service":"s","target_version":"v2","deadline":"1.5s"}"#);
+    expect_that!(order, ok(field!(RolloutOrder.deadline_ms, eq(&1_500))));
+    for body in [
+        "",
+        "[]",
+        r#"{"service":"s","target_version":"v2"}"#,
+        r#"{"service":"s","target_version":"v2","deadline":"0s"}"#,
+        r#"{"service":"s","target_version":"v2","deadline":12}"#,
+        r#"{"service":"","target_version":"v2","deadline":"1s"}"#,
+        r#"{"service":"s","target_version":7,"deadline":"1s"}"#,
+    ] {
+        expect_that!(parse(body), err(anything()), "{body}");
+    }
+}
+
+#[gtest]
+fn operators_read_three_states() {
+    let mut live = live();
+    apply(&mut live, &start("v\"2", NOW_MS)).expect("an order");
+    let read = |live: &ItemSet| current(live).render();
+    expect_that!(read(&live), some(eq(r#"{"state":"serving","target_version":"v\"2"}"#)));
+    advance(&mut live, Stage::Reverted).expect("reverted");
+    expect_that!(read(&live), some(eq(r#"{"state":"reverted","target_version":"v\"2"}"#)));
+}
--- a/crates/config-state/src/routing_table.rs
+++ b/crates/config-state/src/routing_table.rs
@@ -9,6 +9,7 @@
 use crate::item_set::ItemSet;
 use crate::operator_call::LIMITS_NAME;
 use crate::resources::{Limits, Route, Service, Tenant};
+use crate::rollout::Rollout;
 
 /// The number of maps that API keys are spread over, so that a change copies one of them.
 const KEY_SHARDS: usize = 256;
@@ -40,6 +41,17 @@
     pub services: BTreeMap<String, Service>,
     /// What clients may send.
     pub limits: Limits,
+    /// What is decided about the services' versions, by service.
+    pub rollouts: BTreeMap<String, Arc<RolloutInForce>>,
+}
+
+/// What is decided about a service's versions, and at which revision of its item.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RolloutInForce {
+    /// The revision of the item.
+    pub revision: u64,
+    /// What it says.
+    pub rollout: Rollout,
 }
 
 impl RoutingTable {
@@ -62,6 +74,7 @@
             Kind::Tenant => self.remove_tenant(name),
             Kind::Service => drop(self.services.remove(name)),
             Kind::Limits => self.limits = Limits::default(),
+            Kind::Rollout => drop(self.rollouts.remove(name)),
             Kind::Server | Kind::Node => {}
         }
         self.insert(item);
@@ -86,6 +99,12 @@
                 }
             }
             Kind::Limits if name == LIMITS_NAME => self.limits = Limits::parse(text).unwrap_or_default(),
+            Kind::Rollout => {
+                if let Some(rollout) = Rollout::decode(text) {
+                    let revision = item.version.revision;
+                    self.rollouts.insert(name.clone(), Arc::new(RolloutInForce { revision, rollout }));
+                }
+            }
             Kind::Limits | Kind::Server | Kind::Node => {}
         }
     }
--- a/crates/config-state/src/validation/references.rs
+++ b/crates/config-state/src/validation/references.rs
@@ -27,7 +27,7 @@
         Kind::Tenant => Ok(References::ApiKeys(Tenant::parse(name, text)?.api_keys)),
         Kind::Service => Service::parse(name, text).map(|_| References::None),
         Kind::Limits => Limits::parse(text).map(|_| References::None),
-        Kind::Server | Kind::Node => Ok(References::None),
+        Kind::Server | Kind::Node | Kind::Rollout => Ok(References::None),
     }
 }
 
--- a/crates/config-store/src/disk/database.rs
+++ b/crates/config-store/src/disk/database.rs
@@ -10,7 +10,8 @@
 use super::migration;
 
 /// Kinds of items by the number that they have in the database.
-const KINDS: [Kind; 6] = [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server, Kind::Node];
+const KINDS: [Kind; 7] =
+    [Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server, Kind::Node, Kind::Rollout];
 /// Tombstones of servers are deleted that are older than the newest by more than this, in seconds.
 const TOMBSTONE_LIFETIME: u64 = 600;
 /// Pages of the cache, as negative KiB.
--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -4,16 +4,17 @@
 use std::collections::BTreeMap;
 
 use pinerelay_config_state::anti_entropy::{fits_one_message, SyncPart};
+use pinerelay_config_state::error::ValidationErrorKind;
 use pinerelay_config_state::operator_call::parse_update;
 use pinerelay_config_state::server::Server;
-use pinerelay_config_state::{Item, ItemSet, Key, Kind};
+use pinerelay_config_state::{Item, ItemSet, Key, Kind, ValidationError};
 use pinerelay_consensus::{
     Input, Membership, Message, Micros, Output as StoreOutput, PersistentState, QuorumHealth, Reply, Request,
     RequestId, StateChange, Store, StoreConfig,
 };
 use pinerelay_peer_link::link::{ConnectionId, KEEPALIVE_INTERVAL};
 use pinerelay_peer_link::message::{
-    CallReply, ForwardedCall, Hello, Metric, PeerMessage, Role, CONFIG_REALM,
+    CallReply, ForwardedCall, Hello, Metric, PeerMessage, Role, CONFIG_REALM, UNDERSTANDS_ROLLOUTS,
 };
 
 /// A gap between two ticks after which the process has stalled.
@@ -240,6 +241,8 @@
 
     fn on_hello(&mut self, connection: ConnectionId, hello: Hello, out: &mut Vec<Output>) {
         if hello.role == Role::Registry {
+            let understands = PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS);
+            out.push(Output::Send(connection, understands));
             self.sent_status = None;
             if hello.ip == self.own_hello.ip {
                 let proxies = PeerMessage::KnownProxies(self.proxies.machines.clone());
@@ -268,6 +271,7 @@
             (Role::Registry, PeerMessage::Update(items)) => {
                 self.merge(now, &peer.ip, items, out);
             }
+            (Role::Registry, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS)) => {}
             (Role::Registry, PeerMessage::ConfirmCurrent(asked_at)) => {
                 self.on_confirm_current(now, connection, asked_at, out);
             }
@@ -337,13 +341,19 @@
         if self.is_shutting_down {
             return Err(CallReply::error(503, "the store ends"));
         }
-        let ForwardedCall::Update(body) = call else { return Ok(Request::Read) };
-        // The caller of an update may have asked elsewhere since it was sent, and been rejected there.
-        if self.may_have_waited(now) {
+        // The caller of a change may have asked elsewhere since it was sent, and been rejected there.
+        if call.is_change() && self.may_have_waited(now) {
             return Err(CallReply::error(503, "the store has stood still"));
         }
-        let items = parse_update(&body).map_err(|error| CallReply::error(400, &error.to_string()))?;
-        Ok(Request::Update(items))
+        Ok(match call {
+            ForwardedCall::Update(body) => {
+                let items = parse_update(&body).map_err(|error| CallReply::error(400, &error.to_string()))?;
+                Request::Update(items)
+            }
+            ForwardedCall::Read => Request::Read,
+            ForwardedCall::ChangeRollout(change) => Request::ChangeRollout(change),
+            ForwardedCall::ReadRollout(service) => Request::ReadRollout(service),
+        })
     }
 
     /// Whether what arrives may have waited while the process had stalled.
@@ -499,10 +509,17 @@
 fn to_call_reply(reply: Reply) -> CallReply {
     match reply {
         Reply::Acknowledged => CallReply::ok(),
-        Reply::Configuration(body) => CallReply { status: 200, body },
-        Reply::Rejected(error) => {
-            CallReply::error(if error.is_conflict() { 409 } else { 400 }, &error.to_string())
-        }
+        Reply::Text(body) => CallReply { status: 200, body },
+        Reply::Rejected(error) => CallReply::error(status_of(&error), &error.to_string()),
         Reply::Unknown => CallReply::error(503, "no majority of the stores has answered in time"),
     }
 }
+
+/// The HTTP status that tells a caller what is wrong.
+fn status_of(error: &ValidationError) -> u16 {
+    match error.kind {
+        ValidationErrorKind::Invalid => 400,
+        ValidationErrorKind::NotFound => 404,
+        ValidationErrorKind::Conflict => 409,
+    }
+}
--- a/crates/consensus/examples/turn.rs
+++ b/crates/consensus/examples/turn.rs
@@ -131,7 +131,7 @@
     all.spent = Default::default();
     for turn in 0..TURNS {
         let reply = all.call(turn + 1, request(turn));
-        assert!(matches!(reply, Some(Reply::Acknowledged | Reply::Configuration(_))), "{reply:?}");
+        assert!(matches!(reply, Some(Reply::Acknowledged | Reply::Text(_))), "{reply:?}");
     }
     let [own, others] = all.spent.map(|spent| spent.as_secs_f64() * 1e3 / TURNS as f64);
     println!("{what}: {own:.3} ms at the store that is called, {others:.3} ms at the two others");
--- a/crates/consensus/src/proposer.rs
+++ b/crates/consensus/src/proposer.rs
@@ -7,6 +7,7 @@
 
 use pinerelay_config_state::hash;
 use pinerelay_config_state::operator_call::render_configuration;
+use pinerelay_config_state::rollout::{Rollout, RolloutChange};
 use pinerelay_config_state::validation::{IndexedItems, Overlay};
 use pinerelay_config_state::{Item, ItemSet, ValidationError};
 
@@ -35,6 +36,10 @@
     Update(Vec<Item>),
     /// Read the live configuration.
     Read,
+    /// Change what is decided about a service's versions.
+    ChangeRollout(RolloutChange),
+    /// Read what is decided about the versions of a service.
+    ReadRollout(String),
     /// Commit what may have been chosen and is not known to be.
     Recover,
     /// Put this membership in force, unless another change comes first.
@@ -56,8 +61,8 @@
 pub enum Reply {
     /// Committed.
     Acknowledged,
-    /// The live configuration, as text.
-    Configuration(String),
+    /// What was to be read, as text.
+    Text(String),
     /// Invalid: nothing of it is in force or will be.
     Rejected(ValidationError),
     /// Not known: it may be in force, or may yet be.
@@ -377,29 +382,50 @@
     ) -> Vec<(RequestId, Reply)> {
         let (mut replies, mut reads) = (Vec::new(), Vec::new());
         for WaitingRequest { id, request, .. } in &self.waiting {
-            match request {
-                Request::Recover | Request::ChangeMembership(_) => replies.push((*id, Reply::Acknowledged)),
-                Request::Read => reads.push(*id),
-                Request::Update(items) => match next.accept_update(items) {
-                    Ok(newer) => {
-                        next.merge_all(newer.iter().cloned());
-                        batch.items.extend(newer);
-                        replies.push((*id, Reply::Acknowledged));
-                    }
-                    Err(error) => replies.push((*id, Reply::Rejected(error))),
-                },
-            }
-        }
-        if !reads.is_empty() {
-            let text = match batch.items.is_empty() {
-                true => render_configuration(committed.items()),
-                false => render_configuration(&next.to_item_set()),
+            let accepted = match request {
+                Request::Recover | Request::ChangeMembership(_) => Ok(Vec::new()),
+                Request::Update(items) => next.accept_update(items),
+                Request::ChangeRollout(change) => {
+                    change.apply(|key| next.get(key)).map(|item| item.into_iter().collect())
+                }
+                Request::Read | Request::ReadRollout(_) => {
+                    reads.push((*id, request));
+                    continue;
+                }
             };
-            replies.extend(reads.into_iter().map(|id| (id, Reply::Configuration(text.clone()))));
+            match accepted {
+                Ok(newer) => {
+                    next.merge_all(newer.iter().cloned());
+                    batch.items.extend(newer);
+                    replies.push((*id, Reply::Acknowledged));
+                }
+                Err(error) => replies.push((*id, Reply::Rejected(error))),
+            }
         }
+        replies.extend(self.decide_reads(&reads, batch, next, committed));
         replies
     }
 
+    /// The replies to reads, which see all updates of the batch.
+    fn decide_reads(
+        &self,
+        reads: &[(RequestId, &Request)],
+        batch: &Batch,
+        next: &Overlay,
+        committed: &IndexedItems,
+    ) -> Vec<(RequestId, Reply)> {
+        let mut configuration = None;
+        let mut render = || match batch.items.is_empty() {
+            true => render_configuration(committed.items()),
+            false => render_configuration(&next.to_item_set()),
+        };
+        let mut reply = |request: &Request| match request {
+            Request::ReadRollout(service) => read_rollout(next, service),
+            _ => Reply::Text(configuration.get_or_insert_with(&mut render).clone()),
+        };
+        reads.iter().map(|(id, request)| (*id, reply(request))).collect()
+    }
+
     /// Proposes a batch, or ends the proposal at once if there is nothing to choose.
     fn propose(&mut self, batch: Batch, replies: Vec<(RequestId, Reply)>, actions: &mut Vec<Action>) {
         let Some(proposal) = self.proposal.as_mut() else { return };
@@ -432,3 +458,11 @@
         }
     }
 }
+
+/// The reply to a read of what is decided about the versions of a service.
+fn read_rollout(live: &Overlay, service: &str) -> Reply {
+    let rollout = live.get(&Rollout::key(service)).and_then(Rollout::of);
+    let not_found = || ValidationError::not_found("/of", format!("there is no rollout of {service}"));
+    let text = rollout.and_then(|rollout| rollout.render());
+    text.map_or_else(|| Reply::Rejected(not_found()), Reply::Text)
+}
--- a/crates/consensus/tests/model/replacement/play.rs
+++ b/crates/consensus/tests/model/replacement/play.rs
@@ -319,7 +319,7 @@
             }
             Reply::Rejected(_) => world.refused |= 1 << id,
             Reply::Unknown => {}
-            Reply::Configuration(text) => {
+            Reply::Text(text) => {
                 let shown = operator_call::parse_update(format!("{{\"upsert\":{text}}}").as_bytes())
                     .expect("what stands");
                 if !self.items(floor).all(|item| holds(&shown, item)) {
--- a/crates/consensus/tests/stores/main.rs
+++ b/crates/consensus/tests/stores/main.rs
@@ -1,5 +1,6 @@
 //! Stores under random load and faults: what was acknowledged stands, and what does not fit never does.
 
+mod rollouts;
 mod tolerated_losses;
 mod world;
 
--- a/crates/consensus/tests/stores/world.rs
+++ b/crates/consensus/tests/stores/world.rs
@@ -1,9 +1,10 @@
 //! Stores with their machines, the network between them, and what operators were answered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pinerelay_config_state::hash::mix64;
 use pinerelay_config_state::operator_call;
+use pinerelay_config_state::rollout::RolloutChange;
 use pinerelay_config_state::validation::check_references;
 use pinerelay_config_state::{ItemSet, Key};
 use pinerelay_consensus::{Input, Output, Reply, Request, Store};
@@ -59,6 +60,18 @@
     pub drops: BTreeMap<Key, u64>,
     pub floor: BTreeMap<u64, BTreeMap<Key, u64>>,
     pub answers: BTreeMap<&'static str, u64>,
+    pub rollouts: RolloutHistory,
+    /// What was known of rollouts when a call was made.
+    rollouts_before: BTreeMap<u64, RolloutHistory>,
+}
+
+/// What operators have been told of rollouts.
+#[derive(Debug, Clone, Default)]
+pub struct RolloutHistory {
+    /// Services with an acknowledged order.
+    ordered: BTreeSet<String>,
+    /// How the rollouts to a target have ended, by service and target.
+    pub ends: BTreeMap<(String, String), String>,
 }
 
 impl World {
@@ -82,6 +95,8 @@
             drops: BTreeMap::new(),
             floor: BTreeMap::new(),
             answers: BTreeMap::new(),
+            rollouts: RolloutHistory::default(),
+            rollouts_before: BTreeMap::new(),
         };
         names.iter().for_each(|name| world.start(name, true));
         world
@@ -153,6 +168,7 @@
     pub fn answered(&mut self, id: u64, reply: Reply) {
         let request = self.calls.remove(&id).expect("one answer to a call");
         let floor = self.floor.remove(&id).expect("what was acknowledged before");
+        let rollouts_before = self.rollouts_before.remove(&id).unwrap_or_default();
         match (request, reply) {
             (Request::Update(items), Reply::Acknowledged) => {
                 *self.answers.entry("taken").or_default() += 1;
@@ -161,7 +177,7 @@
                     *newest = (*newest).max(item.version.revision);
                 }
             }
-            (Request::Read, Reply::Configuration(text)) => {
+            (Request::Read, Reply::Text(text)) => {
                 *self.answers.entry("read").or_default() += 1;
                 let stands = operator_call::parse_update(format!("{{\"upsert\":{text}}}").as_bytes())
                     .expect("what stands");
@@ -181,12 +197,42 @@
                     }
                 }
             }
+            (Request::ChangeRollout(change), Reply::Acknowledged) => {
+                *self.answers.entry("rollout taken").or_default() += 1;
+                if matches!(change, RolloutChange::Start { .. }) {
+                    self.rollouts.ordered.insert(change.service().into());
+                }
+            }
+            (Request::ReadRollout(service), Reply::Text(text)) => {
+                self.rollout_read(&service, &text, &rollouts_before);
+            }
+            (Request::ReadRollout(service), Reply::Rejected(error)) => {
+                let was_ordered = rollouts_before.ordered.contains(&service);
+                assert!(!was_ordered, "the rollout of {service} is gone: {error}");
+            }
             (_, Reply::Rejected(_)) => *self.answers.entry("invalid").or_default() += 1,
             (_, Reply::Unknown) => *self.answers.entry("unsure").or_default() += 1,
             (request, reply) => panic!("{reply:?} to {request:?}"),
         }
     }
 
+    /// A rollout ends once and in one way, and what has ended is not under way any more.
+    fn rollout_read(&mut self, service: &str, text: &str, before: &RolloutHistory) {
+        *self.answers.entry("rollout read").or_default() += 1;
+        let field = |name: &str| {
+            let (_, rest) = text.split_once(&format!("\"{name}\":\""))?;
+            rest.split_once('"').map(|(value, _)| value.to_string())
+        };
+        let (state, target) = (field("state").expect("a state"), field("target_version").expect("a target"));
+        let rollout = (service.to_string(), target);
+        if state == "serving" {
+            assert_eq!(before.ends.get(&rollout), None, "{rollout:?} is under way again");
+        } else {
+            let end = self.rollouts.ends.entry(rollout.clone()).or_insert(state.clone());
+            assert_eq!(*end, state, "{rollout:?} has ended in two ways");
+        }
+    }
+
     pub fn call(&mut self, name: &str, request: Request) {
         if self.machines[name].store.is_none() {
             return;
@@ -200,6 +246,7 @@
         }
         self.calls.insert(self.next_call, request.clone());
         self.floor.insert(self.next_call, self.acknowledged.clone());
+        self.rollouts_before.insert(self.next_call, self.rollouts.clone());
         self.give(name, Input::Request { id: self.next_call, request });
     }
 
--- a/crates/exporter/src/metric_names.rs
+++ b/crates/exporter/src/metric_names.rs
@@ -92,6 +92,12 @@
     KnownMetric { name: "registry_duties", help: "Duties that the registry holds" },
     KnownMetric { name: "registry_heartbeats_total", help: "Heartbeats of servers" },
     KnownMetric { name: "registry_open_calls", help: "Calls from outside that are not answered" },
+    KnownMetric {
+        name: "registry_rollouts_under_way",
+        help: "Rollouts that have neither finished nor been reverted",
+    },
+    KnownMetric { name: "registry_rollout_attempts", help: "Attempts at new versions of rollouts under way" },
+    KnownMetric { name: "registry_rollout_failures", help: "Those of them that failed" },
     KnownMetric { name: "registry_answers_total", help: "Answers to calls from outside, by status" },
     KnownMetric { name: "registry_calls_forwarded_total", help: "Calls forwarded to a store" },
     KnownMetric { name: "registry_units_leased_total", help: "Quota units leased to proxies" },
--- a/crates/fuzz/src/readers/machines.rs
+++ b/crates/fuzz/src/readers/machines.rs
@@ -90,6 +90,7 @@
             hello: me(Role::Registry),
             first_start: input.len().is_multiple_of(2),
             time_of_day: 1_700_000_000,
+            rollouts: Default::default(),
             heartbeat_interval: 1_500_000,
             quota_bounds: QuotaBounds { period: Duration::from_secs(5), overrun: 0.1, margin: 20.0 },
             seeds: seeds(),
--- a/crates/fuzz/src/speeches.rs
+++ b/crates/fuzz/src/speeches.rs
@@ -4,6 +4,7 @@
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_config_state::anti_entropy::{DigestEntry, SyncPart};
 use pinerelay_config_state::digest_tree::KeyRange;
+use pinerelay_config_state::rollout::{Rollout, RolloutChange, RolloutOrder, Stage};
 use pinerelay_config_state::server::{Server, ServerState};
 use pinerelay_config_state::{Item, Key, Kind, Version};
 use pinerelay_consensus::{Ballot, Batch, Member, Membership, Message};
@@ -12,6 +13,8 @@
     TenantGrant,
 };
 
+use pinerelay_rollout::report::{RolloutPermit, RolloutReport, RouteSample, VersionSample};
+
 use crate::json_text;
 use crate::random::Random;
 
@@ -47,7 +50,15 @@
 }
 
 fn kind(random: &mut Random) -> Kind {
-    *random.of(&[Kind::Route, Kind::Tenant, Kind::Service, Kind::Limits, Kind::Server, Kind::Node])
+    *random.of(&[
+        Kind::Route,
+        Kind::Tenant,
+        Kind::Service,
+        Kind::Limits,
+        Kind::Server,
+        Kind::Node,
+        Kind::Rollout,
+    ])
 }
 
 fn server(random: &mut Random) -> Server {
@@ -63,6 +74,70 @@
     }
 }
 
+fn stage(random: &mut Random) -> Stage {
+    let stages =
+        [Stage::Baseline, Stage::Canary, Stage::Ramp, Stage::Cutover, Stage::Finished, Stage::Reverted];
+    *random.of(&stages)
+}
+
+fn rollout(random: &mut Random) -> Rollout {
+    Rollout {
+        stage: stage(random),
+        target: name(random),
+        stable: list(random, 3, name),
+        order: random.whole(),
+        ordered_at_ms: random.whole(),
+        deadline_ms: random.whole(),
+    }
+}
+
+fn rollout_change(random: &mut Random) -> RolloutChange {
+    match random.below(3) {
+        0 => RolloutChange::SetBaseline { service: name(random), versions: list(random, 3, name) },
+        1 => RolloutChange::Start {
+            order: RolloutOrder { service: name(random), target: name(random), deadline_ms: random.whole() },
+            ordered_at_ms: random.whole(),
+        },
+        _ => RolloutChange::Advance { service: name(random), revision: random.whole(), stage: stage(random) },
+    }
+}
+
+fn version_sample(random: &mut Random) -> VersionSample {
+    let mut sample = VersionSample { attempts: random.whole() as u32, ..VersionSample::default() };
+    sample.failures = random.whole() as u32;
+    sample.latencies.iter_mut().for_each(|count| *count = random.whole() as u32);
+    sample
+}
+
+fn rollout_report(random: &mut Random) -> RolloutReport {
+    let route_sample = |random: &mut Random| RouteSample {
+        route: random.whole(),
+        target_class: random.whole() as u8,
+        stable: version_sample(random),
+        target: version_sample(random),
+    };
+    RolloutReport {
+        service: name(random),
+        order: random.whole(),
+        sent_at: random.whole(),
+        in_force: random.whole(),
+        has_drained: random.one_in(2),
+        routes: list(random, 4, route_sample),
+    }
+}
+
+fn rollout_permit(random: &mut Random) -> RolloutPermit {
+    RolloutPermit {
+        service: name(random),
+        order: random.whole(),
+        sent_at: random.whole(),
+        duration: random.whole(),
+        share_permille: random.whole() as u16,
+        margin: random.whole() as u32,
+        is_cumulative: random.one_in(2),
+    }
+}
+
 /// An item: sound ones among them.
 pub fn item(random: &mut Random) -> Item {
     let kind = kind(random);
@@ -79,6 +154,7 @@
                 Kind::Service => r#"{"health_path":"/health","max_conns":3}"#,
                 Kind::Limits => r#"{"max_header_bytes":16384,"max_body_bytes":1000,"idle_timeout":"1s"}"#,
                 Kind::Server | Kind::Node => return server(random).to_item(&name(random), random.whole()),
+                Kind::Rollout => return rollout(random).to_item(&name(random), random.whole()),
             };
             Some(json_text::exchanged(random, sound))
         }
@@ -231,7 +307,7 @@
 /// Any message.
 #[expect(clippy::too_many_lines, reason = "not split yet: docs/ROADMAP.md, Gateway 13")]
 pub fn speech(random: &mut Random) -> PeerMessage {
-    match random.below(28) {
+    match random.below(30) {
         0 => PeerMessage::Hello(hello(random)),
         1 => PeerMessage::Goodbye,
         2 | 3 => PeerMessage::Update(items(random)),
@@ -265,10 +341,11 @@
             lease_left: random.whole(),
         },
         23 => {
-            let passed = if random.one_in(4) {
-                ForwardedCall::Read
-            } else {
-                ForwardedCall::Update(json_text::update(random))
+            let passed = match random.below(6) {
+                0 => ForwardedCall::Read,
+                1 => ForwardedCall::ReadRollout(name(random)),
+                2 => ForwardedCall::ChangeRollout(rollout_change(random)),
+                _ => ForwardedCall::Update(json_text::update(random)),
             };
             PeerMessage::ForwardCall(random.below(9) as u64, passed)
         }
@@ -291,6 +368,8 @@
                 ])
                 .clone()
         }
+        27 => PeerMessage::RolloutReports(list(random, 3, rollout_report)),
+        28 => PeerMessage::RolloutPermits(list(random, 3, rollout_permit)),
         _ => PeerMessage::KnownProxies(list(random, 4, name)),
     }
 }
--- a/crates/node-runtime/src/settings.rs
+++ b/crates/node-runtime/src/settings.rs
@@ -95,6 +95,9 @@
     pub zones: BTreeMap<String, String>,
     /// Where the process listens.
     pub listen: Listen,
+    /// The parts of the rules that are in force.
+    #[serde(default)]
+    pub guarantees: Vec<String>,
     /// The resources that it may use.
     #[serde(default)]
     pub limits: Limits,
@@ -174,6 +177,12 @@
     pub quota_overrun: f64,
     /// The number of requests by which it may, on top.
     pub quota_margin: f64,
+    /// The share of a service's requests that a new version may get until it is known to be good.
+    pub exposure_share: f64,
+    /// The number of requests that it may get on top.
+    pub exposure_margin: f64,
+    /// The time within which a new version that was found to be bad gets nothing any more.
+    pub rollback: TextDuration,
 }
 
 impl Default for Bounds {
@@ -192,6 +201,9 @@
             quota_period: milliseconds(5_000),
             quota_overrun: 0.1,
             quota_margin: 20.0,
+            exposure_share: 0.1,
+            exposure_margin: 50.0,
+            rollback: milliseconds(5_000),
         }
     }
 }
@@ -268,6 +280,8 @@
             ("retry_extra", self.retry_extra),
             ("quota_overrun", self.quota_overrun),
             ("quota_margin", self.quota_margin),
+            ("exposure_share", self.exposure_share),
+            ("exposure_margin", self.exposure_margin),
         ];
         let is_invalid = |number: f64| !(number.is_finite() && number >= 0.0);
         numbers.into_iter().find(|(_, number)| is_invalid(*number)).map(|(name, _)| name)
--- a/crates/peer-link/src/message.rs
+++ b/crates/peer-link/src/message.rs
@@ -4,9 +4,11 @@
 use pinerelay_admission::duty::DutyMessage;
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_config_state::anti_entropy::SyncPart;
+use pinerelay_config_state::rollout::RolloutChange;
 use pinerelay_config_state::{Item, ItemSet};
 pub use pinerelay_consensus::store::LEASE_DURATION;
 use pinerelay_consensus::{Membership, Message as ConsensusMessage};
+use pinerelay_rollout::report::{RolloutPermit, RolloutReport};
 
 /// The number of registries that a proxy is linked to at least. It is linked to all voters, which duties are spread over, and
 /// to others where fewer voters are reached.
@@ -17,6 +19,10 @@
 /// The realm of all other items: servers and nodes.
 pub const RUNTIME_REALM: u8 = 1;
 
+/// In [`PeerMessage::ConfirmCurrent`], in place of a time: the sender understands items and messages of rollouts. Earlier releases,
+/// which would drop a link on which such an item comes, pass over this question or give an answer that is passed over.
+pub const UNDERSTANDS_ROLLOUTS: u64 = u64::MAX;
+
 /// The program that a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum Role {
@@ -62,6 +68,17 @@
     Update(Vec<u8>),
     /// `config.read`.
     Read,
+    /// `rollouts.start`, or what a registry has decided about a rollout.
+    ChangeRollout(RolloutChange),
+    /// `rollouts.read` of this service.
+    ReadRollout(String),
+}
+
+impl ForwardedCall {
+    /// Whether it changes what is committed.
+    pub fn is_change(&self) -> bool {
+        matches!(self, ForwardedCall::Update(_) | ForwardedCall::ChangeRollout(_))
+    }
 }
 
 /// The answer to a call from outside.
@@ -246,6 +263,10 @@
     /// The machines of all proxies: from a registry to the store of its machine, which keeps them, and from that store to a
     /// registry that has started.
     KnownProxies(Vec<String>),
+    /// From a proxy to all registries: what it has seen of the rollouts that are under way.
+    RolloutReports(Vec<RolloutReport>),
+    /// To a proxy: what it may send to new versions.
+    RolloutPermits(Vec<RolloutPermit>),
 }
 
 impl PeerMessage {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod services;
 pub mod subscriber;
 pub mod upstream;
+pub mod versions;
--- a/crates/proxy/src/proxied_request.rs
+++ b/crates/proxy/src/proxied_request.rs
@@ -12,6 +12,7 @@
 use pinerelay_traffic::ports::{Payload, Traffic};
 
 use crate::forwarded_request::{ForwardedRequest, ForwardingViolation};
+use crate::versions::ObservedRoute;
 
 /// Attempts beyond the route's limit: those that reach no server are not counted by the operator's limit.
 const EXTRA_ATTEMPTS: usize = 3;
@@ -37,6 +38,8 @@
     pub request: ForwardedRequest,
     /// The body.
     pub body: Payload,
+    /// Its route.
+    pub route: ObservedRoute,
     /// Whether it may be executed more than once.
     pub is_idempotent: bool,
     /// The number of servers that it may be sent to.
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -43,6 +43,7 @@
 use crate::server_pool::ServerPool;
 use crate::services::{Service, Services};
 use crate::upstream::BUFFERED_BODY_LENGTH;
+use crate::versions::ObservedRoute;
 
 mod framing;
 mod guards;
@@ -172,6 +173,7 @@
         log::info!("puts {} routes and {} tenants in force", table.route_count(), table.tenants().len());
         self.room.lengthen(table.limits.max_body_bytes);
         self.servers.set_max_connections(table.services.values());
+        self.services.set_rollouts(&table.rollouts);
         self.table.store(Some(table));
     }
 
@@ -353,12 +355,13 @@
         let proxied = ProxiedRequest {
             request,
             body,
+            route: ObservedRoute::new(route),
             is_idempotent: route.route_type == RouteType::Safe,
             max_attempts: route.max_attempts as usize,
             state: state.clone(),
         };
         self.servers.retries.borrow_mut().count_request(self.clock.now(), service_name);
-        let service = self.services.service(service_name);
+        let service = self.services.next_service(service_name, self.servers.proxies(), self.random());
         let id = NodeRequestId(format!("{}", self.next_id()).into());
         let new = NewRequest {
             id: id.clone(),
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -25,6 +25,7 @@
 use pinerelay_node_runtime::settings_watch;
 use pinerelay_peer_link::link::{LinkEvent, LinkEvents, LinkHandle, Links};
 use pinerelay_peer_link::message::{Hello, Metric, PeerMessage, Role};
+use pinerelay_rollout::decider::REPORT_INTERVAL;
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::front::{Front, Handler};
@@ -81,6 +82,7 @@
     /// Set once, before anything runs.
     handler: RefCell<Weak<RequestHandler>>,
     settings: Settings,
+    next_rollout_report: Cell<Micros>,
     is_ready: Cell<bool>,
     is_shutting_down: Cell<bool>,
 }
@@ -165,6 +167,7 @@
             servers: servers.clone(),
             handler: RefCell::new(Weak::new()),
             settings,
+            next_rollout_report: Cell::new(0),
             is_ready: Cell::new(false),
             is_shutting_down: Cell::new(false),
         });
@@ -224,6 +227,7 @@
             subscriber.tick(now, out);
             subscriber.leases().waiting() > 0
         });
+        self.report_rollouts();
         self.update_readiness();
         if has_waiting {
             BUSY_TICK
@@ -232,6 +236,19 @@
         }
     }
 
+    /// Reports to all registries on the rollouts that are under way.
+    fn report_rollouts(&self) {
+        if self.clock.now() < self.next_rollout_report.get() {
+            return;
+        }
+        self.next_rollout_report.set(self.clock.now() + REPORT_INTERVAL);
+        let reports = self.services.rollout_reports();
+        if !reports.is_empty() {
+            let registries = self.subscriber.borrow().connections();
+            self.links.send_all(registries, &PeerMessage::RolloutReports(reports));
+        }
+    }
+
     /// Keeps links to the registries that it has to reach.
     fn update_links(&self, links: &mut BTreeMap<String, LinkHandle>) {
         let wanted = self.subscriber.borrow().wanted_registries();
@@ -267,6 +284,7 @@
                 }
                 Output::ServerChanged(id, server) => self.services.server_changed(&id, server.as_ref()),
                 Output::Decided(decision) => handler.iter().for_each(|handler| handler.decided(decision)),
+                Output::Permitted(permits) => self.services.permit(permits),
                 Output::Placed { index, proxies } => {
                     self.servers.set_proxies(proxies);
                     self.services.placed(index, proxies);
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -1,8 +1,9 @@
-//! The services' servers: who they are to the decisions, and one node that decides for each service.
+//! The services' servers: who they are to the decisions, and one node that decides for each version of a service.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mountbend::control::Controller;
@@ -11,7 +12,9 @@
 };
 use pinerelay_config_state::hash;
 use pinerelay_config_state::resources::{Route, RouteType};
+use pinerelay_config_state::routing_table::RolloutInForce;
 use pinerelay_config_state::server::{Server, ServerState};
+use pinerelay_rollout::report::{RolloutPermit, RolloutReport};
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::node::{Node, Peers};
 use pinerelay_traffic::ports::{Core, MemberSource, QuotaStore};
@@ -19,6 +22,7 @@
 use crate::proxied_request::ProxyTraffic;
 use crate::server_pool::ServerPool;
 use crate::upstream::UpstreamConnector;
+use crate::versions::ServiceVersions;
 
 /// How long the slow start of a server lasts that reports one.
 const SLOW_START: Micros = 3_000_000;
@@ -62,7 +66,7 @@
     }
 }
 
-/// One service: its node, and the classes of requests that it knows.
+/// One version of a service: its node, and the classes of requests that it knows.
 pub struct Service {
     /// The node that decides.
     pub node: Rc<Node<ProxyTraffic>>,
@@ -73,7 +77,15 @@
 #[derive(Debug, Clone)]
 struct NumberedServer {
     number: ServerId,
+    name: VersionName,
+    is_ready: bool,
+}
+
+/// A version of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct VersionName {
     service: String,
+    version: String,
 }
 
 /// All services that routes or servers name.
@@ -85,7 +97,8 @@
     seed: u64,
     /// This proxy's index, and the number of proxies.
     place: Cell<(u32, u32)>,
-    services: RefCell<BTreeMap<String, Rc<Service>>>,
+    services: RefCell<BTreeMap<VersionName, Rc<Service>>>,
+    versions: RefCell<BTreeMap<String, Rc<ServiceVersions>>>,
     servers: RefCell<BTreeMap<String, NumberedServer>>,
 }
 
@@ -120,6 +133,7 @@
             seed,
             place: Cell::new((0, 1)),
             services: RefCell::default(),
+            versions: RefCell::default(),
             servers: RefCell::default(),
         })
     }
@@ -134,17 +148,65 @@
         }) as u32
     }
 
-    /// The service of a name.
-    pub fn service(&self, name: &str) -> Rc<Service> {
+    /// The version of a service that its next request goes to. `proxies` share the service's requests; `drawn` is a random number
+    /// from 0 to 1.
+    pub fn next_service(&self, service: &str, proxies: usize, drawn: f64) -> Rc<Service> {
+        let version = self.versions(service).choose(proxies, drawn);
+        self.service(&VersionName { service: service.into(), version })
+    }
+
+    fn service(&self, name: &VersionName) -> Rc<Service> {
         if let Some(service) = self.services.borrow().get(name) {
             return service.clone();
         }
         let service = Rc::new(Service { node: self.new_node(name), classes: RefCell::default() });
-        self.services.borrow_mut().insert(name.into(), service.clone());
+        self.services.borrow_mut().insert(name.clone(), service.clone());
         service
     }
 
-    fn new_node(&self, name: &str) -> Rc<Node<ProxyTraffic>> {
+    /// The versions of a service.
+    fn versions(&self, service: &str) -> Rc<ServiceVersions> {
+        if let Some(versions) = self.versions.borrow().get(service) {
+            return versions.clone();
+        }
+        let versions = ServiceVersions::new(self.clock.clone());
+        self.versions.borrow_mut().insert(service.into(), versions.clone());
+        versions
+    }
+
+    /// Puts in force what is decided about the services' versions.
+    pub fn set_rollouts(&self, rollouts: &BTreeMap<String, Arc<RolloutInForce>>) {
+        for service in rollouts.keys() {
+            self.versions(service);
+        }
+        for (service, versions) in self.versions.borrow().iter() {
+            versions.set_in_force(rollouts.get(service).cloned());
+        }
+    }
+
+    /// A registry permits requests to new versions.
+    pub fn permit(&self, permits: Vec<RolloutPermit>) {
+        for permit in permits {
+            self.versions(&permit.service).permit(permit);
+        }
+    }
+
+    /// The reports on the rollouts that are under way.
+    pub fn rollout_reports(&self) -> Vec<RolloutReport> {
+        let versions = self.versions.borrow();
+        let reports = versions.iter().filter_map(|(service, versions)| {
+            versions.report(service, |version| self.is_idle(service, version))
+        });
+        reports.collect()
+    }
+
+    /// Whether no request is open at a version.
+    fn is_idle(&self, service: &str, version: &str) -> bool {
+        let name = VersionName { service: service.into(), version: version.into() };
+        self.services.borrow().get(&name).is_none_or(|service| service.node.is_idle())
+    }
+
+    fn new_node(&self, name: &VersionName) -> Rc<Node<ProxyTraffic>> {
         let (index, proxies) = self.place.get();
         let settings = Settings {
             me: index,
@@ -155,10 +217,12 @@
             rules: Rules { cold_from: SLOW_START_SHARE, cold: SLOW_START, ..Rules::default() },
             ..Settings::default()
         };
-        let seed = hash::mix64(self.seed ^ hash::hash_parts(&[name.as_bytes()]));
+        let VersionName { service, version } = name;
+        let seed = hash::mix64(self.seed ^ hash::hash_parts(&[service.as_bytes(), version.as_bytes()]));
+        let versions = self.versions(service);
         let (pool, clock) = (self.pool.clone(), self.clock.clone());
         Node::new(Controller::new(seed, settings), MAX_ATTEMPTS, self.clock.clone(), |core| Peers {
-            upstream: UpstreamConnector::new(name, pool, clock, core),
+            upstream: UpstreamConnector::new(service, version, versions, pool, clock, core),
             store: Rc::new(NoQuotas),
             members: Rc::new(NoMemberList),
         })
@@ -174,10 +238,11 @@
 
     /// What is known of a server has changed; `None` if it takes no requests.
     pub fn server_changed(&self, id: &str, server: Option<&Server>) {
-        let Some(NumberedServer { number, service }) = self.numbered(id, server) else { return };
+        let Some(NumberedServer { number, name, .. }) = self.numbered(id, server) else { return };
+        self.count_ready(id, server);
         self.pool.set(number, id, server);
         let member = self.member(number, server);
-        let node = self.service(&service).node.clone();
+        let node = self.service(&name).node.clone();
         node.event(Event::Members { kind: ListKind::Changes, entries: vec![member] });
         if server.is_none() {
             self.servers.borrow_mut().remove(id);
@@ -189,11 +254,29 @@
         if let Some(known) = self.servers.borrow().get(id) {
             return Some(known.clone());
         }
-        let new = NumberedServer { number: self.new_number(id), service: server?.service.clone() };
+        let Server { service, revision, .. } = server?;
+        let name = VersionName { service: service.clone(), version: revision.clone() };
+        let new = NumberedServer { number: self.new_number(id), name, is_ready: false };
         self.servers.borrow_mut().insert(id.into(), new.clone());
         Some(new)
     }
 
+    /// Counts the ready servers of each version.
+    fn count_ready(&self, id: &str, server: Option<&Server>) {
+        let is_ready = server.is_some_and(|server| server.state == ServerState::Ready);
+        let mut servers = self.servers.borrow_mut();
+        let Some(known) = servers.get_mut(id) else { return };
+        if std::mem::replace(&mut known.is_ready, is_ready) == is_ready {
+            return;
+        }
+        let versions = self.versions(&known.name.service);
+        if is_ready {
+            versions.server_added(&known.name.version);
+        } else {
+            versions.server_removed(&known.name.version);
+        }
+    }
+
     /// A server as the decisions know it.
     fn member(&self, number: ServerId, server: Option<&Server>) -> Member {
         let Some(server) = server else {
--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -14,8 +14,9 @@
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{
     Hello, PeerMessage, RegistryStatus, Role, CONFIG_REALM, LEASE_DURATION, MIN_REGISTRIES_PER_PROXY,
-    RUNTIME_REALM,
+    RUNTIME_REALM, UNDERSTANDS_ROLLOUTS,
 };
+use pinerelay_rollout::report::RolloutPermit;
 
 mod leases;
 mod registry_link;
@@ -49,6 +50,8 @@
     ServerChanged(String, Option<Server>),
     /// A request that waited for a unit does not wait any more.
     Decided(Decision),
+    /// A registry permits requests to new versions.
+    Permitted(Vec<RolloutPermit>),
     /// This proxy's place among all of them.
     Placed {
         /// Its index, from 0.
@@ -258,6 +261,7 @@
         self.known_registries.insert(hello.ip.clone());
         self.registries.insert(connection, RegistryLink::new(hello));
         out.push(Output::Send(connection, PeerMessage::Digests(self.digests())));
+        out.push(Output::Send(connection, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS)));
     }
 
     fn dispatch(
@@ -285,6 +289,11 @@
                 self.on_sync(now, connection, realm, items, &parts, out);
             }
             PeerMessage::LeaseGrants(grants) => self.on_lease_grants(now, connection, grants, out),
+            PeerMessage::RolloutPermits(permits) => {
+                // A permit for a report that was not sent yet would be valid for longer than it may be.
+                let possible = permits.into_iter().filter(|permit| permit.sent_at <= now).collect();
+                out.push(Output::Permitted(possible));
+            }
             _ => {}
         }
     }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -3,6 +3,7 @@
 //! An attempt connects, sends the request once, and reads the response. Its execution status is raised before the first byte is
 //! written, and lowered again only if none was: so an attempt that is cancelled at any point leaves a status that is true.
 
+use std::cell::RefCell;
 use std::ops::ControlFlow;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -30,6 +31,8 @@
 use crate::response_class::{classify, names_request, ResponseClass};
 use crate::server_pool::{ConnectError, ServerConnection, ServerPool, DEFAULT_KEEP_ALIVE};
 
+use crate::versions::{Observation, ServiceVersions};
+
 #[cfg(test)]
 mod tests;
 
@@ -40,9 +43,11 @@
 /// An attempt is given up so long before its client gives up.
 const STOP_MARGIN: Duration = Duration::from_micros(STOP_BEFORE);
 
-/// Connects a service's requests to its servers.
+/// Connects a service's requests to the servers of one version.
 pub struct UpstreamConnector {
     service: String,
+    version: Rc<str>,
+    versions: Rc<ServiceVersions>,
     servers: Rc<ServerPool>,
     clock: Rc<Clock>,
     core: Weak<dyn Ends<ProxyTraffic>>,
@@ -100,18 +105,30 @@
     request: &'a ProxiedRequest,
     /// When it is given up.
     stop: Micros,
+    /// What it tells of the version, once it is sent.
+    observation: RefCell<Option<Observation>>,
 }
 
 impl UpstreamConnector {
-    /// The connector of a service.
+    /// The connector of a service's version.
     pub fn new(
         service: &str,
+        version: &str,
+        versions: Rc<ServiceVersions>,
         servers: Rc<ServerPool>,
         clock: Rc<Clock>,
         core: Weak<dyn Ends<ProxyTraffic>>,
     ) -> Rc<UpstreamConnector> {
-        let service = service.into();
-        Rc::new_cyclic(|this| UpstreamConnector { service, servers, clock, core, this: this.clone() })
+        let (service, version) = (service.into(), version.into());
+        Rc::new_cyclic(|this| UpstreamConnector {
+            service,
+            version,
+            versions,
+            servers,
+            clock,
+            core,
+            this: this.clone(),
+        })
     }
 
     /// Takes the permission to send a request to one server more: as its route allows, and the retry budget of all nodes. The
@@ -213,11 +230,12 @@
         self.conclude(result, connection, execution_before).await
     }
 
-    /// Whether the request may still be sent: its client has not gone, was not promised that it is never executed, and it is not too
-    /// late for a response.
+    /// Whether the request may still be sent: its client has not gone, was not promised that it is never executed, it is not too
+    /// late for a response, and its version is not closed.
     fn is_still_wanted(&self, connect_by: Instant) -> bool {
         let is_late = self.upload().is_none() && Instant::now() >= connect_by;
-        !self.request.state.is_withdrawn.get() && !is_late
+        let may_send = self.connector.versions.may_send(&self.connector.version);
+        !self.request.state.is_withdrawn.get() && !is_late && may_send
     }
 
     /// Raises the request's execution status before anything is written: an attempt that is cancelled on the way has reached its
@@ -227,6 +245,7 @@
         let before = state.execution.get();
         state.execution.set(before.combine(ExecutionStatus::MayHaveExecuted));
         state.sent.set(state.sent.get() + 1);
+        self.observe();
         if let Some(core) = self.connector.core.upgrade() {
             core.attempt_goes(self.id, self.number);
         }
@@ -238,6 +257,27 @@
         let state = &self.request.state;
         state.execution.set(execution_before);
         state.sent.set(state.sent.get() - 1);
+        self.observation.take().into_iter().for_each(Observation::forget);
+    }
+
+    /// From now on it is seen what the version makes of the request.
+    fn observe(&self) {
+        let UpstreamConnector { versions, version, .. } = self.connector;
+        versions.count_sent(version, self.request.state.sent.get() == 1);
+        self.observation.replace(Some(Observation::begin(versions, version, self.request.route)));
+    }
+
+    /// What its end tells of the version.
+    fn end_observation(&self, end: &AttemptEnd) {
+        let Some(observation) = self.observation.take() else { return };
+        let is_error = |response: &Response<Bytes>| response.status().as_u16() >= 400;
+        match end.outcome {
+            Outcome::Ok => observation.end(end.response.as_ref().is_some_and(is_error)),
+            Outcome::Error | Outcome::Reset | Outcome::TimedOut => observation.end(true),
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Cancelled | Outcome::Ignored => {
+                observation.forget();
+            }
+        }
     }
 
     /// What follows from what came back.
@@ -423,8 +463,18 @@
         let (connector, core) = (self.this.clone(), self.core.clone());
         let task = tokio::task::spawn_local(async move {
             let Some(connector) = connector.upgrade() else { return };
-            let attempt = Attempt { connector: &connector, id: &id, number, server, request: &request, stop };
-            let AttemptEnd { outcome, response } = attempt.run().await;
+            let attempt = Attempt {
+                connector: &connector,
+                id: &id,
+                number,
+                server,
+                request: &request,
+                stop,
+                observation: RefCell::default(),
+            };
+            let end = attempt.run().await;
+            attempt.end_observation(&end);
+            let AttemptEnd { outcome, response } = end;
             if let Some(core) = core.upgrade() {
                 core.attempt_over(&id, number, outcome, response);
             }
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -32,6 +32,7 @@
 use pinerelay_proxy::request_head::REQUEST_ID;
 use pinerelay_proxy::server_pool::ServerPool;
 use pinerelay_proxy::upstream::UpstreamConnector;
+use pinerelay_proxy::versions::{ObservedRoute, ServiceVersions};
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::clock::Clock;
 use pinerelay_traffic::long::{Download, Upload};
@@ -120,7 +121,14 @@
         let (heard, clock) = (Rc::<Heard>::default(), Rc::new(Clock::new()));
         let core: Weak<dyn Ends<ProxyTraffic>> =
             Rc::downgrade(&(heard.clone() as Rc<dyn Ends<ProxyTraffic>>));
-        let connector = UpstreamConnector::new("s1", servers.clone(), clock.clone(), core);
+        let connector = UpstreamConnector::new(
+            "s1",
+            "v1",
+            ServiceVersions::new(clock.clone()),
+            servers.clone(),
+            clock.clone(),
+            core,
+        );
         Play { servers, connector, heard, clock, told }
     }
 
@@ -154,6 +162,7 @@
     ProxiedRequest {
         request: ForwardedRequest::new(received, headers),
         body: Payload::Whole(Bytes::from_static(b"body")),
+        route: ObservedRoute { route: 1, target_class: 9 },
         is_idempotent: false,
         max_attempts: 2,
         state: Rc::<RequestState>::default(),
--- a/crates/registry/src/control_call.rs
+++ b/crates/registry/src/control_call.rs
@@ -1,5 +1,6 @@
 //! The calls of servers and operators: one dispatch on method, path and query.
 
+use pinerelay_config_state::rollout::RolloutOrder;
 use pinerelay_config_state::server::Heartbeat;
 use pinerelay_config_state::ValidationError;
 use thiserror::Error;
@@ -9,8 +10,8 @@
 
 /// The path of all calls.
 pub const PATH: &str = "/-/rpc";
-/// No server's id is longer, in bytes.
-const MAX_ID_LENGTH: usize = 256;
+/// No name of a server or service is longer, in bytes.
+const MAX_NAME_LENGTH: usize = 256;
 
 /// A call.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +32,10 @@
     Update(Vec<u8>),
     /// The operator reads the configuration.
     Read,
+    /// The operator orders a rollout.
+    StartRollout(RolloutOrder),
+    /// The operator reads how the rollout of this service stands.
+    ReadRollout(String),
 }
 
 /// Why a call is rejected.
@@ -51,6 +56,9 @@
     /// The server's id is missing or too long, or cannot be decoded.
     #[error("of: the server's id is wanted")]
     InvalidId,
+    /// The service's name is missing or too long, or cannot be decoded.
+    #[error("of: the service's name is wanted")]
+    InvalidService,
     /// The body is invalid.
     #[error(transparent)]
     InvalidBody(#[from] ValidationError),
@@ -62,7 +70,7 @@
         match self {
             CallError::UnknownPath | CallError::NoCall | CallError::UnknownCall(_) => 404,
             CallError::UnknownMethod => 405,
-            CallError::InvalidId | CallError::InvalidBody(_) => 400,
+            CallError::InvalidId | CallError::InvalidService | CallError::InvalidBody(_) => 400,
         }
     }
 }
@@ -79,12 +87,18 @@
         return Err(CallError::UnknownMethod);
     }
     match query_value(query, "call") {
-        Some("servers.heartbeat") => {
-            Ok(ControlCall::Heartbeat { id: server_id(query)?, heartbeat: Heartbeat::parse(body)? })
-        }
-        Some("servers.leave") => Ok(ControlCall::Leave { id: server_id(query)? }),
+        Some("servers.heartbeat") => Ok(ControlCall::Heartbeat {
+            id: name_of(query).ok_or(CallError::InvalidId)?,
+            heartbeat: Heartbeat::parse(body)?,
+        }),
+        Some("servers.leave") => Ok(ControlCall::Leave { id: name_of(query).ok_or(CallError::InvalidId)? }),
         Some("config.update") => Ok(ControlCall::Update(body.to_vec())),
         Some("config.read") => Ok(ControlCall::Read),
+        Some("rollouts.start") => Ok(ControlCall::StartRollout(RolloutOrder::parse(body)?)),
+        Some("rollouts.read") => {
+            let service = name_of(query).ok_or(CallError::InvalidService)?;
+            Ok(ControlCall::ReadRollout(service))
+        }
         Some(other) => Err(CallError::UnknownCall(other.into())),
         None => Err(CallError::NoCall),
     }
@@ -95,9 +109,10 @@
     pairs.find(|(other, _)| *other == name).map(|(_, value)| value)
 }
 
-fn server_id(query: Option<&str>) -> Result<String, CallError> {
-    let id = query_value(query, "of").and_then(percent_decode);
-    id.filter(|id| !id.is_empty() && id.len() <= MAX_ID_LENGTH).ok_or(CallError::InvalidId)
+/// The name of the server or service that a call is about.
+fn name_of(query: Option<&str>) -> Option<String> {
+    let name = query_value(query, "of").and_then(percent_decode);
+    name.filter(|name| !name.is_empty() && name.len() <= MAX_NAME_LENGTH)
 }
 
 /// Decodes percent-encoding (RFC 3986, section 2.1); `None` if that is malformed or the result is no UTF-8.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -9,6 +9,7 @@
 use pinerelay_config_state::ItemSet;
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{CallReply, Hello, PeerMessage, Role, CONFIG_REALM, RUNTIME_REALM};
+use pinerelay_rollout::decider::RolloutBounds;
 
 mod call_forwarding;
 mod currency;
@@ -17,6 +18,7 @@
 mod processes;
 mod quota_duty;
 mod replication;
+mod rollout_duty;
 mod status;
 
 use call_forwarding::ForwardedCalls;
@@ -25,6 +27,7 @@
 use processes::{PeerRegistry, Proxies, StoreLink};
 use quota_duty::QuotaDuty;
 use replication::PartialUpdate;
+use rollout_duty::RolloutDuty;
 use status::Counters;
 
 /// How often a registry reports its status.
@@ -64,10 +67,22 @@
     pub heartbeat_interval: Micros,
     /// The operator's bounds on quotas.
     pub quota_bounds: QuotaBounds,
+    /// Rollouts, as the operator wants them.
+    pub rollouts: RolloutSettings,
     /// The core machines that it has been told of.
     pub seeds: Vec<String>,
 }
 
+/// Rollouts, as the operator wants them.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RolloutSettings {
+    /// Whether a version that no rollout has let in is to get nothing from the first server of a service on. Otherwise that holds for a
+    /// service from its first order on.
+    pub are_guaranteed: bool,
+    /// The bounds.
+    pub bounds: RolloutBounds,
+}
+
 /// Whether a majority of the core is reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Majority {
@@ -113,6 +128,7 @@
     endpoints: Endpoints,
     duties: DutyTable,
     quota_duty: QuotaDuty,
+    rollout_duty: RolloutDuty,
     calls: ForwardedCalls,
     /// The last number that was given to a call, a replication or a fencing token.
     last_number: u64,
@@ -154,6 +170,7 @@
             endpoints: Endpoints::new(now),
             duties,
             quota_duty: QuotaDuty::default(),
+            rollout_duty: RolloutDuty::default(),
             calls: ForwardedCalls::default(),
             last_number: 0,
             last_tick: now,
@@ -247,6 +264,7 @@
         self.detect_lost_servers(now, out);
         self.forget_missing_proxies(now);
         self.expire_calls(now, out);
+        self.update_rollouts(now, out);
         if now >= self.next_status {
             self.next_status = now + STATUS_INTERVAL;
             self.send_periodic(now, out);
--- a/crates/registry/src/registry/call_forwarding.rs
+++ b/crates/registry/src/registry/call_forwarding.rs
@@ -14,11 +14,27 @@
 /// No call is forwarded to a store that has been silent for two of its status intervals.
 const STORE_TIMEOUT: Micros = 1_200_000;
 
+/// Who waits for the answer to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Caller {
+    /// A caller from outside, whose call came under this number.
+    Outside(u64),
+    /// This registry itself, which sees by the items what came of it.
+    Registry,
+}
+
+impl Caller {
+    fn answer(self, reply: CallReply, out: &mut Vec<Output>) {
+        if let Caller::Outside(call) = self {
+            out.push(Output::Answer(call, reply));
+        }
+    }
+}
+
 /// A call that is with a store.
 #[derive(Debug)]
 struct OpenCall {
-    /// The number under which it came from outside.
-    call: u64,
+    caller: Caller,
     since: Micros,
     /// The connection on which it was forwarded, and on which alone its answer comes.
     store: ConnectionId,
@@ -39,13 +55,19 @@
         match call {
             ControlCall::Heartbeat { id, heartbeat } => self.on_heartbeat(now, number, &id, heartbeat, out),
             ControlCall::Leave { id } => self.on_leave(now, number, &id, out),
-            // The caller of an update may have been rejected elsewhere meanwhile.
-            ControlCall::Update(_) if self.may_have_waited(now) => {
+            // The caller of a change may have been rejected elsewhere meanwhile.
+            ControlCall::Update(_) | ControlCall::StartRollout(_) if self.may_have_waited(now) => {
                 let reply = CallReply::error(503, "the registry has stood still");
                 out.push(Output::Answer(number, reply));
             }
-            ControlCall::Update(body) => self.forward(now, number, ForwardedCall::Update(body), out),
-            ControlCall::Read => self.forward(now, number, ForwardedCall::Read, out),
+            ControlCall::Update(body) => {
+                self.forward(now, Caller::Outside(number), ForwardedCall::Update(body), out)
+            }
+            ControlCall::Read => self.forward(now, Caller::Outside(number), ForwardedCall::Read, out),
+            ControlCall::StartRollout(order) => self.start_rollout(now, number, order, out),
+            ControlCall::ReadRollout(service) => {
+                self.forward(now, Caller::Outside(number), ForwardedCall::ReadRollout(service), out);
+            }
         }
     }
 
@@ -54,16 +76,22 @@
         now > self.last_tick + CALL_STALL || self.resumed_at.is_some_and(|at| now < at + AFTER_CALL_STALL)
     }
 
-    fn forward(&mut self, now: Micros, call: u64, forwarded: ForwardedCall, out: &mut Vec<Output>) {
+    pub(super) fn forward(
+        &mut self,
+        now: Micros,
+        caller: Caller,
+        forwarded: ForwardedCall,
+        out: &mut Vec<Output>,
+    ) {
         self.calls.total += 1;
-        self.forward_to_store(now, call, now, forwarded, out);
+        self.forward_to_store(now, caller, now, forwarded, out);
     }
 
     /// Forwards a call to the machine's own store, or to any other that is heard; with none its caller is answered at once.
     fn forward_to_store(
         &mut self,
         now: Micros,
-        call: u64,
+        caller: Caller,
         since: Micros,
         forwarded: ForwardedCall,
         out: &mut Vec<Output>,
@@ -71,10 +99,10 @@
         let stores = self.own_store().into_iter().chain(self.reported_stores());
         let heard = { stores }.find(|&store| self.is_heard(now, store));
         let Some(store) = heard else {
-            return out.push(Output::Answer(call, CallReply::error(503, "no store is reached")));
+            return caller.answer(CallReply::error(503, "no store is reached"), out);
         };
         let number = self.next_number();
-        self.calls.open.insert(number, OpenCall { call, since, store, forwarded: forwarded.clone() });
+        self.calls.open.insert(number, OpenCall { caller, since, store, forwarded: forwarded.clone() });
         out.push(Output::Send(store, PeerMessage::ForwardCall(number, forwarded)));
     }
 
@@ -93,8 +121,8 @@
         out: &mut Vec<Output>,
     ) {
         if self.calls.open.get(&number).is_some_and(|open| open.store == store) {
-            if let Some(OpenCall { call, .. }) = self.calls.open.remove(&number) {
-                out.push(Output::Answer(call, reply));
+            if let Some(OpenCall { caller, .. }) = self.calls.open.remove(&number) {
+                caller.answer(reply, out);
             }
         }
     }
@@ -104,12 +132,12 @@
     /// An update is not, and its caller is not answered at once, either: the store may still have it, and commit it after
     /// another has rejected it. Its time at the store is over once [`CALL_TIMEOUT`] is over here.
     pub(super) fn forward_reads_again(&mut self, now: Micros, store: ConnectionId, out: &mut Vec<Output>) {
-        let is_read = |open: &OpenCall| open.store == store && open.forwarded == ForwardedCall::Read;
+        let is_read = |open: &OpenCall| open.store == store && !open.forwarded.is_change();
         let reads = self.calls.open.iter().filter(|(_, open)| is_read(open));
         let numbers: Vec<u64> = reads.map(|(&number, _)| number).collect();
         for number in numbers {
-            if let Some(OpenCall { call, since, forwarded, .. }) = self.calls.open.remove(&number) {
-                self.forward_to_store(now, call, since, forwarded, out);
+            if let Some(OpenCall { caller, since, forwarded, .. }) = self.calls.open.remove(&number) {
+                self.forward_to_store(now, caller, since, forwarded, out);
             }
         }
     }
@@ -119,9 +147,9 @@
         let late = self.calls.open.iter().filter(|(_, open)| now >= open.since + CALL_TIMEOUT);
         let numbers: Vec<u64> = late.map(|(&number, _)| number).collect();
         for number in numbers {
-            if let Some(OpenCall { call, .. }) = self.calls.open.remove(&number) {
+            if let Some(OpenCall { caller, .. }) = self.calls.open.remove(&number) {
                 let reply = CallReply::error(503, "the store has not answered in time");
-                out.push(Output::Answer(call, reply));
+                caller.answer(reply, out);
             }
         }
     }
--- a/crates/registry/src/registry/messages.rs
+++ b/crates/registry/src/registry/messages.rs
@@ -7,7 +7,9 @@
 use pinerelay_config_state::Item;
 use pinerelay_consensus::Membership;
 use pinerelay_peer_link::link::ConnectionId;
-use pinerelay_peer_link::message::{Hello, PeerMessage, RegistryStatus, Role, LEASE_DURATION};
+use pinerelay_peer_link::message::{
+    Hello, PeerMessage, RegistryStatus, Role, LEASE_DURATION, UNDERSTANDS_ROLLOUTS,
+};
 
 use super::processes::PeerRegistry;
 use super::replication::Arrival;
@@ -23,6 +25,7 @@
     pub fn disconnected(&mut self, now: Micros, connection: ConnectionId, out: &mut Vec<Output>) {
         self.stores.remove(&connection);
         self.last_sync.remove(&connection);
+        self.rollout_duty.disconnected(connection);
         self.lease.store_disconnected(connection);
         let Some(hello) = self.peers.remove(&connection) else { return };
         self.forward_reads_again(now, connection, out);
@@ -46,6 +49,9 @@
             (PeerMessage::Hello(hello), None) => self.on_hello(now, connection, hello, out),
             // A connection belongs to one process at each end.
             (PeerMessage::Hello(_), Some(_)) | (_, None) => out.push(Output::Close(connection)),
+            (PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS), Some(_)) => {
+                self.rollout_duty.peer_understands(connection);
+            }
             (message, Some(peer)) => {
                 self.note_heard(now, connection, &peer);
                 match peer.role {
@@ -84,6 +90,9 @@
             PeerMessage::LeaseRequests(requests) => {
                 self.on_lease_requests(now, connection, peer, requests, out)
             }
+            PeerMessage::RolloutReports(reports) => {
+                self.on_rollout_reports(now, connection, peer, &reports, out);
+            }
             PeerMessage::ConfirmCurrent(asked_at) => {
                 out.extend(self.current_confirmation(now, connection, asked_at));
             }
@@ -193,6 +202,9 @@
             }
             Role::ConfigStore | Role::Observer => {}
         }
+        if role == Role::Registry {
+            out.push(Output::Send(connection, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS)));
+        }
     }
 
     fn on_lease_requests(
--- a/crates/registry/src/registry/processes.rs
+++ b/crates/registry/src/registry/processes.rs
@@ -116,6 +116,7 @@
         self.proxies.missing.remove(node);
         self.proxies.last_heard.remove(node);
         self.quota_duty.proxy_ended(now, node);
+        self.rollout_duty.proxy_ended(node);
     }
 
     /// Counts proxies as missing that have been silent for too long. Their shares are reserved from when they were last heard.
--- a/crates/registry/src/registry/status.rs
+++ b/crates/registry/src/registry/status.rs
@@ -87,7 +87,7 @@
         let Counters { lease_requests, lease_requests_misdirected, .. } = self.counters;
         let pending = self.endpoints.pending_deregistrations();
         let update_age = seconds(now.saturating_sub(self.last_equal));
-        vec![
+        let mut metrics = vec![
             Metric::new("registry_servers_ready", self.servers_in_state(ServerState::Ready)),
             Metric::new("registry_servers_draining", self.servers_in_state(ServerState::Draining)),
             Metric::new("registry_servers_lost", self.servers_in_state(ServerState::Lost)),
@@ -111,6 +111,8 @@
             Metric::new("registry_lease_requests_misdirected_total", lease_requests_misdirected as f64),
             Metric::new("registry_units_leased_total", units_leased as f64),
             Metric::new("registry_leases_exhausted_total", leases_exhausted as f64),
-        ]
+        ];
+        metrics.extend(self.rollout_duty.metrics());
+        metrics
     }
 }
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -24,6 +24,7 @@
 use pinerelay_node_runtime::settings_watch;
 use pinerelay_peer_link::link::{LinkEvent, LinkEvents, LinkHandle, Links};
 use pinerelay_peer_link::message::{CallReply, Hello, Metric, PeerMessage, Role};
+use pinerelay_rollout::decider::RolloutBounds;
 use pinerelay_traffic::budget::Budget;
 use pinerelay_traffic::front::{last, Front, Handler};
 use pinerelay_traffic::listen::{listen, Gate};
@@ -38,7 +39,7 @@
 use crate::call_body::{BodyError, BodyMemory};
 use crate::call_counts::CallCounts;
 use crate::control_call::{self, ControlCall};
-use crate::registry::{Output, Registry, RegistryConfig};
+use crate::registry::{Output, Registry, RegistryConfig, RolloutSettings};
 
 /// The interval of ticks.
 const TICK: Duration = Duration::from_millis(100);
@@ -57,6 +58,9 @@
 /// The part of the callers' descriptors that is used.
 const DESCRIPTOR_USE: f64 = 0.9;
 
+/// The guarantee of the settings that is about rollouts.
+const ROLLOUT_GUARANTEE: &str = "rollout";
+
 /// The registry with what it is joined to.
 struct RunningRegistry {
     registry: RefCell<Registry>,
@@ -131,6 +135,14 @@
             overrun: bounds.quota_overrun,
             margin: bounds.quota_margin,
         },
+        rollouts: RolloutSettings {
+            are_guaranteed: settings.guarantees.iter().any(|name| name == ROLLOUT_GUARANTEE),
+            bounds: RolloutBounds {
+                exposure_share: bounds.exposure_share,
+                exposure_margin: bounds.exposure_margin,
+                rollback: bounds.rollback.as_micros(),
+            },
+        },
         seeds: settings.seeds().iter().map(Ipv4Addr::to_string).collect(),
     }
 }
--- a/crates/registry/tests/calls.rs
+++ b/crates/registry/tests/calls.rs
@@ -43,6 +43,7 @@
             quota_bounds: bounds,
             seeds,
             time_of_day: 0,
+            rollouts: Default::default(),
         };
         let registry = Registry::new(0, config);
         let (speaking, answered) = Default::default();
--- a/crates/registry/tests/process_list.rs
+++ b/crates/registry/tests/process_list.rs
@@ -24,6 +24,7 @@
             quota_bounds: bounds,
             seeds,
             time_of_day: 0,
+            rollouts: Default::default(),
         },
     )
 }
--- a/crates/registry/tests/replication.rs
+++ b/crates/registry/tests/replication.rs
@@ -25,6 +25,7 @@
         quota_bounds: bounds,
         seeds: vec!["127.0.0.1".into()],
         time_of_day: 0,
+        rollouts: Default::default(),
     };
     let mut registry = Registry::new(0, config);
     registry.receive(1, STORE, PeerMessage::Hello(hello(Role::ConfigStore)), &mut Vec::new());
--- /dev/null
+++ b/crates/rollout/src/evidence.rs
@@ -0,0 +1,263 @@
+//! What all proxies have seen of both versions, and whether the new one is worse.
+//!
+//! Both versions are compared route by route, over the same time: what hits both shows nothing. Once the new version has all
+//! requests there is no such comparison, and only many more failures than before count. A difference counts only if it exceeds a tolerance and
+//! [`DEVIATIONS`] standard deviations of a difference by chance (the two-proportion z-test). Tests are repeated with each report, for
+//! which the number of deviations leaves room: 4 are one chance in 30,000 for one test.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::report::{RolloutReport, RouteSample, VersionSample, LATENCY_CLASSES};
+use crate::Micros;
+
+/// How many standard deviations a difference has to exceed.
+const DEVIATIONS: f64 = 4.0;
+/// By how much a larger part of the new version's attempts may fail.
+const FAILURE_TOLERANCE: f64 = 0.05;
+/// The same once it has all requests, and is compared with what the others did before.
+const LATER_FAILURE_TOLERANCE: f64 = 0.15;
+/// By how much a larger part of the new version's attempts may take longer than some latency.
+const SLOWNESS_TOLERANCE: f64 = 0.08;
+/// Latencies this many classes below that of the route's target do not matter: there the cost of new connections shows.
+const CLASSES_BELOW_TARGET: usize = 3;
+/// No judgement is made on fewer attempts at the new version, nor of its latency on fewer at the others.
+const MIN_ATTEMPTS: u64 = 12;
+/// No judgement is made on fewer attempts that failed or were slow.
+const MIN_BAD_ATTEMPTS: u64 = 5;
+/// A version is healthy only with so many attempts.
+const HEALTHY_ATTEMPTS: u64 = 30;
+/// A route with a smaller part of the service's attempts is not waited for.
+const ROUTE_SHARE: f64 = 0.05;
+/// A route that is waited for needs so many attempts at the new version.
+const ROUTE_ATTEMPTS: u32 = 8;
+/// The spans over which versions are compared, besides the whole time: what turns bad late would be diluted by the rest.
+const SPANS: [Micros; 2] = [2_000_000, 5_000_000];
+/// How often the totals are noted.
+const SNAPSHOT_INTERVAL: Micros = 500_000;
+/// How many of them are kept: more than the longest span needs.
+const SNAPSHOTS: usize = 12;
+/// So many routes are told apart; the rest are compared together.
+const MAX_ROUTES: usize = 64;
+/// Stands for all routes beyond those.
+const OTHER_ROUTES: u64 = 0;
+
+/// How the new version compares with the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too little is known.
+    Undecided,
+    /// Nothing shows that it is worse.
+    Healthy,
+    /// More of its attempts fail.
+    Failing,
+    /// More of its attempts take longer than some latency that matters.
+    Slow,
+}
+
+impl Verdict {
+    /// Whether the new version is worse.
+    pub fn is_bad(self) -> bool {
+        matches!(self, Verdict::Failing | Verdict::Slow)
+    }
+}
+
+/// With what the new version is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Comparison {
+    /// With the others at the same time.
+    AtTheSameTime,
+    /// With the others before: the new version has all requests now.
+    WithBefore,
+}
+
+type Totals = BTreeMap<u64, RouteSample>;
+
+/// The last report of a proxy's process.
+#[derive(Debug, Clone)]
+struct LastReport {
+    process_id: u64,
+    routes: Vec<RouteSample>,
+}
+
+/// What all proxies have reported of one rollout.
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
+    totals: Totals,
+    last_reports: BTreeMap<String, LastReport>,
+    /// The totals at earlier moments, the oldest first.
+    snapshots: VecDeque<(Micros, Totals)>,
+}
+
+impl Evidence {
+    /// A proxy has reported. Each report holds all that its process has counted.
+    pub fn report(&mut self, node: &str, process_id: u64, report: &RolloutReport) {
+        let last = self.last_reports.get(node).filter(|last| last.process_id == process_id);
+        let nothing = RouteSample::default();
+        let mut changes = Vec::with_capacity(report.routes.len());
+        for sample in &report.routes {
+            let earlier = last.and_then(|last| last.routes.iter().find(|other| other.route == sample.route));
+            let earlier = earlier.unwrap_or(&nothing);
+            let stable = sample.stable.since(&earlier.stable);
+            let target = sample.target.since(&earlier.target);
+            changes.push(RouteSample { stable, target, ..*sample });
+        }
+        changes.iter().for_each(|change| self.add(change));
+        let last = LastReport { process_id, routes: report.routes.clone() };
+        self.last_reports.insert(node.into(), last);
+    }
+
+    fn add(&mut self, change: &RouteSample) {
+        let is_known = self.totals.contains_key(&change.route) || self.totals.len() < MAX_ROUTES;
+        let route = if is_known { change.route } else { OTHER_ROUTES };
+        let total = self.totals.entry(route).or_insert(RouteSample {
+            route,
+            target_class: change.target_class,
+            ..RouteSample::default()
+        });
+        total.target_class = total.target_class.max(change.target_class);
+        total.stable.add(&change.stable);
+        total.target.add(&change.target);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        let is_due = self.snapshots.back().is_none_or(|(at, _)| now >= at + SNAPSHOT_INTERVAL);
+        if is_due {
+            self.snapshots.push_back((now, self.totals.clone()));
+            if self.snapshots.len() > SNAPSHOTS {
+                self.snapshots.pop_front();
+            }
+        }
+    }
+
+    /// All attempts at the new version.
+    pub fn target_attempts(&self) -> u64 {
+        self.totals.values().map(|sample| u64::from(sample.target.attempts)).sum()
+    }
+
+    /// All attempts at the new version that failed.
+    pub fn target_failures(&self) -> u64 {
+        self.totals.values().map(|sample| u64::from(sample.target.failures)).sum()
+    }
+
+    /// How the new version compares with the others so far.
+    pub fn verdict(&self, now: Micros, comparison: Comparison) -> Verdict {
+        let bad = match comparison {
+            Comparison::AtTheSameTime => {
+                let worst = worst_of(self.totals.values().copied(), compare);
+                let spans = SPANS.iter().filter_map(|span| worst_of(self.within(now, *span)?, compare));
+                worst.into_iter().chain(spans).next()
+            }
+            Comparison::WithBefore => self.worst_since_before(now),
+        };
+        match bad {
+            Some(bad) => bad,
+            None if self.is_sufficient() => Verdict::Healthy,
+            None => Verdict::Undecided,
+        }
+    }
+
+    /// What has come within a span; `None` if nothing is known from before.
+    fn within(&self, now: Micros, span: Micros) -> Option<impl Iterator<Item = RouteSample> + '_> {
+        let (_, earlier) = self.snapshots.iter().rfind(|(at, _)| at + span <= now)?;
+        Some(self.totals.values().map(|total| {
+            let earlier = earlier.get(&total.route).copied().unwrap_or_default();
+            let stable = total.stable.since(&earlier.stable);
+            let target = total.target.since(&earlier.target);
+            RouteSample { stable, target, ..*total }
+        }))
+    }
+
+    /// Compares what the new version did lately with what the others did since the order.
+    fn worst_since_before(&self, now: Micros) -> Option<Verdict> {
+        let [span, _] = SPANS;
+        let samples = self.within(now, span)?.map(|sample| {
+            let stable = self.totals.get(&sample.route).map_or(sample.stable, |total| total.stable);
+            RouteSample { stable, ..sample }
+        });
+        worst_of(samples, |sample| fails_more(sample, LATER_FAILURE_TOLERANCE))
+    }
+
+    /// Whether enough is known of each route that has a part of the requests.
+    fn is_sufficient(&self) -> bool {
+        let attempts =
+            |sample: &RouteSample| f64::from(sample.stable.attempts) + f64::from(sample.target.attempts);
+        let all: f64 = self.totals.values().map(attempts).sum();
+        let counts = |sample: &&RouteSample| attempts(sample) >= all * ROUTE_SHARE;
+        let has_enough = |sample: &RouteSample| sample.target.attempts >= ROUTE_ATTEMPTS;
+        self.target_attempts() >= HEALTHY_ATTEMPTS && self.totals.values().filter(counts).all(has_enough)
+    }
+}
+
+/// How the new version is worse on the first route on which it is, or on all routes together.
+fn worst_of(
+    samples: impl Iterator<Item = RouteSample>,
+    compare: impl Fn(&RouteSample) -> Option<Verdict>,
+) -> Option<Verdict> {
+    let mut together = RouteSample::default();
+    let mut worst = None;
+    for sample in samples {
+        together.target_class = together.target_class.max(sample.target_class);
+        together.stable.add(&sample.stable);
+        together.target.add(&sample.target);
+        worst = worst.or_else(|| compare(&sample));
+    }
+    worst.or_else(|| compare(&together))
+}
+
+/// How the new version is worse than the others, if it is.
+fn compare(sample: &RouteSample) -> Option<Verdict> {
+    fails_more(sample, FAILURE_TOLERANCE).or_else(|| is_slower(sample))
+}
+
+/// Whether more of the new version's attempts fail.
+fn fails_more(RouteSample { stable, target, .. }: &RouteSample, tolerance: f64) -> Option<Verdict> {
+    let failed =
+        |sample: &VersionSample| Proportion { bad: sample.failures.into(), all: sample.attempts.into() };
+    exceeds(failed(target), failed(stable), tolerance).then_some(Verdict::Failing)
+}
+
+/// Whether more of the new version's attempts take longer than some latency that matters.
+fn is_slower(RouteSample { stable, target, target_class, .. }: &RouteSample) -> Option<Verdict> {
+    if u64::from(stable.attempts) < MIN_ATTEMPTS {
+        return None;
+    }
+    let above = |sample: &VersionSample, class| Proportion {
+        bad: count_from(sample, class),
+        all: sample.attempts.into(),
+    };
+    let first = usize::from(*target_class).saturating_sub(CLASSES_BELOW_TARGET).max(1);
+    let mut classes = first..LATENCY_CLASSES;
+    let is_slower =
+        classes.any(|class| exceeds(above(target, class), above(stable, class), SLOWNESS_TOLERANCE));
+    is_slower.then_some(Verdict::Slow)
+}
+
+/// The attempts in a class of latency and those above it.
+fn count_from(sample: &VersionSample, class: usize) -> u64 {
+    sample.latencies[class..].iter().copied().map(u64::from).sum()
+}
+
+/// A part of attempts.
+#[derive(Debug, Clone, Copy)]
+struct Proportion {
+    bad: u64,
+    all: u64,
+}
+
+impl Proportion {
+    fn ratio(self) -> f64 {
+        self.bad as f64 / self.all.max(1) as f64
+    }
+}
+
+/// Whether a proportion exceeds another one by more than a tolerance and chance.
+fn exceeds(target: Proportion, stable: Proportion, tolerance: f64) -> bool {
+    if target.all < MIN_ATTEMPTS || target.bad < MIN_BAD_ATTEMPTS {
+        return false;
+    }
+    let pooled = Proportion { bad: target.bad + stable.bad, all: target.all + stable.all }.ratio();
+    let spread = 1.0 / target.all as f64 + 1.0 / stable.all.max(1) as f64;
+    let deviation = (pooled * (1.0 - pooled).max(0.0) * spread).sqrt();
+    target.ratio() - stable.ratio() > tolerance + DEVIATIONS * deviation
+}
--- /dev/null
+++ b/crates/rollout/tests/fleet_plays.rs
@@ -0,0 +1,74 @@
+//! Rollouts of good and bad versions in a simulated fleet.
+
+use googletest::prelude::*;
+use pinerelay_config_state::rollout::Stage;
+
+mod fleet;
+
+use fleet::{play, Badness, Outcome, Plan, ROLLBACK, SECOND};
+
+/// Seeds of each kind.
+const SEEDS: u64 = 6;
+
+fn check_bounds(plan: &Plan, outcome: &Outcome) {
+    expect_that!(outcome.exposed, le(outcome.exposure_bound()), "{plan:?}");
+    expect_that!(outcome.stopped_after(), le(ROLLBACK), "{plan:?}");
+    expect_that!(outcome.stage, some(eq(Stage::Reverted)), "{plan:?} {outcome:?}");
+}
+
+fn check_finished(plan: &Plan, outcome: &Outcome) {
+    expect_that!(outcome.stage, some(eq(Stage::Finished)), "{plan:?} {outcome:?}");
+    expect_that!(outcome.ended_at, some(le(plan.deadline)), "{plan:?}");
+    expect_that!(outcome.open_at_finish, eq(0), "{plan:?}");
+}
+
+#[gtest]
+fn a_good_version_is_finished_by_its_deadline() {
+    for seed in 0..SEEDS {
+        for faults in [0.0, 0.05] {
+            let plan = Plan { faults, ..Plan::new(seed, Badness::None) };
+            check_finished(&plan, &play(plan));
+        }
+    }
+}
+
+#[gtest]
+fn a_bad_version_is_reverted_within_its_exposure() {
+    let ways = [
+        Badness::Errors(0.5),
+        Badness::Errors(0.2),
+        Badness::Slow(0.38, 8.0),
+        Badness::Slow(0.38, 4.0),
+        Badness::Slow(0.6, 3.0),
+        Badness::OneRoute(0.5),
+        Badness::Late(0.4, 3 * SECOND),
+    ];
+    for seed in 0..SEEDS {
+        for badness in ways {
+            let plan = Plan::new(seed, badness);
+            check_bounds(&plan, &play(plan));
+        }
+    }
+}
+
+#[gtest]
+fn takeovers_restarts_and_lost_messages_break_no_bound() {
+    for seed in 0..SEEDS {
+        for badness in [Badness::Errors(0.4), Badness::Slow(0.5, 8.0)] {
+            let plan = Plan {
+                lost_messages: 0.2,
+                takeover_every: Some(1_700_000),
+                restart_every: Some(130_000),
+                ..Plan::new(seed, badness)
+            };
+            check_bounds(&plan, &play(plan));
+        }
+    }
+}
+
+#[gtest]
+fn a_version_that_nobody_can_judge_in_time_is_reverted() {
+    let plan = Plan { requests_per_second: 2.0, proxies: 11, ..Plan::new(1, Badness::None) };
+    let outcome = play(plan);
+    expect_that!(outcome.stage, some(eq(Stage::Reverted)));
+}
--- a/crates/smoker/src/process.rs
+++ b/crates/smoker/src/process.rs
@@ -199,6 +199,7 @@
                     hello,
                     first_start: first,
                     time_of_day: wall,
+                    rollouts: Default::default(),
                     heartbeat_interval: HEARTBEAT,
                     quota_bounds: QuotaBounds::default(),
                     seeds,
--- a/crates/traffic/src/node.rs
+++ b/crates/traffic/src/node.rs
@@ -131,6 +131,11 @@
         self.open.borrow().values().any(|o| o.answer.is_some())
     }
 
+    /// Whether no request is open.
+    pub fn is_idle(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
     /// The last moment of a planned stop: what is still unanswered has failed.
     pub fn fail_all(&self) {
         let left: Vec<_> = self.open.borrow().keys().cloned().collect();
