Rollouts: a version that loses its servers is reverted; versions are decided after 3 s

Cause: after the cutover a new version whose servers all go would have taken the service with it, since only failures of what was sent were looked at; and a registry that had just started could decide which versions are in service from the first server that it heard of. Change: with fewer than half of its servers left a version is reverted; the cutover waits for six tenths of the old versions' servers; a registry decides on versions 3 s after its start, and does not look at all unless it is wanted. Measured: a_version_whose_servers_go_before_it_has_finished_is_reverted, of three moments; it could not pass before, as nothing looked at servers. Tests of rollout and registry pass.

--- a/crates/registry/src/registry/rollout_duty.rs
+++ b/crates/registry/src/registry/rollout_duty.rs
@@ -21,6 +21,8 @@
 
 /// How often it is checked whether it is decided which versions have a service's requests.
 const BASELINE_INTERVAL: Micros = 1_000_000;
+/// A registry that has just started may not have heard of all servers yet.
+const BASELINE_DELAY: Micros = 3_000_000;
 /// A baseline of which no server is left for so long is replaced by the versions that there are.
 const BASELINE_TIMEOUT: Micros = 5_000_000;
 
@@ -236,7 +238,9 @@
     /// Has the versions decided that have the requests of services for which nothing is decided yet, so that a version which comes
     /// later gets nothing without an order.
     fn set_baselines(&mut self, now: Micros, out: &mut Vec<Output>) {
-        if !self.is_complete || !self.is_in_contact(now) || !self.all_understand_rollouts() {
+        let is_wanted = self.config.rollouts.are_guaranteed || !self.rollout_duty.ordered.is_empty();
+        let has_heard_all = self.is_complete && now >= self.started_at + BASELINE_DELAY;
+        if !is_wanted || !has_heard_all || !self.is_in_contact(now) || !self.all_understand_rollouts() {
             return;
         }
         let mut versions: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
--- a/crates/registry/tests/rollout_calls.rs
+++ b/crates/registry/tests/rollout_calls.rs
@@ -9,10 +9,10 @@
 use pinerelay_config_state::operator_call;
 use pinerelay_config_state::rollout::{Rollout, RolloutChange, Stage};
 use pinerelay_config_state::server::{Server, ServerState};
-use pinerelay_config_state::{Item, ItemSet};
+use pinerelay_config_state::{Item, ItemSet, Key, Kind};
 use pinerelay_consensus::Membership;
 use pinerelay_peer_link::message::{
-    CallReply, ForwardedCall, Hello, PeerMessage, Role, LEASE_DURATION, UNDERSTANDS_ROLLOUTS,
+    CallReply, ForwardedCall, Hello, PeerMessage, Role, SeenHeartbeat, LEASE_DURATION, UNDERSTANDS_ROLLOUTS,
 };
 use pinerelay_registry::control_call;
 use pinerelay_registry::registry::{Output, Registry, RegistryConfig, RolloutSettings};
@@ -40,6 +40,8 @@
     answers: Vec<(u64, u16)>,
     permits: Vec<RolloutPermit>,
     last_call: u64,
+    /// The servers that the other registry hears.
+    servers: Vec<Key>,
 }
 
 impl Play {
@@ -57,8 +59,8 @@
         let mut committed = ItemSet::default();
         committed.merge_all(operator_call::parse_update(SERVICE.as_bytes()).expect("a call"));
         let registry = Registry::new(0, config);
-        let (answers, permits) = Default::default();
-        let mut play = Play { registry, now: 0, committed, answers, permits, last_call: 0 };
+        let (answers, permits, servers) = Default::default();
+        let mut play = Play { registry, now: 0, committed, answers, permits, last_call: 0, servers };
         play.receive(STORE, PeerMessage::Hello(hello("core-1", Role::ConfigStore)));
         play.receive(PROXY, PeerMessage::Hello(hello("edge-1", Role::Proxy)));
         play.receive(
@@ -70,14 +72,14 @@
         play
     }
 
-    /// With a server of a version, and two seconds later: the duties are held.
+    /// With a server of a version, and five seconds later: the duties are held, and what versions there are is decided.
     fn with_server(version: &str) -> Play {
         let mut play = Play::new();
         for peer in [STORE, PROXY, PEER] {
             play.receive(peer, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS));
         }
         play.server("i1", version);
-        play.ticks(20);
+        play.ticks(50);
         play
     }
 
@@ -92,6 +94,7 @@
             warmup_ms: 0,
         };
         self.receive(PEER, PeerMessage::Update(vec![server.to_item(id, 1)]));
+        self.servers.push(Key::new(Kind::Server, id));
     }
 
     fn act(&mut self, act: impl FnOnce(&mut Registry, u64, &mut Vec<Output>)) {
@@ -148,6 +151,9 @@
             self.receive(STORE, PeerMessage::Digests([digest, 0]));
             let lease_left = LEASE_DURATION;
             self.receive(STORE, PeerMessage::Current { asked_at, epoch: 1, digest, lease_left });
+            let heard = |key: &Key| SeenHeartbeat { key_hash: key.key_hash(), age_ms: 0 };
+            let heartbeats = self.servers.iter().map(heard).collect();
+            self.receive(PEER, PeerMessage::HeartbeatsSeen(heartbeats));
             self.act(|registry, now, out| registry.tick(now, out));
         }
     }
--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -37,6 +37,10 @@
 const MISSING_PROXY_TIMEOUT: Micros = 6_000_000;
 /// Canary requests wait until this part of the new version's servers is past its slow start.
 const WARM_PART: f64 = 0.8;
+/// The new version has to have so many servers, as a part of those of the others, before it gets all requests.
+const CAPACITY_PART: f64 = 0.6;
+/// With fewer of its servers left, as a part of the most that there were, the new version is given up.
+const LEFT_PART: f64 = 0.5;
 /// New servers that come later than this after the first are not waited for.
 const WARM_TIMEOUT: Micros = 6_000_000;
 
@@ -94,6 +98,8 @@
     age_when_known: Micros,
     evidence: Evidence,
     proxies: BTreeMap<String, ProxyState>,
+    /// The most servers of the new version that were ready.
+    most_target_servers: usize,
     /// When the first server of the new version was seen.
     target_since: Option<Micros>,
     /// When this registry first permitted requests to the new version.
@@ -117,6 +123,7 @@
             age_when_known: age_ms.saturating_mul(1_000),
             evidence: Evidence::default(),
             proxies: BTreeMap::new(),
+            most_target_servers: 0,
             target_since: None,
             permitted_since: None,
             ramp_step: None,
@@ -154,6 +161,7 @@
         if around.target_servers > 0 {
             self.target_since.get_or_insert(now);
         }
+        self.most_target_servers = self.most_target_servers.max(around.target_servers);
         if !self.verdict.is_bad() {
             let has_all = item.rollout.stage == Stage::Cutover;
             let comparison = if has_all { Comparison::WithBefore } else { Comparison::AtTheSameTime };
@@ -178,17 +186,22 @@
         if !rollout.stage.is_under_way() {
             return None;
         }
-        if self.verdict.is_bad() {
+        if self.verdict.is_bad() || self.has_lost_servers(around) {
             return Some(Stage::Reverted);
         }
         match rollout.stage {
             Stage::Canary if self.has_been_healthy(now, rollout) => Some(Stage::Ramp),
             Stage::Canary => self.is_out_of_time(now, rollout).then_some(Stage::Reverted),
-            Stage::Ramp => self.ramp(now, rollout),
+            Stage::Ramp => self.ramp(now, rollout, around),
             _ => self.all_have_drained(now, item, around).then_some(Stage::Finished),
         }
     }
 
+    /// Whether most of the new version's servers have gone.
+    fn has_lost_servers(&self, around: &Surroundings) -> bool {
+        (around.target_servers as f64) < self.most_target_servers as f64 * LEFT_PART
+    }
+
     fn has_been_healthy(&self, now: Micros, rollout: &Rollout) -> bool {
         let needed = part_of_deadline(rollout, CANARY_PART);
         let is_long = self.permitted_since.is_some_and(|since| now >= since.saturating_add(needed));
@@ -205,7 +218,7 @@
     }
 
     /// Goes on with the ramp. A registry that takes the duty over begins it anew.
-    fn ramp(&mut self, now: Micros, rollout: &Rollout) -> Option<Stage> {
+    fn ramp(&mut self, now: Micros, rollout: &Rollout, around: &Surroundings) -> Option<Stage> {
         let part = RAMP_STEP_PART * self.bounds.exposure_share;
         let duration = part_of_deadline(rollout, part).max(MIN_RAMP_STEP);
         let (step, since) = *self.ramp_step.get_or_insert((0, now));
@@ -213,7 +226,10 @@
             return None;
         }
         if step + 1 == RAMP_SHARES.len() {
-            return Some(Stage::Cutover);
+            let has_capacity = around.target_servers as f64 >= around.stable_servers as f64 * CAPACITY_PART;
+            let is_late = self.is_out_of_time(now, rollout);
+            let otherwise = is_late.then_some(Stage::Reverted);
+            return if has_capacity { Some(Stage::Cutover) } else { otherwise };
         }
         self.ramp_step = Some((step + 1, now));
         None
--- a/crates/rollout/tests/fleet/mod.rs
+++ b/crates/rollout/tests/fleet/mod.rs
@@ -62,6 +62,8 @@
     pub takeover_every: Option<Micros>,
     /// A proxy starts anew every so often.
     pub restart_every: Option<Micros>,
+    /// From then on so many servers of the new version are left.
+    pub servers_left: Option<(Micros, usize)>,
 }
 
 impl Plan {
@@ -76,6 +78,7 @@
             lost_messages: 0.0,
             takeover_every: None,
             restart_every: None,
+            servers_left: None,
         }
     }
 }
@@ -367,12 +370,16 @@
     }
 
     fn surroundings(&self) -> Surroundings {
-        let has_servers = self.now >= SERVERS_COME_AFTER;
         let is_warm = self.now >= SERVERS_COME_AFTER + SLOW_START;
+        let servers = match self.plan.servers_left {
+            Some((from, left)) if self.now >= from => left,
+            _ if self.now >= SERVERS_COME_AFTER => SERVERS,
+            _ => 0,
+        };
         let linked = self.proxies.iter().enumerate().map(|(index, proxy)| (index.to_string(), proxy.process));
         Surroundings {
-            target_servers: if has_servers { SERVERS } else { 0 },
-            warm_target_servers: if is_warm { SERVERS } else { 0 },
+            target_servers: servers,
+            warm_target_servers: if is_warm { servers } else { 0 },
             stable_servers: SERVERS,
             linked_proxies: linked.collect(),
             missing_proxies: BTreeMap::new(),
--- a/crates/rollout/tests/fleet_plays.rs
+++ b/crates/rollout/tests/fleet_plays.rs
@@ -72,3 +72,11 @@
     let outcome = play(plan);
     expect_that!(outcome.stage, some(eq(Stage::Reverted)));
 }
+
+#[gtest]
+fn a_version_whose_servers_go_before_it_has_finished_is_reverted() {
+    for seconds in [5, 9, 11] {
+        let plan = Plan { servers_left: Some((seconds * SECOND, 20)), ..Plan::new(1, Badness::None) };
+        expect_that!(play(plan).stage, some(eq(Stage::Reverted)), "after {seconds} s");
+    }
+}
