Rollouts: a registry that takes the duty over goes on with the canary's time

Change: proxies report for how long the new version has had requests; the decider goes by the longest.

--- a/crates/fuzz/src/speeches.rs
+++ b/crates/fuzz/src/speeches.rs
@@ -121,6 +121,7 @@
         order: random.whole(),
         sent_at: random.whole(),
         in_force: random.whole(),
+        exposed_for: random.whole(),
         has_drained: random.one_in(2),
         routes: list(random, 4, route_sample),
     }
--- a/crates/proxy/src/versions.rs
+++ b/crates/proxy/src/versions.rs
@@ -111,7 +111,7 @@
         if is_canary && servers.contains_key(&rollout.target) {
             let mut exposure = self.exposure.borrow_mut();
             if exposure.takes_next(self.clock.now(), proxies, drawn) {
-                exposure.count_exposed();
+                exposure.count_exposed(self.clock.now());
                 return rollout.target.clone();
             }
         }
@@ -138,7 +138,7 @@
         if is_first {
             exposure.count_reached();
         } else if self.is_target(version) {
-            exposure.count_exposed();
+            exposure.count_exposed(self.clock.now());
         }
     }
 
@@ -177,6 +177,7 @@
             order: rollout.order,
             sent_at: self.clock.now(),
             in_force: item.revision,
+            exposed_for: self.exposure.borrow().exposed_for(self.clock.now()),
             has_drained,
             routes: self.samples.borrow().values().copied().collect(),
         })
--- a/crates/registry/src/registry/rollout_duty.rs
+++ b/crates/registry/src/registry/rollout_duty.rs
@@ -323,7 +323,7 @@
         if followed.decider.order() != report.order || item.rollout.order != report.order {
             return None;
         }
-        followed.decider.report(&peer.node, peer.process_id, report);
+        followed.decider.report(now, &peer.node, peer.process_id, report);
         if !has_duty || !is_current {
             return None;
         }
--- a/crates/registry/tests/rollout_calls.rs
+++ b/crates/registry/tests/rollout_calls.rs
@@ -173,7 +173,8 @@
         (0..100).for_each(|_| sample.stable.count(50_000, false));
         (0..100).for_each(|number| sample.target.count(50_000, number < bad));
         let (service, sent_at, routes) = ("s1".into(), self.now, vec![sample]);
-        let report = RolloutReport { service, order, sent_at, in_force, has_drained, routes };
+        let exposed_for = if self.permits.is_empty() { 0 } else { 5_000_000 };
+        let report = RolloutReport { service, order, sent_at, in_force, exposed_for, has_drained, routes };
         self.receive(PROXY, PeerMessage::RolloutReports(vec![report]));
     }
 
--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -102,8 +102,8 @@
     most_target_servers: usize,
     /// When the first server of the new version was seen.
     target_since: Option<Micros>,
-    /// When this registry first permitted requests to the new version.
-    permitted_since: Option<Micros>,
+    /// Since when the new version has had requests, as far as any proxy knows.
+    exposed_since: Option<Micros>,
     /// The step of the ramp, and when it began.
     ramp_step: Option<(usize, Micros)>,
     /// Whether the new version was found to be worse: nothing is permitted any more.
@@ -125,7 +125,7 @@
             proxies: BTreeMap::new(),
             most_target_servers: 0,
             target_since: None,
-            permitted_since: None,
+            exposed_since: None,
             ramp_step: None,
             verdict: Verdict::Undecided,
             proposed_at: None,
@@ -143,7 +143,11 @@
     }
 
     /// A proxy has reported.
-    pub fn report(&mut self, node: &str, process_id: u64, report: &RolloutReport) {
+    pub fn report(&mut self, now: Micros, node: &str, process_id: u64, report: &RolloutReport) {
+        if report.exposed_for > 0 {
+            let since = now.saturating_sub(report.exposed_for);
+            self.exposed_since = Some(self.exposed_since.map_or(since, |earlier| earlier.min(since)));
+        }
         self.evidence.report(node, process_id, report);
         let RolloutReport { in_force, has_drained, .. } = *report;
         let state = ProxyState { process_id, in_force, has_drained };
@@ -204,7 +208,7 @@
 
     fn has_been_healthy(&self, now: Micros, rollout: &Rollout) -> bool {
         let needed = part_of_deadline(rollout, CANARY_PART);
-        let is_long = self.permitted_since.is_some_and(|since| now >= since.saturating_add(needed));
+        let is_long = self.exposed_since.is_some_and(|since| now >= since.saturating_add(needed));
         is_long && self.verdict == Verdict::Healthy
     }
 
@@ -254,7 +258,7 @@
 
     /// The permit for a proxy that has reported; `None` if nothing is permitted now.
     pub fn permit(
-        &mut self,
+        &self,
         now: Micros,
         rollout: &Rollout,
         around: &Surroundings,
@@ -268,7 +272,6 @@
             (Stage::Ramp, Some((step, _))) => (RAMP_SHARES[step], false),
             _ => return None,
         };
-        self.permitted_since.get_or_insert(now);
         Some(RolloutPermit {
             service: report.service.clone(),
             order: report.order,
--- a/crates/rollout/src/exposure.rs
+++ b/crates/rollout/src/exposure.rs
@@ -14,6 +14,7 @@
     reached: u64,
     /// Requests that were given to the new version, and attempts at it beyond their first.
     exposed: u64,
+    first_exposed_at: Option<Micros>,
     permit: Option<RolloutPermit>,
 }
 
@@ -24,8 +25,14 @@
     }
 
     /// A request is given to the new version, or sent once more there.
-    pub fn count_exposed(&mut self) {
+    pub fn count_exposed(&mut self, now: Micros) {
         self.exposed += 1;
+        self.first_exposed_at.get_or_insert(now);
+    }
+
+    /// How long ago the new version was given its first request; 0 if it has been given none.
+    pub fn exposed_for(&self, now: Micros) -> Micros {
+        self.first_exposed_at.map_or(0, |at| now.saturating_sub(at))
     }
 
     /// A permit has come.
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -79,6 +79,8 @@
     pub sent_at: Micros,
     /// The revision of the rollout's item that is in force at the proxy.
     pub in_force: u64,
+    /// How long ago this process gave the new version its first request; 0 if it has given it none.
+    pub exposed_for: Micros,
     /// Whether no request is open at the other versions.
     pub has_drained: bool,
     /// Since the order, or since the process started.
--- a/crates/rollout/tests/fleet/mod.rs
+++ b/crates/rollout/tests/fleet/mod.rs
@@ -256,7 +256,7 @@
         };
         proxy.exposure.count_reached();
         if is_target {
-            proxy.exposure.count_exposed();
+            proxy.exposure.count_exposed(now);
         } else {
             proxy.open_elsewhere += 1;
         }
@@ -358,6 +358,7 @@
                 order: item.rollout.order,
                 sent_at: self.now,
                 in_force: item.revision,
+                exposed_for: proxy.exposure.exposed_for(self.now),
                 has_drained: item.rollout.stage == Stage::Cutover && proxy.open_elsewhere == 0,
                 routes: proxy.samples.values().copied().collect(),
             };
@@ -394,7 +395,7 @@
         self.reports = later;
         let due: Vec<(Micros, usize, u64, RolloutReport)> = due;
         for (_, proxy, process, report) in due {
-            self.decider.report(&proxy.to_string(), process, &report);
+            self.decider.report(now, &proxy.to_string(), process, &report);
             let permit = self.decider.permit(now, &self.item.rollout, &around, &report);
             let at = now + self.random.below(MAX_DELAY);
             if let Some(permit) = permit.filter(|_| !self.is_lost()) {
--- a/crates/rollout/tests/fleet_plays.rs
+++ b/crates/rollout/tests/fleet_plays.rs
@@ -80,3 +80,14 @@
         expect_that!(play(plan).stage, some(eq(Stage::Reverted)), "after {seconds} s");
     }
 }
+
+/// Another registry had the duty every few seconds, and each began the canary's time anew: no good version was ever finished.
+#[gtest]
+fn takeovers_do_not_keep_a_good_version_from_being_finished() {
+    for seed in 0..SEEDS {
+        let plan =
+            Plan { takeover_every: Some(3_700_000), lost_messages: 0.1, ..Plan::new(seed, Badness::None) };
+        let outcome = play(plan);
+        expect_that!(outcome.stage, some(eq(Stage::Finished)), "{plan:?} {outcome:?}");
+    }
+}
