Rollouts: versions that have ended are forgotten, and a report's routes are bounded

Cause: a proxy kept a node for every version that a service ever had, and a registry compared a report's routes pair by pair without a bound on their number.

--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -182,6 +182,17 @@
         for (service, versions) in self.versions.borrow().iter() {
             versions.set_in_force(rollouts.get(service).cloned());
         }
+        self.forget_ended_versions();
+    }
+
+    /// Forgets versions that get no requests any more, and have neither servers nor an open request.
+    fn forget_ended_versions(&self) {
+        let versions = self.versions.borrow();
+        self.services.borrow_mut().retain(|name, service| {
+            let versions = versions.get(&name.service);
+            let is_used = versions.is_none_or(|versions| versions.is_used(&name.version));
+            is_used || !service.node.is_idle()
+        });
     }
 
     /// A registry permits requests to new versions.
--- a/crates/proxy/src/versions.rs
+++ b/crates/proxy/src/versions.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Whether a version has servers, or is decided to have requests.
+    pub fn is_used(&self, version: &str) -> bool {
+        self.servers.borrow().contains_key(version) || self.may_send(version)
+    }
+
     /// A request is sent to a server of a version.
     pub fn count_sent(&self, version: &str, is_first: bool) {
         let mut exposure = self.exposure.borrow_mut();
--- a/crates/proxy/src/versions/tests.rs
+++ b/crates/proxy/src/versions/tests.rs
@@ -139,3 +139,13 @@
     versions.set_in_force(in_force(Stage::Reverted));
     expect_that!(versions.report("s", |_| true), none());
 }
+
+#[gtest]
+fn a_version_is_used_while_it_has_servers_or_requests_go_there() {
+    let versions = service(Stage::Reverted);
+    expect_that!(versions.is_used("v2"), eq(true));
+    (0..20).for_each(|_| versions.server_removed("v2"));
+    expect_that!(versions.is_used("v2"), eq(false));
+    (0..20).for_each(|_| versions.server_removed("v1"));
+    expect_that!(versions.is_used("v1"), eq(true));
+}
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -93,8 +93,9 @@
     pub fn report(&mut self, node: &str, process_id: u64, report: &RolloutReport) {
         let last = self.last_reports.get(node).filter(|last| last.process_id == process_id);
         let nothing = RouteSample::default();
-        let mut changes = Vec::with_capacity(report.routes.len());
-        for sample in &report.routes {
+        let routes = &report.routes[..report.routes.len().min(MAX_ROUTES)];
+        let mut changes = Vec::with_capacity(routes.len());
+        for sample in routes {
             let earlier = last.and_then(|last| last.routes.iter().find(|other| other.route == sample.route));
             let earlier = earlier.unwrap_or(&nothing);
             let stable = sample.stable.since(&earlier.stable);
@@ -102,7 +103,7 @@
             changes.push(RouteSample { stable, target, ..*sample });
         }
         changes.iter().for_each(|change| self.add(change));
-        let last = LastReport { process_id, routes: report.routes.clone() };
+        let last = LastReport { process_id, routes: routes.to_vec() };
         self.last_reports.insert(node.into(), last);
     }
 
