Rollouts: a canary counts from its first permit, and does not begin with many requests

Cause: the canary's part was of the requests since the order, so with its first permit each proxy sent what had come together in 4 s at once; the slow ones of these ended together in the span of the last 2 s, beside few others. Change: the part is of the requests since the first permit, which keeps the same bound.

--- a/crates/rollout/src/exposure.rs
+++ b/crates/rollout/src/exposure.rs
@@ -1,8 +1,9 @@
 //! How much of its requests a proxy may send to the new version.
 //!
-//! While the new version is a canary, each proxy keeps to the permitted part of its own requests since the order. So all
-//! proxies together do, whatever becomes of reports, permits, or the registry that gave them; a process that starts anew counts
-//! from nothing, which keeps the same bound.
+//! While the new version is a canary, each proxy keeps to the permitted part of its own requests since its first permit. So all
+//! proxies together keep to that part of those since the order, whatever becomes of reports, permits, or the registry that gave
+//! them; a process that starts anew counts from nothing, which keeps the same bound. Counted from the order on, the canary would
+//! begin with many requests at once, of which the slow ones end together and make it look slow.
 
 use crate::report::RolloutPermit;
 use crate::Micros;
@@ -10,7 +11,7 @@
 /// What a proxy has sent in a rollout, and what it may.
 #[derive(Debug, Clone, Default)]
 pub struct Exposure {
-    /// Requests that have reached the service.
+    /// Requests that have reached the service since the first permit.
     reached: u64,
     /// Requests that were given to the new version, and attempts at it beyond their first.
     exposed: u64,
@@ -21,7 +22,7 @@
 impl Exposure {
     /// A request has reached the service, at whichever version.
     pub fn count_reached(&mut self) {
-        self.reached += 1;
+        self.reached += u64::from(self.permit.is_some());
     }
 
     /// A request is given to the new version, or sent once more there.
--- a/crates/rollout/tests/fleet_plays.rs
+++ b/crates/rollout/tests/fleet_plays.rs
@@ -91,3 +91,13 @@
         expect_that!(outcome.stage, some(eq(Stage::Finished)), "{plan:?} {outcome:?}");
     }
 }
+
+/// The canary began with all that it might have had since the order at once. The slow ones of these requests ended together, two
+/// seconds later, and five good versions of 300 were reverted as slow.
+#[gtest]
+fn a_canary_does_not_begin_with_many_requests_at_once() {
+    for seed in [28, 50, 66, 216, 256] {
+        let plan = Plan::new(seed, Badness::None);
+        check_finished(&plan, &play(plan));
+    }
+}
