Rollouts: doubt about a version is enough once half of the bad answers for a stop are in

Callers would have seen: EXPOSURE broken, a request to a bad version later than 5 s after its 50th bad answer. Cause: the alarm goes by significance alone, while the bound counts answers: of 300 versions with 38 of 100 answers four times slower the last stop came 4.97 s after the 50th (6.51 s with lost messages and restarts, one of 300 too late), and a service with few requests has few more answers in these 5 s. Change: a version about which there has been doubt for a second, with 25 bad attempts beyond the others', is given up.

--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -31,6 +31,11 @@
 const MIN_RAMP_STEP: Micros = 800_000;
 /// After this part of the time a version that has not been shown to be healthy is reverted.
 const DECISION_PART: f64 = 0.92;
+/// Doubt about a version for so long, with so many bad attempts, is enough to give it up: with twice as many, which is where the
+/// operator's bound for the stop begins, a difference may still be explained by chance.
+const DOUBT_PERIOD: Micros = 1_000_000;
+/// See [`DOUBT_PERIOD`].
+const DOUBTFUL_ATTEMPTS: f64 = 25.0;
 /// A proposal that has had no effect by then is made again.
 const PROPOSAL_INTERVAL: Micros = 400_000;
 /// A proxy that has been missing for so long is not waited for: it knows no server by then, or has ended.
@@ -106,6 +111,8 @@
     exposed_since: Option<Micros>,
     /// The step of the ramp, and when it began.
     ramp_step: Option<(usize, Micros)>,
+    /// Since when there has been doubt about the new version.
+    doubt_since: Option<Micros>,
     /// Whether the new version was found to be worse: nothing is permitted any more.
     verdict: Verdict,
     proposed_at: Option<Micros>,
@@ -127,6 +134,7 @@
             target_since: None,
             exposed_since: None,
             ramp_step: None,
+            doubt_since: None,
             verdict: Verdict::Undecided,
             proposed_at: None,
         }
@@ -167,9 +175,7 @@
         }
         self.most_target_servers = self.most_target_servers.max(around.target_servers);
         if !self.verdict.is_bad() {
-            let has_all = item.rollout.stage == Stage::Cutover;
-            let comparison = if has_all { Comparison::WithBefore } else { Comparison::AtTheSameTime };
-            self.verdict = self.evidence.verdict(now, comparison);
+            self.verdict = self.judge(now, item.rollout.stage);
         }
         let next = self.next_stage(now, item, around)?;
         let is_repeated = self.proposed_at.is_some_and(|at| now < at + PROPOSAL_INTERVAL);
@@ -180,6 +186,25 @@
         Some(next)
     }
 
+    /// How the new version compares with the others now.
+    fn judge(&mut self, now: Micros, stage: Stage) -> Verdict {
+        if stage == Stage::Cutover {
+            return self.evidence.verdict(now, Comparison::WithBefore);
+        }
+        let verdict = self.evidence.verdict(now, Comparison::AtTheSameTime);
+        let doubt = self.evidence.doubt().filter(|doubt| doubt.bad_attempts >= DOUBTFUL_ATTEMPTS);
+        let Some(doubt) = doubt else {
+            self.doubt_since = None;
+            return verdict;
+        };
+        let since = *self.doubt_since.get_or_insert(now);
+        let is_long = now >= since.saturating_add(DOUBT_PERIOD);
+        if is_long && !verdict.is_bad() {
+            return doubt.verdict;
+        }
+        verdict
+    }
+
     /// The stages of the item have changed.
     pub fn stage_changed(&mut self) {
         self.proposed_at = None;
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// How the new version differs from the others for the worse.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Difference {
+    /// In what.
+    pub verdict: Verdict,
+    /// How many of its attempts are bad beyond what the others would have had.
+    pub bad_attempts: f64,
+}
+
 /// With what the new version is compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Comparison {
@@ -165,8 +174,8 @@
             Comparison::WithBefore => self.worst_since_before(now),
         };
         match bad {
-            Some(bad) => bad,
-            None if self.is_sufficient() && self.is_cleared() => Verdict::Healthy,
+            Some(bad) => bad.verdict,
+            None if self.is_sufficient() && self.doubt().is_none() => Verdict::Healthy,
             None => Verdict::Undecided,
         }
     }
@@ -183,7 +192,7 @@
     }
 
     /// Compares what the new version did lately with what the others did since the order.
-    fn worst_since_before(&self, now: Micros) -> Option<Verdict> {
+    fn worst_since_before(&self, now: Micros) -> Option<Difference> {
         let [span, _] = SPANS;
         let samples = self.within(now, span)?.map(|sample| {
             let stable = self.totals.get(&sample.route).map_or(sample.stable, |total| total.stable);
@@ -192,9 +201,9 @@
         worst_of(samples, |sample| fails_more(sample, &LATER_ALARM))
     }
 
-    /// Whether nothing hints that it is worse.
-    fn is_cleared(&self) -> bool {
-        worst_of(self.totals.values().copied(), |sample| compare(sample, &CLEARANCE)).is_none()
+    /// What hints that the new version is worse, since the order, though it may be chance.
+    pub fn doubt(&self) -> Option<Difference> {
+        worst_of(self.totals.values().copied(), |sample| compare(sample, &CLEARANCE))
     }
 
     /// Whether enough is known of each route that has a part of the requests.
@@ -208,36 +217,42 @@
     }
 }
 
-/// How the new version is worse on the first route on which it is, or on all routes together.
+/// The difference with the most bad attempts, on any route or on all together.
 fn worst_of(
     samples: impl Iterator<Item = RouteSample>,
-    compare: impl Fn(&RouteSample) -> Option<Verdict>,
-) -> Option<Verdict> {
+    compare: impl Fn(&RouteSample) -> Option<Difference>,
+) -> Option<Difference> {
     let mut together = RouteSample::default();
-    let mut worst = None;
+    let mut differences = Vec::new();
     for sample in samples {
         together.target_class = together.target_class.max(sample.target_class);
         together.stable.add(&sample.stable);
         together.target.add(&sample.target);
-        worst = worst.or_else(|| compare(&sample));
+        differences.extend(compare(&sample));
     }
-    worst.or_else(|| compare(&together))
+    differences.extend(compare(&together));
+    larger(differences)
+}
+
+fn larger(differences: impl IntoIterator<Item = Difference>) -> Option<Difference> {
+    differences.into_iter().max_by(|one, other| one.bad_attempts.total_cmp(&other.bad_attempts))
 }
 
 /// How the new version is worse than the others, if it is.
-fn compare(sample: &RouteSample, limits: &Limits) -> Option<Verdict> {
+fn compare(sample: &RouteSample, limits: &Limits) -> Option<Difference> {
     fails_more(sample, limits).or_else(|| is_slower(sample, limits))
 }
 
 /// Whether more of the new version's attempts fail.
-fn fails_more(RouteSample { stable, target, .. }: &RouteSample, limits: &Limits) -> Option<Verdict> {
+fn fails_more(RouteSample { stable, target, .. }: &RouteSample, limits: &Limits) -> Option<Difference> {
     let failed =
         |sample: &VersionSample| Proportion { bad: sample.failures.into(), all: sample.attempts.into() };
-    exceeds(failed(target), failed(stable), limits.failure_tolerance, limits).then_some(Verdict::Failing)
+    let excess = excess(failed(target), failed(stable), limits.failure_tolerance, limits);
+    excess.map(|bad_attempts| Difference { verdict: Verdict::Failing, bad_attempts })
 }
 
 /// Whether more of the new version's attempts take longer than some latency that matters.
-fn is_slower(sample: &RouteSample, limits: &Limits) -> Option<Verdict> {
+fn is_slower(sample: &RouteSample, limits: &Limits) -> Option<Difference> {
     let RouteSample { stable, target, target_class, .. } = sample;
     if u64::from(stable.attempts) < MIN_ATTEMPTS {
         return None;
@@ -247,11 +262,10 @@
         all: sample.attempts.into(),
     };
     let first = usize::from(*target_class).saturating_sub(CLASSES_BELOW_TARGET).max(1);
-    let mut classes = first..LATENCY_CLASSES;
-    let tolerance = limits.slowness_tolerance;
-    let is_slower =
-        classes.any(|class| exceeds(above(target, class), above(stable, class), tolerance, limits));
-    is_slower.then_some(Verdict::Slow)
+    let slower =
+        |class| excess(above(target, class), above(stable, class), limits.slowness_tolerance, limits);
+    let differences = (first..LATENCY_CLASSES).filter_map(slower);
+    larger(differences.map(|bad_attempts| Difference { verdict: Verdict::Slow, bad_attempts }))
 }
 
 /// The attempts in a class of latency and those above it.
@@ -272,13 +286,14 @@
     }
 }
 
-/// Whether a proportion exceeds another one by more than a tolerance and chance.
-fn exceeds(target: Proportion, stable: Proportion, tolerance: f64, limits: &Limits) -> bool {
+/// How many bad attempts a proportion has beyond another one, if it exceeds that by more than a tolerance and chance.
+fn excess(target: Proportion, stable: Proportion, tolerance: f64, limits: &Limits) -> Option<f64> {
     if target.all < MIN_ATTEMPTS || target.bad < limits.min_bad_attempts {
-        return false;
+        return None;
     }
     let pooled = Proportion { bad: target.bad + stable.bad, all: target.all + stable.all }.ratio();
     let spread = 1.0 / target.all as f64 + 1.0 / stable.all.max(1) as f64;
     let deviation = (pooled * (1.0 - pooled).max(0.0) * spread).sqrt();
-    target.ratio() - stable.ratio() > tolerance + limits.deviations * deviation
+    let difference = target.ratio() - stable.ratio();
+    (difference > tolerance + limits.deviations * deviation).then_some(difference * target.all as f64)
 }
--- a/crates/rollout/tests/fleet_plays.rs
+++ b/crates/rollout/tests/fleet_plays.rs
@@ -111,3 +111,19 @@
         check_bounds(&plan, &play(plan));
     }
 }
+
+/// Fifty bad answers are as many of a service with few requests, where the time after them brings little more to judge by.
+#[gtest]
+fn a_service_with_few_requests_stops_a_bad_version_in_time_as_well() {
+    for seed in 0..SEEDS {
+        for badness in [Badness::Slow(0.38, 4.0), Badness::Errors(0.2)] {
+            let plan = Plan {
+                requests_per_second: 200.0,
+                proxies: 20,
+                deadline: 60 * SECOND,
+                ..Plan::new(seed, badness)
+            };
+            check_bounds(&plan, &play(plan));
+        }
+    }
+}
