Admission: a proxy stays known to an allocator that began late in a process

Callers saw requests refused for as long as a minute after a duty had changed hands, whenever one proxy was silent. A new entry carried no time of its last demand, so the check for idle proxies dropped it within the very request that had made it, once the registry's process was older than the idle timeout of 20 s. Such an allocator never knew any proxy: it kept reserving the previous allocator's shares (0.95 of the rate) whenever a proxy was silent, and granted no shares itself. Idleness now counts from the last request.

The new test failed before: the proxy was unknown and its share 0 (of 0.95).

--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -277,7 +277,7 @@
     /// Returns a proxy's share, which is updated to its part of the demand if `is_renewed`. A missing proxy keeps the share that it
     /// was granted, here or by the previous allocator, so other shares grow only into what is unassigned.
     fn grant_share(&mut self, now: Micros, proxy: &str, granted: f64, is_renewed: bool) -> f64 {
-        self.lessees.retain(|_, lessee| lessee.is_missing || now < lessee.demand.at + IDLE_TIMEOUT);
+        self.lessees.retain(|_, lessee| lessee.is_missing || now < lessee.last_request + IDLE_TIMEOUT);
         if let Some(lessee) = self.lessees.get_mut(proxy) {
             lessee.demand.add(now, granted, DEMAND_WINDOW);
         }
--- a/crates/admission/src/quota_allocator/tests.rs
+++ b/crates/admission/src/quota_allocator/tests.rs
@@ -121,3 +121,15 @@
     next.draw(1_000_000, "a", false, &reported);
     expect_that!(next.level(), eq(10.0 - 5.0));
 }
+
+// Guards against shares that stayed reserved for good: an allocator dropped each proxy again within the proxy's first request,
+// once its process had run for longer than the idle timeout.
+#[gtest]
+fn a_proxy_is_known_from_its_first_request_on_however_long_the_process_has_run() {
+    let start = IDLE_TIMEOUT + 700_000;
+    let mut allocator = QuotaAllocator::new(start, Quota { rate: 100.0, burst: 10.0 });
+    allocator.draw(start + 10_000, "a", false, &Usage { held_share: 0.95, ..usage(1.0, 0.0) });
+    expect_that!(allocator.knows("a"), eq(true));
+    let renewed = Usage { held_share: 0.95, ..usage(1.0, 0.0) };
+    expect_that!(allocator.draw(start + 30_000, "a", false, &renewed).share, gt(0.9));
+}
