Admission: what is reserved for unheard proxies is bounded by their number

Callers saw nearly every request answered 429 for 11 s after a loss of power at 282 proxies.

Cause: an allocator that took a duty over reserved all shares that the one before may have granted, 0.95 of the rate, until the last proxy was heard. With hundreds of proxies one is always silent somewhere.

A proxy's share is now at most four even shares. So what an unheard proxy can hold is bounded (twice that, as the fleet may have grown since), and an allocator reserves no more than that for each. Proxies cut a share that is larger to the same limit.

The work for one request grew with the number of proxies (demands, shares and unspent units were summed up anew); totals are kept instead, in quota_allocator/lessees.rs.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::fleet::Fleet;
 use crate::lease::{LeaseGrant, LeaseRequest};
 use crate::quota::Quota;
 use crate::Micros;
@@ -142,7 +143,8 @@
         grant: LeaseGrant,
     ) -> Vec<Decision> {
         let Some(cache) = self.tenants.get_mut(tenant) else { return Vec::new() };
-        if !cache.take_grant(now, sent_at, grant) {
+        let max_share = Fleet::heard(self.proxies).max_share();
+        if !cache.take_grant(now, sent_at, grant, max_share) {
             return Vec::new();
         }
         let mut decisions = cache.admit_waiting(now);
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -281,8 +281,15 @@
         self.failures += 1;
     }
 
-    /// Handles the answer to a lease request; returns whether it came from the tenant's allocator.
-    pub(super) fn take_grant(&mut self, now: Micros, sent_at: Micros, grant: LeaseGrant) -> bool {
+    /// Handles the answer to a lease request; returns whether it came from the tenant's allocator. At most `max_share` is kept of
+    /// the granted share: allocators reserve no more for a proxy that they do not hear.
+    pub(super) fn take_grant(
+        &mut self,
+        now: Micros,
+        sent_at: Micros,
+        grant: LeaseGrant,
+        max_share: f64,
+    ) -> bool {
         if self.requested_at.is_some_and(|last| last <= sent_at) {
             self.requested_at = None;
         }
@@ -297,12 +304,12 @@
                 if self.fencing_token != fencing_token {
                     (self.fencing_token, self.returned) = (fencing_token, 0.0);
                 }
-                self.set_share(sent_at, share);
+                self.set_share(sent_at, share.min(max_share));
                 true
             }
             LeaseGrant::Exhausted { retry_after, share } => {
                 self.exhausted_until = now.saturating_add(retry_after.max(MIN_BACKOFF));
-                self.set_share(sent_at, share);
+                self.set_share(sent_at, share.min(max_share));
                 true
             }
             LeaseGrant::NotOwner => {
--- a/crates/admission/src/lease_cache/tests.rs
+++ b/crates/admission/src/lease_cache/tests.rs
@@ -70,8 +70,9 @@
             allocator.drop_unknown_shares();
         }
         let is_missing = |proxy: usize| now > last_contact[proxy] + 650_000;
-        let has_unknown_missing =
-            (0..proxies).any(|proxy| is_missing(proxy) && !allocator.knows(&names[proxy]));
+        let unheard =
+            (0..proxies).filter(|&proxy| is_missing(proxy) && !allocator.knows(&names[proxy])).count();
+        let fleet = Fleet { proxies, unheard };
         let due: InFlight = in_flight.iter().filter(|answer| answer.0 <= now).cloned().collect();
         in_flight.retain(|answer| answer.0 > now);
         let mut decisions = Vec::new();
@@ -106,7 +107,7 @@
                     let allocation = allocator.draw(
                         now,
                         &names[proxy],
-                        has_unknown_missing,
+                        fleet,
                         &Usage { returned, ..request.usage() },
                     );
                     let share = allocation.share;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`quota`]: the quota of a tenant, and for how long leased units may be spent.
 //! - [`lease`]: the messages between proxies and the allocating node.
 //! - [`lease_cache`]: the leases of one proxy, and its schedules of promised client returns (DSRT).
+//! - [`fleet`]: the proxies that share the quotas, and the limit of what each may spend on its own.
 //! - [`quota_allocator`]: the token bucket from which one tenant's units are leased.
 //! - [`duty`]: which node allocates for which tenants, and how this ownership moves between nodes.
 //! - [`retry_budget`]: how many requests may be retried on another server.
 
 pub mod duty;
+pub mod fleet;
 pub mod lease;
 pub mod lease_cache;
 pub mod quota;
--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -1,22 +1,16 @@
 //! The allocator of one tenant's quota units, at the node that has the duty for the tenant.
 
-use std::collections::BTreeMap;
-
-use mountbend::measure::Rate;
-
+use crate::fleet::{Fleet, MAX_TOTAL_SHARE};
 use crate::lease::Usage;
 use crate::quota::Quota;
 use crate::Micros;
 
+mod lessees;
 #[cfg(test)]
 mod tests;
 
-/// The time constant with which the units that a proxy leases are averaged as its demand, in microseconds.
-const DEMAND_WINDOW: f64 = 3.0e6;
-/// The limit of the sum of all shares, as a fraction of the rate. The margin is for proxies that still hold outdated shares.
-const MAX_TOTAL_SHARE: f64 = 0.95;
-/// The weight of a proxy without demand. A demand of one unit per second adds 1.
-const IDLE_WEIGHT: f64 = 0.05;
+use lessees::{Lessee, Lessees};
+
 /// A proxy that has requested nothing for this long loses its share, and does not begin to spend one that old.
 pub(crate) const IDLE_TIMEOUT: Micros = 20_000_000;
 /// The maximum time for which a proxy spends a share, counted from the request that the share was granted for.
@@ -33,52 +27,6 @@
     (quota.burst * share).max(1.0)
 }
 
-/// A proxy that leases units.
-#[derive(Debug, Clone, Copy, Default)]
-struct Lessee {
-    /// The units per second that the proxy has leased lately, with the time constant [`DEMAND_WINDOW`].
-    demand: Rate,
-    /// The share that the proxy was granted last.
-    granted_share: f64,
-    /// The largest earlier share that the proxy may still hold, until it reports the granted one.
-    earlier_share: f64,
-    /// Whether the proxy is unreachable, and so is assumed to spend its share.
-    is_missing: bool,
-    /// The total of units that the proxy has spent of its share, as far as it is accounted for here.
-    accounted_spend: f64,
-    /// Units set aside for the proxy while it is missing, until it reports what it has spent.
-    reserved: f64,
-    /// The units of its share that the proxy had left at its last request.
-    share_left: f64,
-    /// When the proxy's last request arrived.
-    last_request: Micros,
-}
-
-impl Lessee {
-    fn share(&self) -> f64 {
-        self.granted_share.max(self.earlier_share)
-    }
-
-    /// The maximum of units that the proxy may have accumulated from its share and not spent. The remainder that it reported has
-    /// grown since.
-    fn unspent(&self, now: Micros, quota: Quota) -> f64 {
-        let balance = max_share_balance(quota, self.share());
-        if self.is_missing {
-            self.reserved.min(balance)
-        } else if self.share_left > 0.0 {
-            let accrued = self.share() * quota.rate * seconds(now.saturating_sub(self.last_request));
-            (self.share_left + accrued).min(balance).max(self.share_left)
-        } else {
-            0.0
-        }
-    }
-
-    /// The proxy's weight in the distribution of shares.
-    fn weight(&self, now: Micros) -> f64 {
-        self.demand.get(now, DEMAND_WINDOW) + IDLE_WEIGHT
-    }
-}
-
 /// No units are left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Exhausted {
@@ -117,9 +65,9 @@
     unknown_shares: f64,
     /// Units reserved for these proxies.
     unknown_reserved: f64,
-    /// Whether, at the last request, there were cut-off proxies that this allocator does not know.
-    has_unknown_missing: bool,
-    lessees: BTreeMap<String, Lessee>,
+    /// At the last request, the limit of the shares of the proxies that are out of reach and unknown to this allocator.
+    max_unheard_share: f64,
+    lessees: Lessees,
 }
 
 impl QuotaAllocator {
@@ -133,8 +81,8 @@
             started_at: now,
             unknown_shares: MAX_TOTAL_SHARE,
             unknown_reserved: 0.0,
-            has_unknown_missing: false,
-            lessees: BTreeMap::new(),
+            max_unheard_share: 0.0,
+            lessees: Lessees::default(),
         }
     }
 
@@ -148,7 +96,7 @@
 
     /// The maximum level of the bucket: the burst without the units that proxies may have left, and at least one.
     fn capacity(&self, now: Micros, reserved_share: f64) -> f64 {
-        let unspent: f64 = self.lessees.values().map(|lessee| lessee.unspent(now, self.quota)).sum();
+        let unspent = self.lessees.unspent(now, self.quota);
         (self.quota.burst * (1.0 - reserved_share) - unspent).max(1.0)
     }
 
@@ -164,17 +112,13 @@
     /// Refills the bucket up to now, without the shares of proxies that are cut off. Returns the share that is reserved for
     /// proxies that this allocator does not know.
     fn fill(&mut self, now: Micros) -> f64 {
-        let reserved_share = if self.has_unknown_missing { self.unknown_shares(now) } else { 0.0 };
+        let reserved_share = self.unknown_shares(now).min(self.max_unheard_share);
         let elapsed = seconds(now.saturating_sub(self.filled_at));
         self.filled_at = self.filled_at.max(now);
         let full_rate = self.quota.rate;
-        let mut missing_shares = 0.0;
-        for lessee in self.lessees.values_mut().filter(|lessee| lessee.is_missing) {
-            missing_shares += lessee.share();
-            lessee.reserved += lessee.share() * full_rate * elapsed;
-        }
+        let missing_shares = self.lessees.reserve_for_missing(full_rate, elapsed);
         self.unknown_reserved += reserved_share * full_rate * elapsed;
-        let rate = self.quota.rate * (1.0 - reserved_share - missing_shares).clamp(0.0, 1.0);
+        let rate = full_rate * (1.0 - reserved_share - missing_shares).clamp(0.0, 1.0);
         self.level = (self.level + rate * elapsed).min(self.capacity(now, reserved_share));
         reserved_share
     }
@@ -189,34 +133,40 @@
     /// Marks a proxy as missing: it has been unreachable since `since`, and may have spent its share from then on, or already from
     /// its last request on if it reported then that it was spending its share.
     pub fn proxy_missing(&mut self, now: Micros, proxy: &str, since: Micros) {
+        if !self.lessees.get(proxy).is_some_and(|lessee| !lessee.is_missing) {
+            return;
+        }
         self.fill(now);
         let rate = self.quota.rate;
-        if let Some(lessee) = self.lessees.get_mut(proxy).filter(|lessee| !lessee.is_missing) {
+        let mut may_have_spent = 0.0;
+        self.lessees.update(proxy, |lessee| {
             lessee.is_missing = true;
             let since = if lessee.share_left > 0.0 { since.min(lessee.last_request) } else { since };
-            let may_have_spent =
+            may_have_spent =
                 lessee.share_left + lessee.share() * rate * seconds(now.saturating_sub(since));
             lessee.reserved += may_have_spent;
-            self.level -= may_have_spent;
-        }
+        });
+        self.level -= may_have_spent;
     }
 
     /// Marks a missing proxy as reachable again. Its units stay reserved until it reports what it has spent.
     pub fn proxy_returned(&mut self, now: Micros, proxy: &str) {
-        if self.lessees.get(proxy).is_some_and(|lessee| lessee.is_missing) {
-            self.fill(now);
-            self.lessees.entry(proxy.into()).and_modify(|lessee| {
-                lessee.is_missing = false;
-                lessee.share_left = lessee.reserved.min(max_share_balance(self.quota, lessee.share()));
-            });
+        if !self.lessees.get(proxy).is_some_and(|lessee| lessee.is_missing) {
+            return;
         }
+        self.fill(now);
+        let quota = self.quota;
+        self.lessees.update(proxy, |lessee| {
+            lessee.is_missing = false;
+            lessee.share_left = lessee.reserved.min(max_share_balance(quota, lessee.share()));
+        });
     }
 
     /// Removes a proxy whose process has ended, together with its share.
     pub fn proxy_ended(&mut self, now: Micros, proxy: &str) {
-        if self.lessees.contains_key(proxy) {
+        if self.knows(proxy) {
             self.fill(now);
-            self.lessees.remove(proxy);
+            self.lessees.remove(now, proxy);
         }
     }
 
@@ -225,19 +175,22 @@
     /// proxy's share overflowed as well, so the proxy lost those units too.
     fn settle(&mut self, now: Micros, proxy: &str, usage: &Usage) {
         let held_share = usage.held_share.clamp(0.0, 1.0);
-        if !self.lessees.contains_key(proxy) {
+        if !self.knows(proxy) {
             self.add_lessee(now, proxy, held_share, usage);
         }
+        let mut returned = 0.0;
         let quota = self.quota;
-        let Some(lessee) = self.lessees.get_mut(proxy) else { return };
-        // A share that was granted after the reported one counts too: its grant may have arrived since, or may still arrive.
-        let other_share = if held_share == lessee.granted_share { 0.0 } else { lessee.share() };
-        lessee.earlier_share = held_share.max(other_share);
-        let spent = (usage.share_spent - lessee.accounted_spend).max(0.0);
-        lessee.accounted_spend = lessee.accounted_spend.max(usage.share_spent);
-        let reserved = std::mem::take(&mut lessee.reserved);
-        self.level += (reserved - spent).min(max_share_balance(quota, held_share));
-        (lessee.share_left, lessee.last_request) = (usage.share_left.max(0.0), now);
+        self.lessees.update(proxy, |lessee| {
+            // A share that was granted after the reported one counts too: its grant may have arrived since, or may still arrive.
+            let other_share = if held_share == lessee.granted_share { 0.0 } else { lessee.share() };
+            lessee.earlier_share = held_share.max(other_share);
+            let spent = (usage.share_spent - lessee.accounted_spend).max(0.0);
+            lessee.accounted_spend = lessee.accounted_spend.max(usage.share_spent);
+            let reserved = std::mem::take(&mut lessee.reserved);
+            returned = (reserved - spent).min(max_share_balance(quota, held_share));
+            (lessee.share_left, lessee.last_request) = (usage.share_left.max(0.0), now);
+        });
+        self.level += returned;
     }
 
     /// Adds a proxy at its first request. Units that it spent before this allocator started came from a part of the rate that
@@ -250,22 +203,22 @@
         self.unknown_shares = (self.unknown_shares - held_share).max(0.0);
         let accounted_spend = usage.share_spent - spent_here;
         let lessee = Lessee { accounted_spend, reserved, granted_share: held_share, ..Lessee::default() };
-        self.lessees.insert(proxy.into(), lessee);
+        self.lessees.insert(proxy, lessee);
     }
 
-    /// Handles a proxy's request: puts returned units back, and leases it whole units, at most as many as it wants.
-    /// `has_unknown_missing` tells that proxies are cut off that may hold shares of the previous allocator. A proxy that wants less
-    /// than one unit is granted no new share.
-    pub fn draw(&mut self, now: Micros, proxy: &str, has_unknown_missing: bool, usage: &Usage) -> Allocation {
-        self.has_unknown_missing |= has_unknown_missing;
+    /// Handles a proxy's request: puts returned units back, and leases it whole units, at most as many as it wants. A proxy that
+    /// wants less than one unit is granted no new share.
+    pub fn draw(&mut self, now: Micros, proxy: &str, fleet: Fleet, usage: &Usage) -> Allocation {
+        // Proxies that were or have become unheard since the last request may have been so all the time.
+        self.max_unheard_share = self.max_unheard_share.max(fleet.max_unheard_share());
         let reserved_share = self.fill(now);
-        self.has_unknown_missing = has_unknown_missing;
+        self.max_unheard_share = fleet.max_unheard_share();
         self.settle(now, proxy, usage);
         let wanted = usage.wanted;
         self.level = (self.level + usage.returned.max(0.0)).min(self.capacity(now, reserved_share));
         let granted = wanted.max(0.0).min(self.level.max(0.0)).floor();
         self.level -= granted;
-        let share = self.grant_share(now, proxy, granted, wanted >= 1.0);
+        let share = self.grant_share(now, proxy, fleet, granted, wanted >= 1.0);
         if granted >= 1.0 || wanted < 1.0 {
             return Allocation { units: Ok(granted), share };
         }
@@ -276,27 +229,24 @@
 
     /// Returns a proxy's share, which is updated to its part of the demand if `is_renewed`. A missing proxy keeps the share that it
     /// was granted, here or by the previous allocator, so other shares grow only into what is unassigned.
-    fn grant_share(&mut self, now: Micros, proxy: &str, granted: f64, is_renewed: bool) -> f64 {
-        self.lessees.retain(|_, lessee| lessee.is_missing || now < lessee.last_request + IDLE_TIMEOUT);
-        if let Some(lessee) = self.lessees.get_mut(proxy) {
-            lessee.demand.add(now, granted, DEMAND_WINDOW);
-        }
-        let (mut total_weight, mut other_shares) = (0.0, self.unknown_shares(now));
-        for (name, lessee) in &self.lessees {
-            total_weight += lessee.weight(now);
-            other_shares += if name == proxy { 0.0 } else { lessee.share() };
-        }
-        let Some(lessee) = self.lessees.get_mut(proxy) else { return 0.0 };
-        if is_renewed {
-            let fair_share = lessee.weight(now) / total_weight * MAX_TOTAL_SHARE;
-            lessee.granted_share = fair_share.min((MAX_TOTAL_SHARE - other_shares).max(0.0));
+    fn grant_share(&mut self, now: Micros, proxy: &str, fleet: Fleet, granted: f64, is_renewed: bool) -> f64 {
+        self.lessees.remove_idle(now);
+        self.lessees.add_demand(now, proxy, granted);
+        let Some(lessee) = self.lessees.get(proxy) else { return 0.0 };
+        if !is_renewed {
+            return lessee.granted_share;
         }
-        lessee.granted_share
+        let other_shares = self.unknown_shares(now) + self.lessees.total_share() - lessee.share();
+        let fair_share = self.lessees.demand_ratio(now, proxy) * MAX_TOTAL_SHARE;
+        let unassigned_share = (MAX_TOTAL_SHARE - other_shares).max(0.0);
+        let share = fair_share.min(unassigned_share).min(fleet.max_share());
+        self.lessees.update(proxy, |lessee| lessee.granted_share = share);
+        share
     }
 
     /// Whether the allocator has an entry for a proxy.
     pub fn knows(&self, proxy: &str) -> bool {
-        self.lessees.contains_key(proxy)
+        self.lessees.get(proxy).is_some()
     }
 
     /// The number of known proxies while a share is reserved for unknown ones; `None` if nothing is reserved.
--- a/crates/admission/src/quota_allocator/tests.rs
+++ b/crates/admission/src/quota_allocator/tests.rs
@@ -4,6 +4,8 @@
 
 use super::*;
 
+const FLEET: Fleet = Fleet { proxies: 1, unheard: 0 };
+
 fn usage(wanted: f64, returned: f64) -> Usage {
     Usage { wanted, returned, ..Usage::default() }
 }
@@ -18,7 +20,7 @@
     for _ in 0..5_000 {
         now += (mountbend::measure::uniform(&mut random) * 20_000.0) as Micros;
         let count = (mountbend::measure::uniform(&mut random) * 8.0).floor();
-        if let Ok(units) = allocator.draw(now, "n", false, &usage(count, 0.0)).units {
+        if let Ok(units) = allocator.draw(now, "n", FLEET, &usage(count, 0.0)).units {
             granted.push((now, units));
         }
     }
@@ -36,14 +38,14 @@
 #[gtest]
 fn a_new_allocator_starts_empty_and_reports_when_a_unit_is_available() {
     let mut allocator = QuotaAllocator::new(0, Quota { rate: 10.0, burst: 5.0 });
-    let mut draw = |now, count, unspent| allocator.draw(now, "n", false, &usage(count, unspent)).units;
+    let mut draw = |now, count, unspent| allocator.draw(now, "n", FLEET, &usage(count, unspent)).units;
     expect_that!(draw(0, 2.0, 0.0), err(eq(Exhausted { retry_after: 100_000 })));
     expect_that!(draw(100_000, 2.0, 0.0), ok(eq(1.0)));
     expect_that!(draw(100_000, 2.0, 1.0), ok(eq(1.0)), "a returned unit can be leased again");
     expect_that!(draw(10_000_000, 9.0, 0.0), ok(eq(5.0)), "the level is limited to the burst");
     expect_that!(QuotaAllocator::full(0, Quota { rate: 10.0, burst: 5.0 }).level(), eq(5.0));
     allocator.set_quota(11_200_000, Quota { rate: 10.0, burst: 2.0 });
-    expect_that!(allocator.draw(11_200_000, "n", false, &usage(9.0, 0.0)).units, ok(eq(2.0)));
+    expect_that!(allocator.draw(11_200_000, "n", FLEET, &usage(9.0, 0.0)).units, ok(eq(2.0)));
 }
 
 #[gtest]
@@ -58,9 +60,10 @@
         let busy = if step < 1_000 { 2 } else { 7 };
         let count = if node == busy { 8.0 } else { 1.0 };
         let reported = Usage { held_share: held_shares[node], ..usage(count, 0.0) };
-        let share = allocator.draw(step * 20_000, &format!("n{node}"), false, &reported).share;
+        let share = allocator.draw(step * 20_000, &format!("n{node}"), FLEET, &reported).share;
         held_shares[node] = share;
-        let total: f64 = allocator.lessees.values().map(Lessee::share).sum();
+        let total: f64 = allocator.lessees.iter().map(|(_, lessee)| lessee.share()).sum();
+        expect_that!(allocator.lessees.total_share(), near(total, 1e-9), "at step {step}");
         // A proxy's earlier share counts until its next request, beside the shares that were granted to others since.
         expect_that!(total, le(1.0 + 1e-9), "at step {step}");
         if step == 990 || step == 1_990 {
@@ -80,8 +83,8 @@
     let mut share = 0.0;
     for _ in 0..400 {
         now += 20_000;
-        share = allocator.draw(now, "a", false, &Usage { held_share: share, ..usage(1.0, 0.0) }).share;
-        allocator.draw(now, "b", false, &Usage { held_share: 0.475, ..usage(1.0, 0.0) });
+        share = allocator.draw(now, "a", FLEET, &Usage { held_share: share, ..usage(1.0, 0.0) }).share;
+        allocator.draw(now, "b", FLEET, &Usage { held_share: 0.475, ..usage(1.0, 0.0) });
     }
     expect_that!(share, near(0.475, 0.02));
     // `a` was last reachable half a second ago, and may have spent half a second's worth of its share.
@@ -91,26 +94,26 @@
     for _ in 0..500 {
         now += 20_000;
         let reported = Usage { held_share: 0.475, ..usage(9.0, 0.0) };
-        granted += allocator.draw(now, "b", false, &reported).units.unwrap_or(0.0);
+        granted += allocator.draw(now, "b", FLEET, &reported).units.unwrap_or(0.0);
     }
     expect_that!(granted, all!(gt(450.0), lt(540.0)));
     allocator.proxy_returned(now, "a");
     // `a` has spent 300 of the 500 reserved units: the others are put back, up to the burst.
     let reported =
         Usage { held_share: share, share_spent: 300.0, share_spent_lately: 300.0, ..usage(9.0, 0.0) };
-    expect_that!(allocator.draw(now + 100_000, "a", false, &reported).units, ok(ge(8.0)));
+    expect_that!(allocator.draw(now + 100_000, "a", FLEET, &reported).units, ok(ge(8.0)));
 }
 
 #[gtest]
 fn spending_from_a_share_is_taken_out_with_each_request_though_answers_are_lost() {
     let mut allocator = QuotaAllocator::full(0, Quota { rate: 10.0, burst: 50.0 });
-    allocator.draw(0, "a", false, &usage(0.0, 0.0));
+    allocator.draw(0, "a", FLEET, &usage(0.0, 0.0));
     // Requests arrive, but their answers are lost: by the third, the proxy has spent 20 units of its share.
     for spent in [0.0, 8.0, 20.0] {
         allocator.draw(
             0,
             "a",
-            false,
+            FLEET,
             &Usage { share_spent: spent, share_spent_lately: spent, ..usage(0.0, 0.0) },
         );
     }
@@ -118,7 +121,7 @@
     // After a takeover, the new allocator takes out only units that were spent since it started.
     let mut next = QuotaAllocator::new(0, Quota { rate: 10.0, burst: 50.0 });
     let reported = Usage { share_spent: 90.0, share_spent_lately: 40.0, held_share: 0.5, ..usage(0.0, 0.0) };
-    next.draw(1_000_000, "a", false, &reported);
+    next.draw(1_000_000, "a", FLEET, &reported);
     expect_that!(next.level(), eq(10.0 - 5.0));
 }
 
@@ -128,8 +131,8 @@
 fn a_proxy_is_known_from_its_first_request_on_however_long_the_process_has_run() {
     let start = IDLE_TIMEOUT + 700_000;
     let mut allocator = QuotaAllocator::new(start, Quota { rate: 100.0, burst: 10.0 });
-    allocator.draw(start + 10_000, "a", false, &Usage { held_share: 0.95, ..usage(1.0, 0.0) });
+    allocator.draw(start + 10_000, "a", FLEET, &Usage { held_share: 0.95, ..usage(1.0, 0.0) });
     expect_that!(allocator.knows("a"), eq(true));
     let renewed = Usage { held_share: 0.95, ..usage(1.0, 0.0) };
-    expect_that!(allocator.draw(start + 30_000, "a", false, &renewed).share, gt(0.9));
+    expect_that!(allocator.draw(start + 30_000, "a", FLEET, &renewed).share, gt(0.9));
 }
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pinerelay_admission::duty::{slice_of, DutyAction, SLICE_COUNT};
+use pinerelay_admission::fleet::Fleet;
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_admission::quota::Quota;
 use pinerelay_admission::quota_allocator::{Allocation, Exhausted, QuotaAllocator};
@@ -148,15 +149,19 @@
         }
     }
 
-    /// Whether there may be unreachable proxies that a tenant's allocator does not know: a previous holder may have granted them
-    /// a share.
-    fn has_unknown_proxies(&self, tenant: &str) -> bool {
+    /// The proxies that share a tenant's quota. Those that are unreachable and unknown to the tenant's allocator count as unheard: a
+    /// previous holder of the duty may have granted them a share.
+    fn fleet_of(&self, tenant: &str) -> Fleet {
+        let proxies = self.total_proxies();
+        if self.proxies.stored.is_none() {
+            // Until the machine's store has sent its list, proxies that were unreachable at the start are unknown.
+            return Fleet::unknown(proxies);
+        }
         let allocator = self.quota_duty.allocators.get(tenant);
         let is_known = |node: &String| allocator.is_some_and(|allocator| allocator.knows(node));
-        let elsewhere = self.total_proxies().saturating_sub(self.known_proxies());
-        // Until the machine's store has sent its list, proxies that were unreachable at the start are unknown.
-        let knows_earlier_proxies = self.proxies.stored.is_some();
-        !knows_earlier_proxies || elsewhere > 0 || self.proxies.missing.keys().any(|node| !is_known(node))
+        let elsewhere = proxies.saturating_sub(self.known_proxies());
+        let missing = self.proxies.missing.keys().filter(|node| !is_known(node)).count();
+        Fleet { proxies, unheard: elsewhere + missing }
     }
 
     /// Releases the shares reserved for unknown proxies in allocators that know every proxy.
@@ -207,7 +212,7 @@
             return LeaseGrant::NotOwner;
         }
         let quota = quota_of(tenant);
-        let has_unknown_proxies = self.has_unknown_proxies(&request.tenant);
+        let fleet = self.fleet_of(&request.tenant);
         let AcquiredSlice { fencing_token, .. } =
             self.quota_duty.acquired.get(&slice).copied().unwrap_or_default();
         let mut usage = request.usage();
@@ -217,7 +222,7 @@
         let allocators = &mut self.quota_duty.allocators;
         let allocator =
             allocators.entry(request.tenant.clone()).or_insert_with(|| QuotaAllocator::new(now, quota));
-        let Allocation { units, share } = allocator.draw(now, node, has_unknown_proxies, &usage);
+        let Allocation { units, share } = allocator.draw(now, node, fleet, &usage);
         match units {
             Ok(units) => {
                 self.counters.units_leased += units as u64;
--- a/crates/smoker/examples/size.rs
+++ b/crates/smoker/examples/size.rs
@@ -4,6 +4,7 @@
 
 use getopts::Options;
 use pinerelay_admission::lease::Usage;
+use pinerelay_admission::fleet::Fleet;
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_admission::quota::Quota;
 use pinerelay_admission::quota_allocator::QuotaAllocator;
@@ -127,7 +128,7 @@
 fn count(proxies: usize) -> QuotaAllocator {
     let mut allocator = QuotaAllocator::new(0, Quota { rate: 1e6, burst: 1e6 });
     for n in 0..proxies {
-        allocator.draw(n as u64, &format!("proxy{n}"), false, &ONE);
+        allocator.draw(n as u64, &format!("proxy{n}"), Fleet::heard(proxies), &ONE);
     }
     allocator
 }
@@ -149,7 +150,7 @@
     println!("a count from which 84 proxies draw: {:.1} KB", 1e3 * holds(|| count(84)));
     for proxies in [6, 84, 590] {
         let mut allocator = count(proxies);
-        let (ms, _) = took(|| (0..1_000).map(|n| allocator.draw(1_000 + n, "proxy1", false, &ONE)).count());
+        let (ms, _) = took(|| (0..1_000).map(|n| allocator.draw(1_000 + n, "proxy1", Fleet::heard(proxies), &ONE)).count());
         println!("a unit from a count of {proxies} proxies: {ms:.2} us");
     }
 
