Admission: a cut-off proxy lets a request wait for the allocator's answer

Callers got 429 for seconds after allocators were back. Each pair of a proxy and a tenant whose lease request had failed once rejected its next client at once, and only that client's lease request found the allocator again.

A request that finds no unit now waits for the answer to the lease request that it triggers, for at most 0.12 s when the proxy is cut off (within a quarter of the strictest latency target), and is rejected then. It takes two lease requests, to one candidate after the other. A proxy without a share reports none, which saves a lease request for each tenant after a start.

The first new test failed before: the request was rejected though the allocator answered 20 ms later.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -100,17 +100,10 @@
         }
         let Some(cache) = self.tenants.get_mut(tenant) else { return Admission::Rejected };
         cache.count_arrival(now, quota);
-        if !cache.has_waiting() && cache.spend(now) {
+        if !cache.has_waiting() && (cache.spend(now) || cache.spend_share(now)) {
             return Admission::Admitted;
         }
-        if cache.is_cut_off(now) {
-            if cache.spend_share(now) {
-                return Admission::Admitted;
-            }
-            self.rejections.add_unanswered();
-            return cache.reject(now, self.proxies);
-        }
-        if cache.is_exhausted(now) {
+        if cache.is_exhausted(now) && !cache.is_cut_off(now) {
             self.rejections.add_exhausted();
             return cache.reject(now, self.proxies);
         }
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -24,6 +24,8 @@
 const LEASE_REQUEST_TIMEOUT: Micros = 120_000;
 /// A client's request is rejected when it has waited this long.
 pub(super) const WAIT_TIMEOUT: Micros = 300_000;
+/// A proxy that is cut off rejects a client's request after this shorter time: the allocator may be back, and answers within it.
+pub(super) const CUT_OFF_WAIT_TIMEOUT: Micros = 120_000;
 /// The minimum pause before the next lease request, after one that failed or found no units left.
 const MIN_BACKOFF: Micros = 25_000;
 /// A proxy whose lease requests fail repeats them when clients' requests arrive, and otherwise at this interval or up to a quarter
@@ -32,6 +34,9 @@
 const PROBE_INTERVAL: Micros = 5_000_000;
 /// The fraction of the interval by which probes are randomly brought forward.
 const PROBE_SPREAD: f64 = 0.25;
+/// The pause after a failed lease request of a proxy that is cut off: a client's request leads to two lease requests
+/// within [`CUT_OFF_WAIT_TIMEOUT`], each to the next candidate.
+const CUT_OFF_BACKOFF: Micros = 60_000;
 /// How often the pause after failed lease requests is doubled at most, before the proxy is cut off.
 const MAX_DOUBLINGS: u32 = 3;
 /// A proxy whose lease requests have failed for this long is cut off. It spends the share that it was granted last, which accrues
@@ -231,7 +236,7 @@
     /// Whether, after failures, a lease request is due even if no client's request waits. Units spent from the share are reported
     /// with the lease request that follows. The allocator computes by itself how the remainder grows, once it was reported.
     fn is_probe_due(&self, now: Micros) -> bool {
-        let is_unreported = self.is_cut_off(now) && !self.has_reported_share;
+        let is_unreported = self.share > 0.0 && self.is_cut_off(now) && !self.has_reported_share;
         self.failing_since.is_some() && (self.has_new_arrival || is_unreported || now >= self.probe_at)
     }
 
@@ -276,8 +281,12 @@
     fn record_failure(&mut self, now: Micros) {
         self.failing_since.get_or_insert(now);
         // A proxy that is cut off reports the units spent from its share without a longer pause.
-        let doublings = if self.is_cut_off(now) { 0 } else { self.failures.min(MAX_DOUBLINGS) };
-        self.backoff_until = now + (MIN_BACKOFF << doublings);
+        let backoff = if self.is_cut_off(now) {
+            CUT_OFF_BACKOFF
+        } else {
+            MIN_BACKOFF << self.failures.min(MAX_DOUBLINGS)
+        };
+        self.backoff_until = now + backoff;
         self.failures += 1;
     }
 
@@ -367,10 +376,10 @@
         decisions
     }
 
-    /// Whether the request that has waited longest should be rejected: it has timed out, or the share is in use as a fallback.
+    /// Whether the request that has waited longest should be rejected.
     pub(super) fn has_waited_too_long(&self, now: Micros) -> bool {
-        let has_timed_out = self.waiting.front().is_some_and(|waiting| now >= waiting.since + WAIT_TIMEOUT);
-        has_timed_out || self.share_bucket.is_some()
+        let timeout = if self.is_cut_off(now) { CUT_OFF_WAIT_TIMEOUT } else { WAIT_TIMEOUT };
+        self.waiting.front().is_some_and(|waiting| now >= waiting.since + timeout)
     }
 
     /// Gives up an unanswered lease request after its timeout, so that it is repeated.
--- a/crates/admission/src/lease_cache/tests.rs
+++ b/crates/admission/src/lease_cache/tests.rs
@@ -104,12 +104,8 @@
                 if is_linked {
                     last_contact[proxy] = now;
                     let returned = if request.fencing_token == token { request.returned } else { 0.0 };
-                    let allocation = allocator.draw(
-                        now,
-                        &names[proxy],
-                        fleet,
-                        &Usage { returned, ..request.usage() },
-                    );
+                    let allocation =
+                        allocator.draw(now, &names[proxy], fleet, &Usage { returned, ..request.usage() });
                     let share = allocation.share;
                     let grant = match allocation.units {
                         Ok(units) => LeaseGrant::Units {
@@ -264,3 +260,42 @@
     cache.granted(now, now, "t", grant);
     expect_that!(cache.admit(now + 1, "t", QUOTA, 3), eq(Admission::Admitted));
 }
+
+// Guards against seconds of rejections after allocators have come back: each tenant's next request at each proxy was rejected
+// because an earlier lease request had failed, so with many proxies and tenants most requests were.
+#[gtest]
+fn the_first_request_after_an_outage_is_admitted_by_the_recovered_allocator() {
+    let mut cache = LeaseCache::new();
+    cache.admit(0, "t", QUOTA, 1);
+    for now in (0..1_000_000).step_by(25_000) {
+        cache.tick(now);
+        for request in cache.lease_requests(now) {
+            cache.granted(now, now, &request.tenant, LeaseGrant::NotOwner);
+        }
+    }
+    // The allocator is back, and the next client comes some seconds later.
+    let now = 3_000_000;
+    expect_that!(cache.admit(now, "t", QUOTA, 2), eq(Admission::Waiting));
+    expect_that!(cache.lease_requests(now), len(eq(1)));
+    let grant = LeaseGrant::Units { units: 1.0, duration: 1_000_000, fencing_token: 1, share: 0.1 };
+    let decisions = cache.granted(now + 20_000, now, "t", grant);
+    expect_that!(decisions, elements_are![eq(&Decision { id: 2, admission: Admission::Admitted })]);
+}
+
+#[gtest]
+fn without_an_allocator_a_cut_off_proxy_rejects_soon() {
+    let mut cache = LeaseCache::new();
+    cache.admit(0, "t", QUOTA, 1);
+    let mut rejected_at = BTreeMap::new();
+    for now in (0..2_000_000).step_by(10_000) {
+        if now == 1_000_000 {
+            cache.admit(now, "t", QUOTA, 2);
+        }
+        for request in cache.lease_requests(now) {
+            cache.granted(now, now, &request.tenant, LeaseGrant::NotOwner);
+        }
+        rejected_at.extend(cache.tick(now).into_iter().map(|decision| (decision.id, now)));
+    }
+    expect_that!(rejected_at.get(&1), some(le(&super::tenant::WAIT_TIMEOUT)));
+    expect_that!(rejected_at.get(&2), some(le(&(1_000_000 + super::tenant::CUT_OFF_WAIT_TIMEOUT))));
+}
--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -142,8 +142,7 @@
         self.lessees.update(proxy, |lessee| {
             lessee.is_missing = true;
             let since = if lessee.share_left > 0.0 { since.min(lessee.last_request) } else { since };
-            may_have_spent =
-                lessee.share_left + lessee.share() * rate * seconds(now.saturating_sub(since));
+            may_have_spent = lessee.share_left + lessee.share() * rate * seconds(now.saturating_sub(since));
             lessee.reserved += may_have_spent;
         });
         self.level -= may_have_spent;
--- a/crates/smoker/examples/size.rs
+++ b/crates/smoker/examples/size.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use getopts::Options;
-use pinerelay_admission::lease::Usage;
 use pinerelay_admission::fleet::Fleet;
+use pinerelay_admission::lease::Usage;
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_admission::quota::Quota;
 use pinerelay_admission::quota_allocator::QuotaAllocator;
@@ -150,7 +150,9 @@
     println!("a count from which 84 proxies draw: {:.1} KB", 1e3 * holds(|| count(84)));
     for proxies in [6, 84, 590] {
         let mut allocator = count(proxies);
-        let (ms, _) = took(|| (0..1_000).map(|n| allocator.draw(1_000 + n, "proxy1", Fleet::heard(proxies), &ONE)).count());
+        let (ms, _) = took(|| {
+            (0..1_000).map(|n| allocator.draw(1_000 + n, "proxy1", Fleet::heard(proxies), &ONE)).count()
+        });
         println!("a unit from a count of {proxies} proxies: {ms:.2} us");
     }
 
