Proxy: the registry that answered as a slice's owner is asked for leases again

The owner's connection is now remembered by slice until it denies or is gone. Late replies of registries that are not the one to ask any more do not advance the candidate.

--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -133,7 +133,7 @@
     /// Marks a proxy as missing: it has been unreachable since `since`, and may have spent its share from then on, or already from
     /// its last request on if it reported then that it was spending its share.
     pub fn proxy_missing(&mut self, now: Micros, proxy: &str, since: Micros) {
-        if !self.lessees.get(proxy).is_some_and(|lessee| !lessee.is_missing) {
+        if self.lessees.get(proxy).is_none_or(|lessee| lessee.is_missing) {
             return;
         }
         self.fill(now);
@@ -150,7 +150,7 @@
 
     /// Marks a missing proxy as reachable again. Its units stay reserved until it reports what it has spent.
     pub fn proxy_returned(&mut self, now: Micros, proxy: &str) {
-        if !self.lessees.get(proxy).is_some_and(|lessee| lessee.is_missing) {
+        if self.lessees.get(proxy).is_none_or(|lessee| !lessee.is_missing) {
             return;
         }
         self.fill(now);
--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -22,6 +22,7 @@
 mod leases;
 mod registry_link;
 
+use leases::SliceRoute;
 pub use pinerelay_admission::lease_cache::Admission;
 use registry_link::{Confirmation, RegistryLink};
 
@@ -101,8 +102,8 @@
     /// Whether a registry has once reported a majority, so that quota units are being granted.
     has_seen_majority: bool,
     position: Position,
-    /// By slice: the number of consecutive `NotOwner` replies from the registries that this proxy took for its owner.
-    misdirected: BTreeMap<usize, usize>,
+    /// By slice: which registry to ask for leases.
+    slice_routes: BTreeMap<usize, SliceRoute>,
     /// When the digests last matched those of a registry.
     last_in_sync: Micros,
     /// When the digests are sent next.
@@ -132,7 +133,7 @@
             is_unconfirmed: false,
             has_seen_majority: false,
             position: Position { index: 0, proxies: 1 },
-            misdirected: BTreeMap::new(),
+            slice_routes: BTreeMap::new(),
             last_in_sync: now,
             next_digests: now,
             next_keepalive: now,
--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -11,6 +11,15 @@
 
 use super::{Output, Subscriber};
 
+/// Which registry to ask for leases of the tenants of a slice.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SliceRoute {
+    /// The registry that last answered as the owner of the slice.
+    owner: Option<ConnectionId>,
+    /// Without a known owner: the number of candidates that have answered that they are not the owner.
+    misdirected: usize,
+}
+
 impl Subscriber {
     /// Sends the lease requests that are due.
     pub(super) fn request_leases(&mut self, now: Micros, out: &mut Vec<Output>) {
@@ -46,14 +55,33 @@
         alive.map(|(&connection, registry)| (registry.hello.ip.clone(), connection)).collect()
     }
 
-    /// Returns the registry that presumably owns the tenant's slice. If this proxy's view of the live registries differs from their
-    /// own view, each `NotOwner` reply moves on to the next candidate.
+    /// Returns the registry that presumably owns the tenant's slice: the one that last answered as its owner, and otherwise the
+    /// candidates in rendezvous order. Registries may view each other differently, or may not be eligible yet after a change of
+    /// voters, so each `NotOwner` reply moves on to the next candidate.
     fn owner_of(&self, tenant: &str, alive: &BTreeMap<String, ConnectionId>) -> Option<ConnectionId> {
         let slice = slice_of(tenant);
+        let route = self.slice_routes.get(&slice).copied().unwrap_or_default();
+        if let Some(owner) = route.owner.filter(|owner| alive.values().any(|connection| connection == owner))
+        {
+            return Some(owner);
+        }
         let candidates = rendezvous_order(&format!("duty-{slice}"), alive.keys());
         debug_assert!(candidates.first().copied() == slice_owner(slice, alive.keys()));
-        let misdirected = self.misdirected.get(&slice).copied().unwrap_or(0);
-        candidates.get(misdirected % candidates.len().max(1)).map(|name| alive[*name])
+        candidates.get(route.misdirected % candidates.len().max(1)).map(|name| alive[*name])
+    }
+
+    /// Records whether a registry owns the slice of a tenant. Further replies of a registry that is no longer the one to ask say
+    /// nothing about the next candidate.
+    fn record_owner(&mut self, tenant: &str, connection: ConnectionId, is_owner: bool) {
+        let is_asked = self.owner_of(tenant, &self.alive_registries()) == Some(connection);
+        let route = self.slice_routes.entry(slice_of(tenant)).or_default();
+        if is_owner {
+            *route = SliceRoute { owner: Some(connection), misdirected: 0 };
+        } else if route.owner == Some(connection) {
+            *route = SliceRoute::default();
+        } else if is_asked {
+            route.misdirected += 1;
+        }
     }
 
     /// Handles a registry's reply to lease requests.
@@ -68,12 +96,7 @@
         let requested_at = registry.and_then(|registry| registry.open_lease_requests.pop_front());
         let Some(requested_at) = requested_at else { return out.push(Output::Close(connection)) };
         for TenantGrant { tenant, grant } in grants {
-            let slice = slice_of(&tenant);
-            if grant == LeaseGrant::NotOwner {
-                *self.misdirected.entry(slice).or_default() += 1;
-            } else {
-                self.misdirected.remove(&slice);
-            }
+            self.record_owner(&tenant, connection, grant != LeaseGrant::NotOwner);
             let decisions = self.leases.granted(now, requested_at, &tenant, grant);
             out.extend(decisions.into_iter().map(Output::Decided));
         }
--- a/crates/proxy/tests/subscriber.rs
+++ b/crates/proxy/tests/subscriber.rs
@@ -132,6 +132,46 @@
     expect_that!(reported.iter().filter(|ask| ask.0 != owner).all(|ask| ask.1 == 0.0), eq(true));
 }
 
+// Guards against lease requests that are misdirected for as long as a voter is not eligible for duties: the owner of a slice was
+// forgotten with its answer, and half of the next requests failed at the first candidate again.
+#[gtest]
+fn the_registry_that_granted_a_lease_is_asked_again() {
+    let mut subscriber = Subscriber::new(0, hello(Role::Proxy), Vec::new());
+    for peer in 1..6 {
+        let ip = format!("127.0.0.{peer}");
+        let registry = PeerMessage::Hello(Hello { ip, ..hello(Role::Registry) });
+        subscriber.receive(1, peer, registry, &mut Vec::new());
+        let status = PeerMessage::RegistryStatus(status_of(1, &[], false));
+        subscriber.receive(1, peer, status, &mut Vec::new());
+    }
+    let mut asked = Vec::new();
+    let mut owner = None;
+    for number in 0..20 {
+        let now = (1 + number) * SECOND;
+        let mut out = Vec::new();
+        subscriber.admit(now, "t", Quota { rate: 100.0, burst: 100.0 }, number, &mut out);
+        for attempt in 0..40 {
+            let at = now + attempt * 10_000;
+            subscriber.tick(at, &mut out);
+            for (registry, _) in lease_requests(&std::mem::take(&mut out)) {
+                asked.push((number, registry));
+                // The first registry asked is not the owner, and the second one is.
+                let first = asked[0].1;
+                owner = owner.or((registry != first).then_some(registry));
+                let grant = if Some(registry) == owner {
+                    LeaseGrant::Units { units: 1.0, duration: 100_000, fencing_token: 1, share: 0.0 }
+                } else {
+                    LeaseGrant::NotOwner
+                };
+                let grants = PeerMessage::LeaseGrants(vec![TenantGrant { tenant: "t".into(), grant }]);
+                subscriber.receive(at + 1, registry, grants, &mut out);
+            }
+        }
+    }
+    let misdirected = asked.iter().filter(|(number, registry)| *number > 0 && Some(*registry) != owner);
+    expect_that!(misdirected.count(), eq(0), "of {} lease requests", asked.len());
+}
+
 const SECOND: u64 = 1_000_000;
 
 fn status_of(epoch: u64, voters: &[&str], current: bool) -> RegistryStatus {
