Ticks are not starved by messages that are queued

Cause: the event loops of registry, proxy and config store handled events before a due tick as long as any was queued. Change: a due tick waits for at most 32 events (`EventOrder` and `WorkQueue` of peer-link, used by all three loops), and the next one is due an interval after its end. Messages that are queued then are no silence: the tick is told its backlog, the time within which messages may have arrived that are not handled yet. It is counted from the last time up to which everything that had arrived was handled, so it also covers a stall. The registry judges silence of proxies, servers and stores up to there, and presumes no majority behind a backlog of 0.7 s, as it did after as long without a tick; the store rejects changes that may have been queued for 0.25 s and takes no store for failed behind 0.7 s; the proxy does not serve unconfirmed behind 0.7 s. Stalls are recognised by gaps between ticks as before. The test of the failure detector is new with its method.

--- a/crates/config-store/src/run.rs
+++ b/crates/config-store/src/run.rs
@@ -12,11 +12,12 @@
 use pinerelay_node_runtime::internal_port;
 use pinerelay_node_runtime::settings::Settings;
 use pinerelay_node_runtime::settings_watch;
+use pinerelay_peer_link::event_order::{Work, WorkQueue};
 use pinerelay_peer_link::link::{ConnectionId, LinkEvent, LinkEvents, LinkHandle, Links};
 use pinerelay_peer_link::message::{Hello, Metric, PeerMessage, Role};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 use crate::disk::{Disk, OpenedDisk};
 use crate::service::{Output, StoreService};
@@ -85,11 +86,11 @@
 impl RunningStore {
     async fn event_loop(
         mut self,
-        mut events: LinkEvents,
+        events: LinkEvents,
         mut completed: UnboundedReceiver<u64>,
     ) -> Result<(), Box<dyn Error>> {
         let mut terminate = signal(SignalKind::terminate())?;
-        let mut next_tick = Instant::now();
+        let mut work = WorkQueue::new(events);
         let mut shutdown_deadline: Option<Instant> = None;
         loop {
             self.update_links();
@@ -108,19 +109,26 @@
                     self.disk.completed(id);
                     self.with_service(|service, now, out| service.write_completed(now, id, out));
                 }
-                Some(event) = events.recv() => self.on_event(event),
-                () = sleep_until(next_tick) => {
-                    self.with_service(|service, now, out| service.tick(now, out));
-                    let interval = if self.service.is_busy() { BUSY_TICK } else { IDLE_TICK };
-                    next_tick = Instant::now() + interval;
+                next = work.next() => match next {
+                    Work::Event(event) => self.on_event(event),
+                    Work::Tick { backlog } => {
+                        self.tick(backlog);
+                        work.ticked(IDLE_TICK);
+                    }
                 }
             }
             if self.service.is_busy() {
-                next_tick = next_tick.min(Instant::now() + BUSY_TICK);
+                work.tick_within(BUSY_TICK);
             }
         }
     }
 
+    /// Runs the periodic work of the state machine. Messages that arrived within the backlog may not have been handled yet.
+    fn tick(&mut self, backlog: Duration) {
+        let backlog = backlog.as_micros() as Micros;
+        self.with_service(|service, now, out| service.tick_with_backlog(now, backlog, out));
+    }
+
     /// Connects to new peers of the consensus group, and closes the links to former ones.
     fn update_links(&mut self) {
         let peers = self.service.store().peers();
--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -105,6 +105,8 @@
     logged_health: QuorumHealth,
     next_keepalive: Micros,
     last_tick: Micros,
+    /// How long messages may have been waiting at the last tick to be handled; 0 if none were.
+    backlog: Micros,
     /// The time of the first tick after the last stall.
     resumed_at: Option<Micros>,
     is_shutting_down: bool,
@@ -149,6 +151,7 @@
             logged_health: QuorumHealth::default(),
             next_keepalive: 0,
             last_tick: 0,
+            backlog: 0,
             resumed_at: None,
             is_shutting_down: false,
         };
@@ -205,8 +208,16 @@
         self.send_changed_status(now, out);
     }
 
-    /// Advances the time: drives timeouts, detects stalls, and sends keepalives and status.
+    /// Advances the time: drives timeouts, detects stalls, and sends keepalives and status. All messages have been handled that
+    /// have arrived.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.tick_with_backlog(now, 0, out);
+    }
+
+    /// Advances the time, while messages that arrived within the last `backlog` may not have been handled yet.
+    pub fn tick_with_backlog(&mut self, now: Micros, backlog: Micros, out: &mut Vec<Output>) {
+        self.backlog = backlog;
+        self.store.set_backlog(now, backlog);
         if now > self.last_tick + STALL_THRESHOLD {
             self.resumed_at = Some(now);
         }
@@ -358,9 +369,9 @@
         })
     }
 
-    /// Whether a message that arrives now may have been queued during a stall of the process.
+    /// Whether a message that is handled now may have been queued for long, or during a stall of the process.
     fn may_have_waited(&self, now: Micros) -> bool {
-        now > self.last_tick + STALL_THRESHOLD
+        now + self.backlog > self.last_tick + STALL_THRESHOLD
             || self.resumed_at.is_some_and(|at| now < at + REJECT_AFTER_STALL)
     }
 
--- a/crates/config-store/tests/answers.rs
+++ b/crates/config-store/tests/answers.rs
@@ -109,3 +109,23 @@
     let answers = run_one_second(&mut service, 3_200_000, out);
     expect_that!(answers, elements_are![eq(&(1, 1, 200))]);
 }
+
+#[gtest]
+fn a_change_that_may_have_been_queued_for_long_is_rejected_although_ticks_ran() {
+    let mut service = service();
+    let mut out = Vec::new();
+    service.receive(1_000_000, 1, hello(Role::Registry, 1), &mut out);
+    let update = || PeerMessage::ForwardCall(1, ForwardedCall::Update(b"{}".to_vec()));
+    // Ticks run in time, but messages that arrived within the last 240 ms are queued.
+    service.tick_with_backlog(1_100_000, 100_000, &mut out);
+    service.tick_with_backlog(1_240_000, 240_000, &mut out);
+    out.clear();
+    service.receive(1_260_000, 1, update(), &mut out);
+    let is_rejected = |output: &Output| matches!(output, Output::Send(1, PeerMessage::CallReply(1, reply)) if reply.status == 503);
+    expect_that!(out.iter().any(is_rejected), eq(true));
+    service.tick_with_backlog(1_300_000, 0, &mut out);
+    out.clear();
+    service.receive(1_310_000, 1, update(), &mut out);
+    let answers = run_one_second(&mut service, 1_310_000, out);
+    expect_that!(answers, elements_are![eq(&(1, 1, 200))]);
+}
--- a/crates/consensus/src/failure_detector.rs
+++ b/crates/consensus/src/failure_detector.rs
@@ -5,6 +5,9 @@
 use crate::message::{Member, StoreName};
 use crate::Micros;
 
+#[cfg(test)]
+mod tests;
+
 /// A member counts as failed after a silence of this length, and is replaced if a spare (non-voting) store is ready.
 const FAILURE_TIMEOUT: Micros = 2_500_000;
 /// A silence of this length interrupts the time for which a store counts as continuously alive.
@@ -49,7 +52,7 @@
 pub struct FailureDetector {
     own_name: StoreName,
     peers: BTreeMap<StoreName, Peer>,
-    /// When the last stall of this process ended; 0 if there was none. A peer's silence is counted from here at the earliest.
+    /// When the last stall of this process, or the last long backlog, ended; 0 if there was none. A peer's silence is counted from here at the earliest.
     watching_since: Micros,
     last_tick: Micros,
 }
@@ -68,6 +71,13 @@
         self.last_tick = now;
     }
 
+    /// Heartbeats that arrived within the last `backlog` may not have been handled yet. A long backlog counts as a stall.
+    pub fn set_backlog(&mut self, now: Micros, backlog: Micros) {
+        if backlog > STALL_THRESHOLD {
+            self.watching_since = now;
+        }
+    }
+
     /// Records a heartbeat of another store. `is_equal`: its replica has the same digest as the one here.
     pub fn heartbeat(&mut self, now: Micros, name: &str, incarnation: Option<u64>, is_equal: bool) {
         let new = Peer { incarnation, alive_since: now, last_heartbeat: now, last_equal: None };
--- a/crates/consensus/src/store.rs
+++ b/crates/consensus/src/store.rs
@@ -250,6 +250,12 @@
         self.lease.remaining(now)
     }
 
+    /// Messages that arrived within the last `backlog` may not have been handled yet: other stores are not taken for failed because
+    /// of them.
+    pub fn set_backlog(&mut self, now: Micros, backlog: Micros) {
+        self.failure_detector.set_backlog(now, backlog);
+    }
+
     /// How many of the voting stores are alive, as seen by this store.
     pub fn quorum_health(&self, now: Micros) -> QuorumHealth {
         let members = &self.membership.members;
--- a/crates/peer-link/src/lib.rs
+++ b/crates/peer-link/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`query`]: a single request for the metrics of a process on a connection of its own.
 
 pub mod codec;
+pub mod event_order;
 pub mod link;
 pub mod message;
 pub mod process_address;
--- a/crates/peer-link/src/link.rs
+++ b/crates/peer-link/src/link.rs
@@ -78,12 +78,21 @@
 type QueuedEvent = (LinkEvent, Option<OwnedSemaphorePermit>);
 
 /// The events of all links of a process, in order.
-pub struct LinkEvents(UnboundedReceiver<QueuedEvent>);
+pub struct LinkEvents {
+    receiver: UnboundedReceiver<QueuedEvent>,
+    unhandled: Arc<Semaphore>,
+}
 
 impl LinkEvents {
     /// Waits for the next event; `None` once the links are dropped.
     pub async fn recv(&mut self) -> Option<LinkEvent> {
-        self.0.recv().await.map(|(event, _)| event)
+        self.receiver.recv().await.map(|(event, _)| event)
+    }
+
+    /// The number of queued events; `None` while received messages may be waiting for others to be handled before they are queued.
+    pub fn queued(&self) -> Option<usize> {
+        // The semaphore is fair: it has no permits left while a message waits for some.
+        (self.unhandled.available_permits() > 0).then(|| self.receiver.len())
     }
 }
 
@@ -128,7 +137,7 @@
                 .set(self.links.total_receive_capacity.get() - connection.receive_capacity);
         }
         if self.reported.get() {
-            let _ = self.links.events.send((LinkEvent::Disconnected(self.id), None));
+            self.links.report(LinkEvent::Disconnected(self.id), None);
         }
     }
 }
@@ -137,9 +146,10 @@
     /// Creates an empty set of links, and the receiver of their events.
     pub fn new() -> (Rc<Links>, LinkEvents) {
         let (events, receiver) = unbounded_channel();
+        let unhandled = Arc::new(Semaphore::new(UNHANDLED_LIMIT_KIB as usize));
         let links = Links {
             events,
-            unhandled: Arc::new(Semaphore::new(UNHANDLED_LIMIT_KIB as usize)),
+            unhandled: unhandled.clone(),
             total_receive_capacity: Cell::new(0),
             connections: RefCell::default(),
             last_connection: Cell::new(0),
@@ -148,7 +158,7 @@
             received_bytes: Cell::new(0),
             malformed: Cell::new(0),
         };
-        (Rc::new(links), LinkEvents(receiver))
+        (Rc::new(links), LinkEvents { receiver, unhandled })
     }
 
     /// Metrics of all links. `program` is the prefix of their names.
@@ -256,11 +266,17 @@
         }
     }
 
+    /// Emits an event.
+    pub(crate) fn report(&self, event: LinkEvent, permit: Option<OwnedSemaphorePermit>) {
+        // Sending fails if the process does not receive events any more.
+        let _ = self.events.send((event, permit));
+    }
+
     /// Emits the event of a received message, once there are enough permits of [`UNHANDLED_LIMIT_KIB`].
     async fn report_received(&self, id: ConnectionId, message: PeerMessage, bytes: usize) {
         let permits = (1 + bytes / 1024).min(UNHANDLED_LIMIT_KIB as usize) as u32;
         let permit = self.unhandled.clone().acquire_many_owned(permits).await.ok();
-        let _ = self.events.send((LinkEvent::Received(id, message), permit));
+        self.report(LinkEvent::Received(id, message), permit);
     }
 
     /// Runs one connection until it ends. Cancelling the future closes it.
@@ -311,7 +327,7 @@
             }
             self.set_receive_capacity(id, decoder.capacity());
             if decoder.greeting_received()? && !reported.replace(true) {
-                let _ = self.events.send((LinkEvent::Connected(id, peer), None));
+                self.report(LinkEvent::Connected(id, peer), None);
             }
             let mut buffered = decoder.buffered();
             while let Some(message) = decoder.next_message()? {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -23,6 +23,7 @@
 use pinerelay_node_runtime::internal_port;
 use pinerelay_node_runtime::settings::Settings;
 use pinerelay_node_runtime::settings_watch;
+use pinerelay_peer_link::event_order::{Work, WorkQueue};
 use pinerelay_peer_link::link::{LinkEvent, LinkEvents, LinkHandle, Links};
 use pinerelay_peer_link::message::{Hello, Metric, PeerMessage, Role};
 use pinerelay_rollout::decider::REPORT_INTERVAL;
@@ -35,7 +36,7 @@
 use pinerelay_traffic::watchdog::Watchdog;
 use pinerelay_traffic::Common;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 
 use crate::metrics::{self, MetricSources};
 use crate::request_handler::{Admitter, RequestHandler};
@@ -192,24 +193,27 @@
     /// Handles link events and ticks until a graceful shutdown has completed.
     async fn event_loop(
         &self,
-        mut events: LinkEvents,
+        events: LinkEvents,
         handler: &RequestHandler,
         clients: &ClientListener,
     ) -> io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut links: BTreeMap<String, LinkHandle> = BTreeMap::new();
-        let mut next_tick = Instant::now();
+        let mut work = WorkQueue::new(events);
         let mut shutdown: Option<Shutdown> = None;
         loop {
             tokio::select! {
                 biased;
                 _ = terminate.recv(), if shutdown.is_none() => shutdown = Some(self.begin_shutdown(handler)),
-                Some(event) = events.recv() => self.on_event(event),
-                () = sleep_until(next_tick) => {
-                    next_tick = Instant::now() + self.tick();
-                    self.update_links(&mut links);
-                    if shutdown.is_some_and(|shutdown| clients.continue_shutdown(shutdown)) {
-                        return Ok(());
+                next = work.next() => match next {
+                    Work::Event(event) => self.on_event(event),
+                    Work::Tick { backlog } => {
+                        let interval = self.tick(backlog);
+                        self.update_links(&mut links);
+                        if shutdown.is_some_and(|shutdown| clients.continue_shutdown(shutdown)) {
+                            return Ok(());
+                        }
+                        work.ticked(interval);
                     }
                 }
             }
@@ -226,10 +230,12 @@
         Shutdown { stop_accepting: now + DRAIN_DELAY.min(grace / 2), end: now + grace }
     }
 
-    /// Runs the periodic work; returns the delay until the next tick.
-    fn tick(&self) -> Duration {
+    /// Runs the periodic work; returns the delay until the next tick. Messages that arrived within the backlog may not have been
+    /// handled yet.
+    fn tick(&self, backlog: Duration) -> Duration {
+        let backlog = backlog.as_micros() as Micros;
         let has_waiting = self.with_subscriber(|subscriber, now, out| {
-            subscriber.tick(now, out);
+            subscriber.tick_with_backlog(now, backlog, out);
             subscriber.leases().waiting() > 0
         });
         self.report_rollouts();
--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -19,6 +19,7 @@
 };
 use pinerelay_rollout::report::RolloutPermit;
 
+mod completeness;
 mod leases;
 mod registry_link;
 
@@ -29,13 +30,6 @@
 const DIGEST_INTERVAL: Micros = 600_000;
 /// Interval at which keep-alive messages are sent, in microseconds: the registries reserve the quota share of a silent proxy.
 const KEEPALIVE_INTERVAL: Micros = 200_000;
-/// A starting proxy that finds no current registry for this long serves its unconfirmed configuration. This is longer than a
-/// configuration may take to reach a machine while the core is unsettled, and shorter than the time allowed for restoring service
-/// after a failure. In microseconds.
-const UNCONFIRMED_AFTER: Micros = 10_000_000;
-/// A longer gap between two ticks, in microseconds, counts as a stall of this process: messages missed meanwhile say nothing about
-/// the registries.
-const STALL_THRESHOLD: Micros = 700_000;
 /// Maximum time for which a possibly partial update is withheld, except for the first table. After a partition a proxy is allowed
 /// more time than this, from reconnection, to activate what was acknowledged meanwhile. In microseconds.
 const WITHHOLD_LIMIT: Micros = 1_000_000;
@@ -111,6 +105,8 @@
     next_keepalive: Micros,
     /// When the last tick was handled.
     last_tick: Micros,
+    /// How long messages may have been waiting at the last tick to be handled; 0 if none were.
+    backlog: Micros,
 }
 
 impl Subscriber {
@@ -137,6 +133,7 @@
             next_digests: now,
             next_keepalive: now,
             last_tick: now,
+            backlog: 0,
         }
     }
 
@@ -395,39 +392,6 @@
         [self.realms[0].digest(), self.realms[1].digest()]
     }
 
-    /// Checks whether the replica is equal to the configuration of a registry that is complete and current. A registry that was
-    /// partitioned together with its store is complete, but may be out of date: its configuration is served unconfirmed once no
-    /// registry has been current for `UNCONFIRMED_AFTER`.
-    fn check_complete(&mut self, now: Micros) {
-        // At the first start of a cluster the empty configuration is confirmed as current. It must not count as complete, since the
-        // next items may be only a part of an update.
-        if self.is_complete || self.config_items().is_empty() {
-            return;
-        }
-        let own_digest = self.config_items().digest();
-        let complete: Vec<&RegistryLink> =
-            self.registries.values().filter(|registry| registry.is_complete()).collect();
-        if complete.iter().any(|registry| registry.current_digest(now) == Some(own_digest)) {
-            log::info!("configuration is complete: {} items", self.config_items().len());
-            self.is_complete = true;
-            return;
-        }
-        let none_is_current = self.registries.values().all(|registry| registry.current_digest(now).is_none());
-        let lacks_current = !complete.is_empty() && none_is_current;
-        let is_equal = complete.iter().any(|registry| registry.config_digest == Some(own_digest));
-        let has_stalled = now > self.last_tick + STALL_THRESHOLD;
-        self.no_current_since =
-            lacks_current.then(|| self.no_current_since.filter(|_| !has_stalled).unwrap_or(now));
-        let has_waited = self.no_current_since.is_some_and(|since| now >= since + UNCONFIRMED_AFTER);
-        if has_waited && !self.is_unconfirmed && is_equal {
-            log::warn!(
-                "serving an unconfirmed configuration: {} items, no registry is current",
-                self.config_items().len()
-            );
-            self.is_unconfirmed = true;
-        }
-    }
-
     /// Merges items into the replica; returns whether any of them was new.
     fn merge(&mut self, now: Micros, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
         let (mut has_new, mut has_new_config) = (false, false);
@@ -473,8 +437,14 @@
         }
     }
 
-    /// Runs the periodic work.
+    /// Runs the periodic work. All messages have been handled that have arrived.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.tick_with_backlog(now, 0, out);
+    }
+
+    /// Runs the periodic work, while messages that arrived within the last `backlog` may not have been handled yet.
+    pub fn tick_with_backlog(&mut self, now: Micros, backlog: Micros, out: &mut Vec<Output>) {
+        self.backlog = backlog;
         let decisions = self.leases.tick(now);
         out.extend(decisions.into_iter().map(Output::Decided));
         self.request_leases(now, out);
--- a/crates/proxy/tests/subscriber.rs
+++ b/crates/proxy/tests/subscriber.rs
@@ -319,6 +319,24 @@
     expect_that!((script.0.can_serve(), script.0.serves_unconfirmed()), eq((true, false)));
 }
 
+#[gtest]
+fn an_unconfirmed_configuration_is_not_served_while_confirmations_may_wait_here() {
+    let mut script = SubscriberScript::new();
+    let items = service(5);
+    script.link(1);
+    script.receive_message(0, 1, PeerMessage::Update(items.clone()));
+    script.advance(0, 9 * SECOND, false, &items);
+    for now in (9 * SECOND..12 * SECOND).step_by(75_000) {
+        script.0.tick_with_backlog(now, 800_000, &mut Vec::new());
+    }
+    expect_that!(script.0.can_serve(), eq(false));
+    // The wait starts from zero once all messages are handled.
+    script.advance(12 * SECOND, 21 * SECOND, false, &items);
+    expect_that!(script.0.can_serve(), eq(false));
+    script.advance(21 * SECOND, 23 * SECOND, false, &items);
+    expect_that!(script.0.serves_unconfirmed(), eq(true));
+}
+
 #[gtest]
 fn the_voters_of_the_newest_epoch_are_wanted_and_no_more_than_needed() {
     let mut script = SubscriberScript::new();
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -140,6 +140,8 @@
     last_number: u64,
     started_at: Micros,
     last_tick: Micros,
+    /// How long messages may have been waiting at the last tick to be handled; 0 if none were.
+    backlog: Micros,
     /// When the first tick after the last gap of [`CALL_STALL_THRESHOLD`] ran.
     resumed_at: Option<Micros>,
     /// When the last message of the machine's own store arrived.
@@ -181,6 +183,7 @@
             calls: ForwardedCalls::default(),
             last_number: 0,
             last_tick: now,
+            backlog: 0,
             resumed_at: None,
             own_store_last_message: now,
             own_store_last_current: now,
@@ -205,7 +208,7 @@
         let mut wanted: BTreeSet<_> = others.iter().map(|ip| (ip.clone(), Role::Registry)).collect();
         wanted.insert((self.config.hello.ip.clone(), Role::ConfigStore));
         let last_usable = self.own_store_last_message.min(self.own_store_last_current);
-        if self.last_tick > last_usable + OWN_STORE_TIMEOUT {
+        if self.handled_until(self.last_tick) > last_usable + OWN_STORE_TIMEOUT {
             wanted.extend(others.into_iter().map(|ip| (ip, Role::ConfigStore)));
         }
         wanted
@@ -250,8 +253,19 @@
         held.fold(0, |bits, slice| bits | 1 << slice)
     }
 
-    /// Runs all work that is due by now.
+    /// Up to when all messages have been handled that have arrived. The silence of peers is judged up to this time.
+    fn handled_until(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.backlog)
+    }
+
+    /// Runs all work that is due by now. All messages have been handled that have arrived.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.tick_with_backlog(now, 0, out);
+    }
+
+    /// Runs all work that is due by now, while messages that arrived within the last `backlog` may not have been handled yet.
+    pub fn tick_with_backlog(&mut self, now: Micros, backlog: Micros, out: &mut Vec<Output>) {
+        self.backlog = backlog;
         let has_stalled = now > self.last_tick + STALL_THRESHOLD;
         if now > self.last_tick + CALL_STALL_THRESHOLD {
             self.resumed_at = Some(now);
@@ -314,11 +328,13 @@
         }
     }
 
-    /// Whether a majority of the core is presumed to be reached. Not after a stall, as links may have broken meanwhile; but for
+    /// Whether a majority of the core is presumed to be reached. Not after a stall, or while messages have been waiting for as long,
+    /// as links may have broken meanwhile; but for
     /// [`freshness::START_GRACE`] after the start, when links may not be up yet.
     fn presumes_majority(&self, now: Micros) -> bool {
         let has_just_started = now < self.started_at + freshness::START_GRACE;
-        now <= self.last_tick + STALL_THRESHOLD && (self.majority.is_reached() || has_just_started)
+        now + self.backlog <= self.last_tick + STALL_THRESHOLD
+            && (self.majority.is_reached() || has_just_started)
     }
 
     /// Releases the duties and notifies the peers, at a planned shutdown.
--- a/crates/registry/src/registry/call_forwarding.rs
+++ b/crates/registry/src/registry/call_forwarding.rs
@@ -6,6 +6,7 @@
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{CallReply, ForwardedCall, PeerMessage};
 
+use super::processes::StoreLink;
 use super::{Output, Registry, CALL_REJECT_PERIOD, CALL_STALL_THRESHOLD, STALL_THRESHOLD};
 use crate::control_call::ControlCall;
 
@@ -115,7 +116,9 @@
     /// Whether a store has sent messages lately. After a stall every store is presumed responsive, as messages may be unread.
     fn is_responsive(&self, now: Micros, store: ConnectionId) -> bool {
         let has_stalled = now > self.last_tick + STALL_THRESHOLD;
-        has_stalled || self.stores.get(&store).is_some_and(|store| now < store.last_message + STORE_TIMEOUT)
+        let handled_until = self.handled_until(now);
+        let is_heard = |store: &StoreLink| handled_until < store.last_message + STORE_TIMEOUT;
+        has_stalled || self.stores.get(&store).is_some_and(is_heard)
     }
 
     /// A store has answered a call. Numbers restart with each process, so a late answer to an earlier process may bear a number
--- a/crates/registry/src/registry/endpoints.rs
+++ b/crates/registry/src/registry/endpoints.rs
@@ -317,12 +317,13 @@
 
     /// Marks servers as lost that no registry has received a heartbeat of, while this registry would learn of all heartbeats.
     pub(super) fn detect_lost_servers(&mut self, now: Micros, out: &mut Vec<Output>) {
-        if !self.majority.is_reached() || now < self.endpoints.detect_losses_from {
+        let handled_until = self.handled_until(now);
+        if !self.majority.is_reached() || handled_until < self.endpoints.detect_losses_from {
             return;
         }
         let timeout = self.server_timeout();
         let last_heartbeats = self.endpoints.last_heartbeats.iter();
-        let silent = last_heartbeats.filter(|(_, last)| now >= last.anywhere + timeout);
+        let silent = last_heartbeats.filter(|(_, last)| handled_until >= last.anywhere + timeout);
         let ids: Vec<String> = silent.map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.endpoints.last_heartbeats.remove(&id);
--- a/crates/registry/src/registry/processes.rs
+++ b/crates/registry/src/registry/processes.rs
@@ -124,10 +124,11 @@
         self.rollout_duty.proxy_ended(node);
     }
 
-    /// Marks proxies as missing after [`PROXY_TIMEOUT`]. Their shares are reserved from when their last message arrived.
+    /// Marks proxies as missing after a silence of [`PROXY_TIMEOUT`] among the handled messages. Their shares are reserved from when their last message arrived.
     pub(super) fn detect_missing_proxies(&mut self, now: Micros) {
+        let handled_until = self.handled_until(now);
         let last_seen = self.proxies.last_seen.iter();
-        let silent = last_seen.filter(|(_, last_seen)| now >= **last_seen + PROXY_TIMEOUT);
+        let silent = last_seen.filter(|(_, last_seen)| handled_until >= **last_seen + PROXY_TIMEOUT);
         let silent: Vec<(String, Micros)> = silent.map(|(node, &since)| (node.clone(), since)).collect();
         for (node, since) in silent {
             self.proxies.last_seen.remove(&node);
--- a/crates/registry/src/run.rs
+++ b/crates/registry/src/run.rs
@@ -22,6 +22,7 @@
 use pinerelay_node_runtime::internal_port;
 use pinerelay_node_runtime::settings::Settings;
 use pinerelay_node_runtime::settings_watch;
+use pinerelay_peer_link::event_order::{Work, WorkQueue};
 use pinerelay_peer_link::link::{LinkEvent, LinkEvents, LinkHandle, Links};
 use pinerelay_peer_link::message::{CallReply, Hello, Metric, PeerMessage, Role};
 use pinerelay_rollout::decider::RolloutBounds;
@@ -34,7 +35,7 @@
 use pinerelay_traffic::Common;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 
 use crate::call_body::{BodyError, BodyMemory};
 use crate::call_counts::CallCounts;
@@ -167,25 +168,33 @@
         })
     }
 
-    /// Handles events until SIGTERM, and returns the receiver of events for the shutdown.
-    async fn event_loop(&self, mut events: LinkEvents) -> io::Result<LinkEvents> {
+    /// Handles events and ticks until SIGTERM, and returns the receiver of events for the shutdown.
+    async fn event_loop(&self, events: LinkEvents) -> io::Result<LinkEvents> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut links: BTreeMap<(String, Role), LinkHandle> = BTreeMap::new();
-        let mut next_tick = Instant::now();
+        let mut work = WorkQueue::new(events);
         loop {
             tokio::select! {
                 biased;
-                _ = terminate.recv() => return Ok(events),
-                Some(event) = events.recv() => self.on_event(event),
-                () = sleep_until(next_tick) => {
-                    next_tick = Instant::now() + TICK_INTERVAL;
-                    self.with_registry(|registry, now, out| registry.tick(now, out));
-                    self.update_links(&mut links);
+                _ = terminate.recv() => return Ok(work.into_events()),
+                next = work.next() => match next {
+                    Work::Event(event) => self.on_event(event),
+                    Work::Tick { backlog } => {
+                        self.tick(backlog);
+                        self.update_links(&mut links);
+                        work.ticked(TICK_INTERVAL);
+                    }
                 }
             }
         }
     }
 
+    /// Runs the periodic work of the state machine. Messages that arrived within the backlog may not have been handled yet.
+    fn tick(&self, backlog: Duration) {
+        let backlog = backlog.as_micros() as Micros;
+        self.with_registry(|registry, now, out| registry.tick_with_backlog(now, backlog, out));
+    }
+
     /// Opens missing links to the processes that the state machine wants to reach, and closes the others.
     fn update_links(&self, links: &mut BTreeMap<(String, Role), LinkHandle>) {
         let wanted = self.registry.borrow().wanted_links();
