A lease request costs the same however many proxies there are

Cause: whether there are proxies that an allocator does not know was found anew for each request: it collected the names of all linked proxies twice, and looked up each missing one. Change: the linked and missing proxies are a `ProxySet` that keeps its counts as they change; the missing proxies that a tenant's allocator does not know are counted anew only after the missing proxies have changed or its slice was acquired anew (an allocator learns only of proxies that have just sent a message, so are not missing).

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -17,6 +17,7 @@
 mod freshness;
 mod messages;
 mod processes;
+mod proxy_set;
 mod quota_duty;
 mod replication;
 mod rollout_duty;
--- a/crates/registry/src/registry/messages.rs
+++ b/crates/registry/src/registry/messages.rs
@@ -27,7 +27,7 @@
         self.last_sync.remove(&connection);
         self.rollout_duty.disconnected(connection);
         self.lease.store_disconnected(connection);
-        let Some(hello) = self.peers.remove(&connection) else { return };
+        let Some(hello) = self.remove_peer(connection) else { return };
         self.retry_reads(now, connection, out);
         self.retry_replication(connection, &hello.ip, out);
         let is_linked = self.peers.values().any(|peer| peer.role == hello.role && peer.node == hello.node);
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Forgets the peer at the other end of a connection.
+    fn remove_peer(&mut self, connection: ConnectionId) -> Option<Hello> {
+        let hello = self.peers.remove(&connection)?;
+        if hello.role == Role::Proxy {
+            self.proxies.set.disconnected(&hello.node);
+        }
+        Some(hello)
+    }
+
     /// A message has arrived on a connection.
     pub fn receive(
         &mut self,
@@ -85,7 +94,7 @@
         match message {
             PeerMessage::Goodbye => {
                 // A planned shutdown: no share has to stay reserved for the proxy.
-                self.peers.remove(&connection);
+                self.remove_peer(connection);
                 self.proxy_ended(now, &peer.node);
             }
             PeerMessage::LeaseRequests(requests) => {
@@ -186,6 +195,7 @@
                 if earlier.is_some() && is_new_process {
                     self.proxy_ended(now, &hello.node);
                 }
+                self.proxies.set.connected(&hello.node);
                 self.record_proxy_message(now, &hello.node);
             }
             Role::Registry if is_new_process => self.duties.peer_restarted(now, &hello.ip),
--- a/crates/registry/src/registry/processes.rs
+++ b/crates/registry/src/registry/processes.rs
@@ -7,6 +7,7 @@
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{Hello, PeerMessage, ProcessList, Role};
 
+use super::proxy_set::ProxySet;
 use super::{Output, Registry};
 
 /// A proxy counts as missing once it has been silent for this long.
@@ -48,9 +49,8 @@
 pub(super) struct Proxies {
     /// When the last message of each proxy arrived, except missing ones.
     pub last_seen: BTreeMap<String, Micros>,
-    /// Proxies that have fallen silent, and when their last message arrived; for those that only the machine's store knew, when
-    /// its list arrived.
-    pub missing: BTreeMap<String, Micros>,
+    /// The linked proxies, and those that have fallen silent.
+    pub set: ProxySet,
     /// The proxies that this process last sent to the machine's store; `None` until the store has sent the list of an earlier
     /// process.
     pub stored: Option<Vec<String>>,
@@ -86,26 +86,15 @@
         self.reported_stores().find(is_own)
     }
 
-    /// The number of linked proxies.
-    pub(super) fn linked_proxies(&self) -> usize {
-        let proxies = self.peers.values().filter(|hello| hello.role == Role::Proxy);
-        proxies.map(|hello| &hello.node).collect::<BTreeSet<_>>().len()
-    }
-
-    /// The number of linked and missing proxies.
-    pub(super) fn known_proxies(&self) -> usize {
-        self.linked_proxies() + self.proxies.missing.len()
-    }
-
     /// The number of proxies that share the tenants' quotas: the largest number that this or another registry knows.
     pub(super) fn total_proxies(&self) -> usize {
         let elsewhere = self.registries.values().map(|registry| registry.proxies as usize).max();
-        elsewhere.unwrap_or(0).max(self.known_proxies())
+        elsewhere.unwrap_or(0).max(self.proxies.set.known_count())
     }
 
     /// Records that a message of a proxy has arrived.
     pub(super) fn record_proxy_message(&mut self, now: Micros, node: &str) {
-        if self.proxies.missing.remove(node).is_some() {
+        if self.proxies.set.remove_missing(node) {
             self.quota_duty.proxy_returned(now, node);
         }
         match self.proxies.last_seen.get_mut(node) {
@@ -118,7 +107,7 @@
 
     /// A proxy's process has ended, and all its leases with it.
     pub(super) fn proxy_ended(&mut self, now: Micros, node: &str) {
-        self.proxies.missing.remove(node);
+        self.proxies.set.remove_missing(node);
         self.proxies.last_seen.remove(node);
         self.quota_duty.proxy_ended(now, node);
         self.rollout_duty.proxy_ended(node);
@@ -133,13 +122,13 @@
         for (node, since) in silent {
             self.proxies.last_seen.remove(&node);
             self.quota_duty.proxy_missing(now, &node, since);
-            self.proxies.missing.insert(node, since);
+            self.proxies.set.add_missing(node, since);
         }
     }
 
     /// Forgets proxies that have been missing for [`MISSING_LIMIT`]: their shares have expired.
     pub(super) fn forget_missing_proxies(&mut self, now: Micros) {
-        let missing = self.proxies.missing.iter();
+        let missing = self.proxies.set.missing().iter();
         let expired = missing.filter(|(_, since)| now >= **since + MISSING_LIMIT);
         let expired: Vec<String> = expired.map(|(node, _)| node.clone()).collect();
         expired.iter().for_each(|node| self.proxy_ended(now, node));
@@ -150,8 +139,8 @@
     pub(super) fn on_known_proxies(&mut self, now: Micros, machines: Vec<String>) {
         if self.proxies.stored.is_none() {
             let not_seen = machines.into_iter().filter(|node| !self.proxies.last_seen.contains_key(node));
-            let not_seen: Vec<(String, Micros)> = not_seen.map(|node| (node, now)).collect();
-            self.proxies.missing.extend(not_seen);
+            let not_seen: Vec<String> = not_seen.collect();
+            not_seen.into_iter().for_each(|node| self.proxies.set.add_missing(node, now));
             self.proxies.stored = Some(Vec::new());
         }
     }
@@ -161,7 +150,7 @@
         let linked = self.peers.iter().filter(|(_, hello)| hello.role == Role::Proxy);
         let linked: BTreeMap<ConnectionId, String> =
             linked.map(|(&connection, hello)| (connection, hello.node.clone())).collect();
-        let nodes = linked.values().chain(self.proxies.missing.keys());
+        let nodes = linked.values().chain(self.proxies.set.missing().keys());
         let nodes: Vec<String> = nodes.collect::<BTreeSet<_>>().into_iter().cloned().collect();
         self.proxies.positions.retain(|connection, _| linked.contains_key(connection));
         self.store_proxies(&nodes, out);
@@ -193,7 +182,7 @@
         // A proxy whose link broke without a planned shutdown is listed as missing before its timeout, too.
         let is_linked =
             |node: &&String| linked.iter().any(|hello| hello.role == Role::Proxy && hello.node == **node);
-        let known = self.proxies.missing.keys().chain(self.proxies.last_seen.keys());
+        let known = self.proxies.set.missing().keys().chain(self.proxies.last_seen.keys());
         let mut missing: Vec<String> = known.filter(|node| !is_linked(node)).cloned().collect();
         missing.sort();
         missing.dedup();
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -8,7 +8,7 @@
 use pinerelay_admission::quota_allocator::{Allocation, Exhausted, QuotaAllocator};
 use pinerelay_admission::Micros;
 use pinerelay_config_state::resources::Tenant;
-use pinerelay_peer_link::message::{PeerMessage, Role, TenantGrant};
+use pinerelay_peer_link::message::{PeerMessage, TenantGrant};
 
 use super::{Output, Registry};
 
@@ -32,6 +32,14 @@
     acquisition_time: Micros,
 }
 
+/// The number of missing proxies that an allocator does not know.
+#[derive(Debug, Clone, Copy)]
+struct UnknownMissing {
+    /// The revision of the missing proxies that it was counted for. An allocator learns only of proxies that are not missing.
+    revision: u64,
+    count: usize,
+}
+
 /// The state of quota allocation.
 #[derive(Debug, Default)]
 pub(super) struct QuotaDuty {
@@ -41,6 +49,8 @@
     acquired: BTreeMap<usize, AcquiredSlice>,
     /// The allocators of tenants, by name.
     allocators: BTreeMap<String, QuotaAllocator>,
+    /// The missing proxies that the allocators do not know, by tenant.
+    unknown_missing: BTreeMap<String, UnknownMissing>,
     /// When each tenant was first seen; 0 if that was before the configuration here was complete.
     first_seen: BTreeMap<String, Micros>,
 }
@@ -103,6 +113,7 @@
         let fencing_token = self.config.hello.process_id.wrapping_add(number);
         self.quota_duty.acquired.insert(slice, AcquiredSlice { fencing_token, acquisition_time: now });
         self.quota_duty.allocators.retain(|tenant, _| slice_of(tenant) != slice);
+        self.quota_duty.unknown_missing.retain(|tenant, _| slice_of(tenant) != slice);
     }
 
     /// Creates the allocators of tenants whose duty is held here before the first lease request, and applies changed quotas.
@@ -150,19 +161,31 @@
 
     /// Whether there may be unreachable proxies that a tenant's allocator does not know: a previous holder may have granted them
     /// a share.
-    fn has_unknown_proxies(&self, tenant: &str) -> bool {
-        let allocator = self.quota_duty.allocators.get(tenant);
-        let is_known = |node: &String| allocator.is_some_and(|allocator| allocator.knows(node));
-        let elsewhere = self.total_proxies().saturating_sub(self.known_proxies());
+    fn has_unknown_proxies(&mut self, tenant: &str) -> bool {
+        let elsewhere = self.total_proxies().saturating_sub(self.proxies.set.known_count());
         // Until the machine's store has sent its list, proxies that were unreachable at the start are unknown.
         let knows_earlier_proxies = self.proxies.stored.is_some();
-        !knows_earlier_proxies || elsewhere > 0 || self.proxies.missing.keys().any(|node| !is_known(node))
+        !knows_earlier_proxies || elsewhere > 0 || self.unknown_missing(tenant) > 0
+    }
+
+    /// The number of missing proxies that a tenant's allocator does not know.
+    fn unknown_missing(&mut self, tenant: &str) -> usize {
+        let revision = self.proxies.set.missing_revision();
+        let counted = self.quota_duty.unknown_missing.get(tenant);
+        if let Some(counted) = counted.filter(|counted| counted.revision == revision) {
+            return counted.count;
+        }
+        let allocator = self.quota_duty.allocators.get(tenant);
+        let is_known = |node: &&String| allocator.is_some_and(|allocator| allocator.knows(node));
+        let count = self.proxies.set.missing().keys().filter(|node| !is_known(node)).count();
+        self.quota_duty.unknown_missing.insert(tenant.into(), UnknownMissing { revision, count });
+        count
     }
 
     /// Releases the shares reserved for unknown proxies in allocators that know every proxy.
     pub(super) fn release_reserved_shares(&mut self, now: Micros) {
-        let linked = self.peers.values().filter(|hello| hello.role == Role::Proxy).map(|hello| &hello.node);
-        let nodes: BTreeSet<&String> = linked.chain(self.proxies.missing.keys()).collect();
+        let set = &self.proxies.set;
+        let nodes: BTreeSet<&String> = set.linked().chain(set.missing().keys()).collect();
         if self.proxies.stored.is_none() || nodes.len() < self.total_proxies() {
             return;
         }
--- a/crates/registry/src/registry/rollout_duty.rs
+++ b/crates/registry/src/registry/rollout_duty.rs
@@ -192,7 +192,7 @@
         let linked_proxies = linked.map(|hello| (hello.node.clone(), hello.process_id)).collect();
         let mut fleet_state = FleetState {
             linked_proxies,
-            missing_proxies: self.proxies.missing.clone(),
+            missing_proxies: self.proxies.set.missing().clone(),
             total_proxies: self.total_proxies(),
             ..FleetState::default()
         };
