A proxy that is silent on an open link is counted once

Cause: a registry's number of proxies was that of the linked ones plus that of the missing ones, but a proxy that is silent for 0.65 s on an open link is both. One registry then reported 286 of 282 proxies, and all others reserved quota for four that exist nowhere. Change: the number is that of the union. What was a flag is a number, `unheard_proxies`: the missing proxies that a tenant's allocator does not know, plus those that only other registries know, or all of them until the machine's store has sent its list. The allocator is still told only whether there are any. Measured: a_proxy_that_is_silent_on_an_open_link_is_counted_once got 6 and 5 for 3 proxies before, and passes.

--- a/crates/registry/src/registry/proxy_set.rs
+++ b/crates/registry/src/registry/proxy_set.rs
@@ -14,6 +14,8 @@
     connections: BTreeMap<String, usize>,
     /// The missing proxies, and since when.
     missing: BTreeMap<String, Micros>,
+    /// The number of proxies that are linked and missing.
+    linked_and_missing: usize,
     /// The number of changes of the missing proxies.
     missing_revision: u64,
 }
@@ -23,6 +25,9 @@
     pub(super) fn connected(&mut self, node: &str) {
         let connections = self.connections.entry(node.into()).or_default();
         *connections += 1;
+        if *connections == 1 {
+            self.linked_and_missing += usize::from(self.missing.contains_key(node));
+        }
     }
 
     /// A connection of a proxy has closed.
@@ -31,13 +36,17 @@
         *connections -= 1;
         if *connections == 0 {
             self.connections.remove(node);
+            self.linked_and_missing -= usize::from(self.missing.contains_key(node));
         }
     }
 
     /// A proxy counts as missing since a time.
     pub(super) fn add_missing(&mut self, node: String, since: Micros) {
         self.missing_revision += 1;
-        self.missing.insert(node, since);
+        let is_linked = self.connections.contains_key(&node);
+        if self.missing.insert(node, since).is_none() {
+            self.linked_and_missing += usize::from(is_linked);
+        }
     }
 
     /// A proxy does not count as missing any more. Returns whether it did.
@@ -45,6 +54,7 @@
         let was_missing = self.missing.remove(node).is_some();
         if was_missing {
             self.missing_revision += 1;
+            self.linked_and_missing -= usize::from(self.connections.contains_key(node));
         }
         was_missing
     }
@@ -70,8 +80,8 @@
         self.connections.len()
     }
 
-    /// The number of linked and missing proxies.
+    /// The number of proxies that are linked or missing.
     pub(super) fn known_count(&self) -> usize {
-        self.connections.len() + self.missing.len()
+        self.connections.len() + self.missing.len() - self.linked_and_missing
     }
 }
--- a/crates/registry/src/registry/proxy_set/tests.rs
+++ b/crates/registry/src/registry/proxy_set/tests.rs
@@ -6,6 +6,21 @@
 
 use super::*;
 
+#[gtest]
+fn a_proxy_that_is_linked_and_missing_is_counted_once() {
+    let mut set = ProxySet::default();
+    set.connected("a");
+    set.connected("b");
+    set.add_missing("b".into(), 1);
+    set.add_missing("c".into(), 1);
+    expect_that!((set.linked_count(), set.missing().len(), set.known_count()), eq((2, 2, 3)));
+    set.disconnected("b");
+    expect_that!((set.linked_count(), set.known_count()), eq((1, 3)));
+    set.connected("b");
+    expect_that!(set.remove_missing("b"), eq(true));
+    expect_that!((set.linked_count(), set.missing().len(), set.known_count()), eq((2, 1, 3)));
+}
+
 #[gtest]
 fn the_counts_are_those_of_the_sets_after_any_changes() {
     let mut set = ProxySet::default();
@@ -34,6 +49,6 @@
         }
         let linked: BTreeSet<String> = connections.iter().cloned().collect();
         assert_that!(set.linked_count(), eq(linked.len()), "at step {step}");
-        assert_that!(set.known_count(), eq(linked.len() + missing.len()), "at step {step}");
+        assert_that!(set.known_count(), eq(linked.union(&missing).count()), "at step {step}");
     }
 }
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -12,6 +12,9 @@
 
 use super::{Output, Registry};
 
+#[cfg(test)]
+mod tests;
+
 /// The maximum delay of an update: one that was sent before a duty was acquired has arrived this long after.
 const UPDATE_DELAY: Micros = 5_000_000;
 /// At the first start of the system a duty acquired within this time had no earlier holder: it is shorter than the time for which
@@ -32,6 +35,22 @@
     acquisition_time: Micros,
 }
 
+/// How many proxies may hold a share of a tenant's quota that its allocator does not know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unheard {
+    /// All of them: which proxies an earlier process of this registry knew has not arrived yet.
+    All,
+    /// This number.
+    Some(usize),
+}
+
+impl Unheard {
+    /// Whether there are any.
+    fn any(self) -> bool {
+        self != Unheard::Some(0)
+    }
+}
+
 /// The number of missing proxies that an allocator does not know.
 #[derive(Debug, Clone, Copy)]
 struct UnknownMissing {
@@ -159,13 +178,15 @@
         }
     }
 
-    /// Whether there may be unreachable proxies that a tenant's allocator does not know: a previous holder may have granted them
-    /// a share.
-    fn has_unknown_proxies(&mut self, tenant: &str) -> bool {
-        let elsewhere = self.total_proxies().saturating_sub(self.proxies.set.known_count());
+    /// How many proxies may hold a share that a previous holder granted and that the tenant's allocator does not know: missing ones
+    /// of which it has heard nothing, and those that only other registries know.
+    fn unheard_proxies(&mut self, tenant: &str) -> Unheard {
         // Until the machine's store has sent its list, proxies that were unreachable at the start are unknown.
-        let knows_earlier_proxies = self.proxies.stored.is_some();
-        !knows_earlier_proxies || elsewhere > 0 || self.unknown_missing(tenant) > 0
+        if self.proxies.stored.is_none() {
+            return Unheard::All;
+        }
+        let elsewhere = self.total_proxies().saturating_sub(self.proxies.set.known_count());
+        Unheard::Some(elsewhere + self.unknown_missing(tenant))
     }
 
     /// The number of missing proxies that a tenant's allocator does not know.
@@ -230,7 +251,7 @@
             return LeaseGrant::NotOwner;
         }
         let quota = quota_of(tenant);
-        let has_unknown_proxies = self.has_unknown_proxies(&request.tenant);
+        let unheard = self.unheard_proxies(&request.tenant);
         let AcquiredSlice { fencing_token, .. } =
             self.quota_duty.acquired.get(&slice).copied().unwrap_or_default();
         let mut usage = request.usage();
@@ -240,7 +261,7 @@
         let allocators = &mut self.quota_duty.allocators;
         let allocator =
             allocators.entry(request.tenant.clone()).or_insert_with(|| QuotaAllocator::new(now, quota));
-        let Allocation { units, share } = allocator.draw(now, node, has_unknown_proxies, &usage);
+        let Allocation { units, share } = allocator.draw(now, node, unheard.any(), &usage);
         match units {
             Ok(units) => {
                 self.counters.units_leased += units as u64;
--- a/crates/registry/tests/process_list.rs
+++ b/crates/registry/tests/process_list.rs
@@ -55,3 +55,36 @@
     expect_that!(list.missing, elements_are![eq("edge-333")]);
     expect_that!(list.voters, elements_are![eq("127.0.0.4")]);
 }
+
+/// The number of proxies in the last status that is sent to a connection.
+fn proxies_in_status(outputs: &[Output], receiver: u64) -> Option<u32> {
+    let statuses = outputs.iter().filter_map(|output| match output {
+        Output::Broadcast(receivers, PeerMessage::RegistryStatus(status))
+            if receivers.contains(&receiver) =>
+        {
+            Some(status.proxies)
+        }
+        _ => None,
+    });
+    statuses.last()
+}
+
+#[gtest]
+fn a_proxy_that_is_silent_on_an_open_link_is_counted_once() {
+    let mut registry = registry();
+    for (connection, node) in [(1, "edge-1"), (2, "edge-22"), (3, "edge-333")] {
+        receive_from(&mut registry, connection, PeerMessage::Hello(hello(node, Role::Proxy)));
+    }
+    let mut out = Vec::new();
+    registry.tick(100_000, &mut out);
+    expect_that!(proxies_in_status(&out, 1), some(eq(3)));
+    out.clear();
+    // Each of them has been silent for more than 0.65 s.
+    (2..14).for_each(|step| registry.tick(step * 100_000, &mut out));
+    expect_that!(proxies_in_status(&out, 1), some(eq(3)));
+    // The link to one breaks; it stays missing.
+    registry.disconnected(1_400_000, 2, &mut out);
+    out.clear();
+    (14..21).for_each(|step| registry.tick(step * 100_000, &mut out));
+    expect_that!(proxies_in_status(&out, 1), some(eq(3)));
+}
