--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -9,10 +9,13 @@
 use pinerelay_admission::quota_allocator::{Allocation, Exhausted, QuotaAllocator};
 use pinerelay_admission::Micros;
 use pinerelay_config_state::resources::Tenant;
-use pinerelay_peer_link::message::{PeerMessage, Role, TenantGrant};
+use pinerelay_peer_link::message::{PeerMessage, TenantGrant};
 
 use super::{Output, Registry};
 
+#[cfg(test)]
+mod tests;
+
 /// The maximum delay of an update: one that was sent before a duty was acquired has arrived this long after.
 const UPDATE_DELAY: Micros = 5_000_000;
 /// At the first start of the system a duty acquired within this time had no earlier holder: it is shorter than the time for which
@@ -33,6 +36,14 @@
     acquisition_time: Micros,
 }
 
+/// The number of missing proxies that an allocator does not know.
+#[derive(Debug, Clone, Copy)]
+struct UnknownMissing {
+    /// The revision of the missing proxies that it was counted for. An allocator learns only of proxies that are not missing.
+    revision: u64,
+    count: usize,
+}
+
 /// The state of quota allocation.
 #[derive(Debug, Default)]
 pub(super) struct QuotaDuty {
@@ -42,6 +53,8 @@
     acquired: BTreeMap<usize, AcquiredSlice>,
     /// The allocators of tenants, by name.
     allocators: BTreeMap<String, QuotaAllocator>,
+    /// The missing proxies that the allocators do not know, by tenant.
+    unknown_missing: BTreeMap<String, UnknownMissing>,
     /// When each tenant was first seen; 0 if that was before the configuration here was complete.
     first_seen: BTreeMap<String, Micros>,
 }
@@ -104,6 +117,7 @@
         let fencing_token = self.config.hello.process_id.wrapping_add(number);
         self.quota_duty.acquired.insert(slice, AcquiredSlice { fencing_token, acquisition_time: now });
         self.quota_duty.allocators.retain(|tenant, _| slice_of(tenant) != slice);
+        self.quota_duty.unknown_missing.retain(|tenant, _| slice_of(tenant) != slice);
     }
 
     /// Creates the allocators of tenants whose duty is held here before the first lease request, and applies changed quotas.
@@ -151,23 +165,34 @@
 
     /// The proxies that share a tenant's quota. Those that are unreachable and unknown to the tenant's allocator count as unheard: a
     /// previous holder of the duty may have granted them a share.
-    fn fleet_of(&self, tenant: &str) -> Fleet {
+    fn fleet_of(&mut self, tenant: &str) -> Fleet {
         let proxies = self.total_proxies();
         if self.proxies.stored.is_none() {
             // Until the machine's store has sent its list, proxies that were unreachable at the start are unknown.
             return Fleet::unknown(proxies);
         }
+        let elsewhere = proxies.saturating_sub(self.proxies.set.known_count());
+        Fleet { proxies, unheard: elsewhere + self.unknown_missing(tenant) }
+    }
+
+    /// The number of missing proxies that a tenant's allocator does not know.
+    fn unknown_missing(&mut self, tenant: &str) -> usize {
+        let revision = self.proxies.set.missing_revision();
+        let counted = self.quota_duty.unknown_missing.get(tenant);
+        if let Some(counted) = counted.filter(|counted| counted.revision == revision) {
+            return counted.count;
+        }
         let allocator = self.quota_duty.allocators.get(tenant);
-        let is_known = |node: &String| allocator.is_some_and(|allocator| allocator.knows(node));
-        let elsewhere = proxies.saturating_sub(self.known_proxies());
-        let missing = self.proxies.missing.keys().filter(|node| !is_known(node)).count();
-        Fleet { proxies, unheard: elsewhere + missing }
+        let is_known = |node: &&String| allocator.is_some_and(|allocator| allocator.knows(node));
+        let count = self.proxies.set.missing().keys().filter(|node| !is_known(node)).count();
+        self.quota_duty.unknown_missing.insert(tenant.into(), UnknownMissing { revision, count });
+        count
     }
 
     /// Releases the shares reserved for unknown proxies in allocators that know every proxy.
     pub(super) fn release_reserved_shares(&mut self, now: Micros) {
-        let linked = self.peers.values().filter(|hello| hello.role == Role::Proxy).map(|hello| &hello.node);
-        let nodes: BTreeSet<&String> = linked.chain(self.proxies.missing.keys()).collect();
+        let set = &self.proxies.set;
+        let nodes: BTreeSet<&String> = set.linked().chain(set.missing().keys()).collect();
         if self.proxies.stored.is_none() || nodes.len() < self.total_proxies() {
             return;
         }
