Metrics and alerts that tell apart why quota units are not granted

Cause: refusals within quotas (incident of refusals after a power loss) could be explained only with added log lines: nothing on a running system told reserved rates, starved ticks, cut-off pairs, late answers and slow links from one another.

Change: registries report what they reserve for proxies that are not heard, the emptiest bucket, proxies counted, duties acquired, and time without a tick, the gap under way included, since a registry that does not tick still answers an observer. Proxies report refusals while cut off, lease requests and answers by time, lateness and NotOwner, units that expired on arrival, and units from shares; links their longest queue and how many ended. Log lines on changes only: rates begin to be reserved, with the proxies that are not linked; lease requests fail or are answered again; a link to a registry is up or has closed. Alerts quota_reserved and registry_stalled. No logic is changed and no metric renamed.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -11,10 +11,12 @@
 use crate::quota::Quota;
 use crate::Micros;
 
+mod counts;
 mod tenant;
 #[cfg(test)]
 mod tests;
 
+pub use counts::LeaseCounts;
 use tenant::TenantCache;
 
 /// Identifies a client's request.
@@ -69,6 +71,7 @@
     /// The number of proxies that share the quotas' rates.
     proxies: usize,
     rejections: RejectionCounts,
+    counts: LeaseCounts,
 }
 
 impl LeaseCache {
@@ -104,9 +107,11 @@
         }
         if cache.is_cut_off(now) {
             if cache.spend_share(now) {
+                self.counts.share_units += 1;
                 return Admission::Admitted;
             }
             self.rejections.add_unanswered();
+            self.counts.rejected_cut_off += 1;
             return cache.reject(now, self.proxies);
         }
         if cache.is_exhausted(now) {
@@ -127,7 +132,10 @@
     /// Returns the lease requests to send now, which also return unspent units.
     pub fn lease_requests(&mut self, now: Micros) -> Vec<LeaseRequest> {
         let tenants = self.tenants.iter_mut();
-        tenants.filter_map(|(tenant, cache)| cache.lease_request(now, tenant)).collect()
+        let requests: Vec<LeaseRequest> =
+            tenants.filter_map(|(tenant, cache)| cache.lease_request(now, tenant)).collect();
+        self.counts.requests += requests.iter().filter(|request| request.wanted >= 1.0).count() as u64;
+        requests
     }
 
     /// Handles the answer to the lease request that was sent at `sent_at`, and returns the decisions on waiting client requests.
@@ -142,6 +150,7 @@
         grant: LeaseGrant,
     ) -> Vec<Decision> {
         let Some(cache) = self.tenants.get_mut(tenant) else { return Vec::new() };
+        self.counts.add_answer(now, sent_at, &grant);
         if !cache.take_grant(now, sent_at, grant) {
             return Vec::new();
         }
@@ -165,9 +174,11 @@
             cache.expire_request(now);
             while let Some(id) = cache.first_waiting() {
                 let admission = if cache.spend_share(now) {
+                    self.counts.share_units += 1;
                     Admission::Admitted
                 } else if cache.has_waited_too_long(now) {
                     self.rejections.add_unanswered();
+                    self.counts.rejected_cut_off += u64::from(cache.is_cut_off(now));
                     cache.reject(now, self.proxies)
                 } else {
                     break;
@@ -185,6 +196,21 @@
         self.rejections
     }
 
+    /// The counts of lease requests and their answers.
+    pub fn counts(&self) -> LeaseCounts {
+        self.counts
+    }
+
+    /// The number of tenants that clients have asked for.
+    pub fn tenants(&self) -> usize {
+        self.tenants.len()
+    }
+
+    /// The number of tenants whose lease requests have failed for so long that the proxy lives on its share.
+    pub fn tenants_cut_off(&self, now: Micros) -> usize {
+        self.tenants.values().filter(|cache| cache.is_cut_off(now)).count()
+    }
+
     /// The number of waiting client requests.
     pub fn waiting(&self) -> usize {
         self.tenants.values().map(TenantCache::waiting).sum()
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -21,7 +21,7 @@
 /// A request that arrives up to this long after a promised time counts as that client's return.
 const CLIENT_RETURN_WINDOW: Micros = 50_000;
 /// An unanswered lease request is repeated after this time, possibly to another node.
-const LEASE_REQUEST_TIMEOUT: Micros = 120_000;
+pub(super) const LEASE_REQUEST_TIMEOUT: Micros = 120_000;
 /// A client's request is rejected when it has waited this long.
 pub(super) const WAIT_TIMEOUT: Micros = 300_000;
 /// The minimum pause before the next lease request, after one that failed or found no units left.
--- a/crates/admission/src/lease_cache/tests.rs
+++ b/crates/admission/src/lease_cache/tests.rs
@@ -213,6 +213,65 @@
     expect_that!(cache.rejections(), eq(RejectionCounts { total: 6, unanswered: 1 }));
 }
 
+#[gtest]
+fn each_reason_for_a_rejection_and_each_kind_of_answer_is_counted_apart() {
+    const TICK: Micros = 25_000;
+    let mut cache = LeaseCache::new();
+    expect_that!(cache.counts(), eq(LeaseCounts::default()));
+    // No answer comes: the first client waits in vain, and later ones are rejected at once.
+    cache.admit(0, "t", QUOTA, 1);
+    let mut now = 0;
+    while cache.rejections().total == 0 {
+        cache.lease_requests(now);
+        now += TICK;
+        cache.tick(now);
+    }
+    let waited = cache.rejections();
+    expect_that!((waited.unanswered, cache.tenants(), cache.tenants_cut_off(now)), eq((1, 1, 1)));
+    let cut_off_waiting = cache.counts().rejected_cut_off;
+    cache.admit(now, "t", QUOTA, 2);
+    expect_that!(cache.counts().rejected_cut_off, eq(cut_off_waiting + 1));
+    expect_that!(cache.rejections(), eq(RejectionCounts { total: 2, unanswered: 2 }));
+    let counts = cache.counts();
+    expect_that!((counts.requests > 1, counts.answers), eq((true, 0)));
+    // A late answer whose units have expired, one of another node, and one in time.
+    let units = |units| LeaseGrant::Units { units, duration: 150_000, fencing_token: 1, share: 0.0 };
+    cache.granted(now, now - 200_000, "t", units(3.0));
+    cache.granted(now, now - 10_000, "t", LeaseGrant::NotOwner);
+    cache.granted(now, now - 10_000, "t", units(2.0));
+    let counts = cache.counts();
+    expect_that!((counts.answers, counts.late_answers, counts.not_owner), eq((3, 1, 1)));
+    expect_that!((counts.answer_time, counts.units, counts.expired_units), eq((220_000, 5.0, 3.0)));
+    expect_that!(cache.tenants_cut_off(now), eq(0));
+    // Units are left, then the allocator has none: neither counts as cut off.
+    expect_that!(cache.admit(now, "t", QUOTA, 3), eq(Admission::Admitted));
+    cache.granted(now, now, "t", LeaseGrant::Exhausted { retry_after: 100_000, share: 0.0 });
+    cache.admit(now, "t", QUOTA, 4);
+    cache.admit(now, "t", QUOTA, 5);
+    expect_that!(cache.rejections(), eq(RejectionCounts { total: 3, unanswered: 2 }));
+    expect_that!(cache.counts().rejected_cut_off, eq(counts.rejected_cut_off));
+}
+
+#[gtest]
+fn units_spent_from_a_share_are_counted() {
+    let mut cache = LeaseCache::new();
+    cache.admit(0, "t", QUOTA, 1);
+    cache.lease_requests(0);
+    let grant = LeaseGrant::Units { units: 1.0, duration: 1_000_000, fencing_token: 1, share: 0.5 };
+    cache.granted(1_000, 0, "t", grant);
+    let (mut admitted, mut now) = (0, 1_000_000);
+    while now < 4_000_000 {
+        admitted += u64::from(cache.admit(now, "t", QUOTA, now) == Admission::Admitted);
+        cache.lease_requests(now);
+        now += 50_000;
+        let decided = cache.tick(now);
+        admitted +=
+            decided.iter().filter(|decision| decision.admission == Admission::Admitted).count() as u64;
+    }
+    expect_that!(admitted, gt(10), "the share is half of the rate");
+    expect_that!(cache.counts().share_units, eq(admitted));
+}
+
 // Guards against an overload by repeated lease requests. After a power loss of a whole core, 285 proxies requested leases for each
 // of 190 tenants every 25 ms, with or without client requests, from registries with a third of a processor. The registries
 // acquired their duties within 0.4 s, lost them 2.5 s later and did not regain them permanently; three of four requests were
--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -309,6 +309,13 @@
         self.unknown_shares = 0.0;
     }
 
+    /// The part of the rate that does not fill the bucket, because proxies that are not reachable may spend it.
+    pub fn reserved_share(&self, now: Micros) -> f64 {
+        let unknown = if self.has_unknown_missing { self.unknown_shares(now) } else { 0.0 };
+        let missing = self.lessees.values().filter(|lessee| lessee.is_missing).map(Lessee::share);
+        (unknown + missing.sum::<f64>()).min(1.0)
+    }
+
     /// The quota in force.
     pub fn quota(&self) -> Quota {
         self.quota
--- a/crates/admission/src/quota_allocator/tests.rs
+++ b/crates/admission/src/quota_allocator/tests.rs
@@ -121,3 +121,25 @@
     next.draw(1_000_000, "a", false, &reported);
     expect_that!(next.level(), eq(10.0 - 5.0));
 }
+
+#[gtest]
+fn the_reserved_share_is_what_does_not_fill_the_bucket() {
+    let quota = Quota { rate: 100.0, burst: 100.0 };
+    let mut allocator = QuotaAllocator::new(0, quota);
+    expect_that!(allocator.reserved_share(0), eq(0.0), "no proxy is known to be cut off");
+    allocator.draw(0, "a", true, &usage(0.0, 0.0));
+    expect_that!(allocator.reserved_share(0), eq(MAX_TOTAL_SHARE));
+    allocator.draw(500_000, "a", true, &usage(0.0, 0.0));
+    expect_that!(allocator.level(), near(0.5 * 100.0 * (1.0 - MAX_TOTAL_SHARE), 1e-6));
+    expect_that!(allocator.reserved_share(SHARE_LIFETIME), eq(0.0), "all shares granted before have expired");
+    allocator.draw(500_000, "a", false, &usage(0.0, 0.0));
+    expect_that!(allocator.reserved_share(500_000), eq(0.0));
+    // A known proxy's own share is reserved while it is missing.
+    allocator.drop_unknown_shares();
+    let share = allocator.draw(1_000_000, "a", false, &usage(1.0, 0.0)).share;
+    allocator.proxy_missing(1_000_000, "a", 1_000_000);
+    expect_that!(share, gt(0.5));
+    expect_that!(allocator.reserved_share(1_000_000), eq(share));
+    allocator.proxy_returned(1_000_000, "a");
+    expect_that!(allocator.reserved_share(1_000_000), eq(0.0));
+}
--- a/crates/exporter/src/metric_names.rs
+++ b/crates/exporter/src/metric_names.rs
@@ -51,6 +51,35 @@
         name: "proxy_quota_unanswered_total",
         help: "Of these, those for which no quota allocator had answered that none is left",
     },
+    KnownMetric {
+        name: "proxy_quota_cut_off_total",
+        help:
+            "Of the latter, those rejected at once: lease requests failed and no unit of the share was left",
+    },
+    KnownMetric {
+        name: "proxy_tenants_cut_off",
+        help: "Tenants whose lease requests fail, so that the proxy lives on its share of their rate",
+    },
+    KnownMetric {
+        name: "proxy_share_units_total",
+        help: "Quota units spent from shares while lease requests failed",
+    },
+    KnownMetric {
+        name: "proxy_lease_requests_total",
+        help: "Requests for leases of quota units, for one tenant each",
+    },
+    KnownMetric { name: "proxy_lease_answers_total", help: "Answers to them" },
+    KnownMetric { name: "proxy_lease_answer_seconds_total", help: "Time that the answers took, in sum" },
+    KnownMetric {
+        name: "proxy_lease_answers_late_total",
+        help: "Answers that took so long that their request had been repeated",
+    },
+    KnownMetric {
+        name: "proxy_lease_answers_misdirected_total",
+        help: "Answers of registries that do not hold the tenant's duty",
+    },
+    KnownMetric { name: "proxy_units_leased_total", help: "Quota units received in leases" },
+    KnownMetric { name: "proxy_units_expired_total", help: "Of these, units that had expired on arrival" },
     KnownMetric { name: "proxy_retries_total", help: "Requests sent to another server (retries)" },
     KnownMetric { name: "proxy_retries_denied_total", help: "Retries that the retry budget did not allow" },
     KnownMetric {
@@ -62,6 +91,11 @@
         help: "Time since the proxy's state was last equal to that of a registry",
     },
     KnownMetric { name: "proxy_links", help: "Links to other processes" },
+    KnownMetric { name: "proxy_links_closed_total", help: "Links that have ended" },
+    KnownMetric {
+        name: "proxy_link_longest_queue_bytes",
+        help: "Bytes that wait to be sent on the link with the most of them",
+    },
     KnownMetric { name: "proxy_link_sent_bytes_total", help: "Bytes sent on links" },
     KnownMetric { name: "proxy_link_received_bytes_total", help: "Bytes received on links" },
     KnownMetric { name: "proxy_links_malformed_total", help: "Links closed because of a malformed message" },
@@ -90,6 +124,34 @@
         help: "Heartbeats that were not acknowledged, as no majority of the core was reachable",
     },
     KnownMetric { name: "registry_duties", help: "Duties that the registry holds" },
+    KnownMetric {
+        name: "registry_duties_acquired_total",
+        help: "Duties acquired; their allocators begin without units",
+    },
+    KnownMetric {
+        name: "registry_epoch_settled",
+        help: "The voters of the epoch are all eligible for duties",
+    },
+    KnownMetric {
+        name: "registry_quota_tenants",
+        help: "Tenants that the registry allocates quota units for",
+    },
+    KnownMetric {
+        name: "registry_quota_tenants_reserving",
+        help: "Those whose rate is partly reserved for proxies that are not reachable",
+    },
+    KnownMetric {
+        name: "registry_quota_reserved_ratio",
+        help: "The part of their rates that is reserved, of all tenants allocated for",
+    },
+    KnownMetric {
+        name: "registry_quota_lowest_level_units",
+        help: "Units in the emptiest of their buckets; below 0 it is in debt",
+    },
+    KnownMetric {
+        name: "registry_proxies_counted",
+        help: "Proxies, linked or missing, that the registry or another one counts at most",
+    },
     KnownMetric { name: "registry_heartbeats_total", help: "Heartbeats of servers" },
     KnownMetric { name: "registry_open_calls", help: "Calls from outside that are not answered" },
     KnownMetric {
@@ -115,6 +177,10 @@
     },
     KnownMetric { name: "registry_servers_lost_total", help: "Servers that the registry has marked as lost" },
     KnownMetric { name: "registry_stalls_total", help: "Times that the registry has stood still" },
+    KnownMetric {
+        name: "registry_stalled_seconds_total",
+        help: "Time in which the registry has done no periodic work",
+    },
     KnownMetric {
         name: "registry_lease_requests_total",
         help: "Lease requests of proxies, for one tenant each",
@@ -128,6 +194,11 @@
         help: "Time since the registry's state was last equal to that of a store or another registry",
     },
     KnownMetric { name: "registry_links", help: "Links to other processes" },
+    KnownMetric { name: "registry_links_closed_total", help: "Links that have ended" },
+    KnownMetric {
+        name: "registry_link_longest_queue_bytes",
+        help: "Bytes that wait to be sent on the link with the most of them",
+    },
     KnownMetric { name: "registry_link_sent_bytes_total", help: "Bytes sent on links" },
     KnownMetric { name: "registry_link_received_bytes_total", help: "Bytes received on links" },
     KnownMetric {
@@ -156,6 +227,11 @@
     KnownMetric { name: "config_store_open_calls", help: "Calls under way" },
     KnownMetric { name: "config_store_calls_total", help: "Calls received" },
     KnownMetric { name: "config_store_links", help: "Links to other processes" },
+    KnownMetric { name: "config_store_links_closed_total", help: "Links that have ended" },
+    KnownMetric {
+        name: "config_store_link_longest_queue_bytes",
+        help: "Bytes that wait to be sent on the link with the most of them",
+    },
     KnownMetric { name: "config_store_link_sent_bytes_total", help: "Bytes sent on links" },
     KnownMetric { name: "config_store_link_received_bytes_total", help: "Bytes received on links" },
     KnownMetric {
--- a/crates/exporter/tests/alerts.rs
+++ b/crates/exporter/tests/alerts.rs
@@ -161,6 +161,24 @@
                 growth(&[(0.0, 3), (5.0, 1), (0.0, 9), (1.0, 9)]),
             ),
         ),
+        (
+            "quota_reserved",
+            (
+                "registry_quota_reserved_ratio",
+                steps(&[(0.0, 3), (0.95, 4), (0.0, 5)]),
+                2,
+                steps(&[(0.0, 3), (0.95, 1), (0.0, 4), (0.15, 6)]),
+            ),
+        ),
+        (
+            "registry_stalled",
+            (
+                "registry_stalled_seconds_total",
+                growth(&[(0.0, 3), (2.0, 4), (0.0, 14)]),
+                4,
+                growth(&[(0.0, 3), (1.2, 1), (0.0, 9), (0.3, 9)]),
+            ),
+        ),
         (
             "retries_near_limit",
             (
--- a/crates/peer-link/src/link.rs
+++ b/crates/peer-link/src/link.rs
@@ -100,6 +100,8 @@
     received_bytes: Cell<u64>,
     /// The number of connections that were closed because of malformed input.
     malformed: Cell<u64>,
+    /// The number of connections that have ended.
+    closed: Cell<u64>,
 }
 
 /// Handle to an outgoing link. Dropping it closes the link and ends all attempts to connect.
@@ -123,6 +125,7 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         if let Some(connection) = self.links.connections.borrow_mut().remove(&self.id) {
+            self.links.closed.set(self.links.closed.get() + 1);
             self.links
                 .total_receive_capacity
                 .set(self.links.total_receive_capacity.get() - connection.receive_capacity);
@@ -147,14 +150,19 @@
             sent_bytes: Cell::new(0),
             received_bytes: Cell::new(0),
             malformed: Cell::new(0),
+            closed: Cell::new(0),
         };
         (Rc::new(links), LinkEvents(receiver))
     }
 
     /// Metrics of all links. `program` is the prefix of their names.
     pub fn metrics(&self, program: &str) -> Vec<Metric> {
+        let connections = self.connections.borrow();
+        let longest_queue = connections.values().map(|connection| connection.queued_bytes.get()).max();
         [
-            ("links", self.connections.borrow().len() as f64),
+            ("links", connections.len() as f64),
+            ("links_closed_total", self.closed.get() as f64),
+            ("link_longest_queue_bytes", longest_queue.unwrap_or(0) as f64),
             ("link_sent_bytes_total", self.sent_bytes.get() as f64),
             ("link_received_bytes_total", self.received_bytes.get() as f64),
             ("links_malformed_total", self.malformed.get() as f64),
--- a/crates/peer-link/tests/hostile_peer.rs
+++ b/crates/peer-link/tests/hostile_peer.rs
@@ -126,6 +126,32 @@
     });
 }
 
+fn metric(links: &Links, name: &str) -> f64 {
+    let metrics = links.metrics("p");
+    metrics.iter().find(|metric| metric.name == name).expect("a metric of this name").value
+}
+
+#[gtest]
+fn a_peer_that_does_not_read_shows_in_the_longest_queue_and_its_end_in_the_closed_links() {
+    run(async || {
+        let (links, mut events, _, stream) = listen_and_connect([127, 89, 0, 9]).await;
+        let id = wait_for_hello(&mut events).await;
+        expect_that!(metric(&links, "p_link_longest_queue_bytes"), eq(0.0));
+        let message = PeerMessage::KnownProxies(vec!["x".repeat(1_000); 100]);
+        // More than the sockets buffer, and less than the limit of a queue.
+        for _ in 0..160 {
+            links.send(id, &message);
+            tokio::task::yield_now().await;
+        }
+        expect_that!(metric(&links, "p_link_longest_queue_bytes"), gt(1e6));
+        expect_that!(metric(&links, "p_links_closed_total"), eq(0.0));
+        drop(stream);
+        while !matches!(events.recv().await, Some(LinkEvent::Disconnected(_))) {}
+        expect_that!(metric(&links, "p_links_closed_total"), eq(1.0));
+        expect_that!(metric(&links, "p_link_longest_queue_bytes"), eq(0.0));
+    });
+}
+
 #[gtest]
 fn the_length_of_the_first_message_is_limited() {
     let decode_first = |node: String| {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -39,7 +39,8 @@
 
 /// Metrics of the replica and of quota admission.
 fn subscriber_metrics(subscriber: &Subscriber, now: Micros) -> Vec<Metric> {
-    let rejections = subscriber.leases().rejections();
+    let leases = subscriber.leases();
+    let (rejections, counts) = (leases.rejections(), leases.counts());
     let update_age = subscriber.update_age(now);
     vec![
         Metric::new("proxy_update_age_seconds", update_age as f64 / 1e6),
@@ -47,7 +48,17 @@
         Metric::new("proxy_quota_unanswered_total", rejections.unanswered as f64),
         Metric::flag("proxy_configuration_unconfirmed", subscriber.serves_unconfirmed()),
         Metric::new("proxy_registries", subscriber.linked_registries() as f64),
-        Metric::new("proxy_waiting", subscriber.leases().waiting() as f64),
+        Metric::new("proxy_waiting", leases.waiting() as f64),
+        Metric::new("proxy_quota_cut_off_total", counts.rejected_cut_off as f64),
+        Metric::new("proxy_tenants_cut_off", leases.tenants_cut_off(now) as f64),
+        Metric::new("proxy_share_units_total", counts.share_units as f64),
+        Metric::new("proxy_lease_requests_total", counts.requests as f64),
+        Metric::new("proxy_lease_answers_total", counts.answers as f64),
+        Metric::new("proxy_lease_answer_seconds_total", counts.answer_time as f64 / 1e6),
+        Metric::new("proxy_lease_answers_late_total", counts.late_answers as f64),
+        Metric::new("proxy_lease_answers_misdirected_total", counts.not_owner as f64),
+        Metric::new("proxy_units_leased_total", counts.units),
+        Metric::new("proxy_units_expired_total", counts.expired_units),
     ]
 }
 
--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -90,6 +90,8 @@
     /// has reported the same configuration yet.
     partial_since: Option<Micros>,
     leases: LeaseCache,
+    /// Whether it was last logged that this proxy is cut off from the allocators.
+    logged_cut_off: bool,
     /// The linked registries.
     registries: BTreeMap<ConnectionId, RegistryLink>,
     /// Whether the replica has once been equal to the configuration of a registry that was complete and current.
@@ -126,6 +128,7 @@
             is_serving: false,
             partial_since: None,
             leases: LeaseCache::new(),
+            logged_cut_off: false,
             registries: BTreeMap::new(),
             is_complete: false,
             no_current_since: None,
@@ -217,7 +220,10 @@
 
     /// Handles the loss of a connection.
     pub fn disconnected(&mut self, connection: ConnectionId) {
-        self.registries.remove(&connection);
+        if let Some(registry) = self.registries.remove(&connection) {
+            let left = self.registries.len();
+            log::info!("the link to registry {} has closed, {left} are linked", registry.hello.ip);
+        }
     }
 
     /// Admits a request of a tenant, rejects it, or lets it wait for a lease.
@@ -267,6 +273,7 @@
         if hello.role != Role::Registry || self.registries.contains_key(&connection) {
             return out.push(Output::Close(connection));
         }
+        log::info!("linked to registry {}", hello.ip);
         self.known_registries.insert(hello.ip.clone());
         self.registries.insert(connection, RegistryLink::new(hello));
         out.push(Output::Send(connection, PeerMessage::Digests(self.digests())));
@@ -483,6 +490,7 @@
         self.last_tick = now;
         if now >= self.next_keepalive {
             self.next_keepalive = now + KEEPALIVE_INTERVAL;
+            self.report_cut_off(now);
             self.send_to_all(&PeerMessage::KeepAlive, out);
         }
         if now >= self.next_digests {
--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -11,7 +11,27 @@
 
 use super::{Output, Subscriber};
 
+/// A proxy is reported as cut off once the lease requests of one in this many tenants fail.
+const CUT_OFF_REPORT_DIVISOR: usize = 2;
+/// It is reported as answered again once no more than one in this many still fail.
+const ANSWERED_REPORT_DIVISOR: usize = 10;
+
 impl Subscriber {
+    /// Logs when the lease requests of many tenants begin to fail, and when they no longer do.
+    pub(super) fn report_cut_off(&mut self, now: Micros) {
+        let (tenants, cut_off) = (self.leases.tenants(), self.leases.tenants_cut_off(now));
+        if !self.logged_cut_off && cut_off > 0 && cut_off * CUT_OFF_REPORT_DIVISOR >= tenants {
+            log::warn!(
+                "lease requests of {cut_off} of {tenants} tenants fail, {} registries are linked",
+                self.registries.len()
+            );
+            self.logged_cut_off = true;
+        } else if self.logged_cut_off && cut_off * ANSWERED_REPORT_DIVISOR <= tenants {
+            log::info!("lease requests are answered again, those of {cut_off} of {tenants} tenants fail");
+            self.logged_cut_off = false;
+        }
+    }
+
     /// Sends the lease requests that are due.
     pub(super) fn request_leases(&mut self, now: Micros, out: &mut Vec<Output>) {
         let requests = self.leases.lease_requests(now);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -256,6 +256,7 @@
         if now > self.last_tick + CALL_STALL_THRESHOLD {
             self.resumed_at = Some(now);
             self.counters.stalls += 1;
+            self.counters.stalled_time += now - self.last_tick;
             log::warn!("stalled for {} ms", (now - self.last_tick) / 1_000);
         }
         self.last_tick = now;
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -8,15 +8,17 @@
 use pinerelay_admission::quota_allocator::{Allocation, Exhausted, QuotaAllocator};
 use pinerelay_admission::Micros;
 use pinerelay_config_state::resources::Tenant;
-use pinerelay_peer_link::message::{PeerMessage, Role, TenantGrant};
+use pinerelay_peer_link::message::{Metric, PeerMessage, Role, TenantGrant};
 
-use super::{Output, Registry};
+use super::{Output, Registry, CALL_STALL_THRESHOLD};
 
 /// The maximum delay of an update: one that was sent before a duty was acquired has arrived this long after.
 const UPDATE_DELAY: Micros = 5_000_000;
 /// At the first start of the system a duty acquired within this time had no earlier holder: it is shorter than the time for which
 /// a holder is promised a duty.
 const FIRST_START_PERIOD: Micros = 850_000;
+/// The maximum number of proxies that a log line names.
+const MAX_LOGGED_PROXIES: usize = 4;
 
 /// The quota of a tenant.
 fn quota_of(tenant: &Tenant) -> Quota {
@@ -37,6 +39,8 @@
 pub(super) struct QuotaDuty {
     /// The number of held slices that was last logged.
     logged_slices: usize,
+    /// Whether it was last logged that rates are partly reserved.
+    logged_reservations: bool,
     /// The last acquisition of each slice, by its index.
     acquired: BTreeMap<usize, AcquiredSlice>,
     /// The allocators of tenants, by name.
@@ -101,6 +105,7 @@
     fn on_slice_acquired(&mut self, now: Micros, slice: usize) {
         let number = self.next_number();
         let fencing_token = self.config.hello.process_id.wrapping_add(number);
+        self.counters.slices_acquired += 1;
         self.quota_duty.acquired.insert(slice, AcquiredSlice { fencing_token, acquisition_time: now });
         self.quota_duty.allocators.retain(|tenant, _| slice_of(tenant) != slice);
     }
@@ -176,6 +181,58 @@
         }
     }
 
+    /// The allocators of slices whose duty is held.
+    fn held_allocators(&self, now: Micros) -> impl Iterator<Item = &QuotaAllocator> {
+        let allocators = self.quota_duty.allocators.iter();
+        allocators.filter(move |(tenant, _)| self.duties.holds(now, slice_of(tenant))).map(|(_, held)| held)
+    }
+
+    /// Logs when rates begin to be partly reserved for proxies that are not reachable, and when no longer.
+    pub(super) fn report_reservations(&mut self, now: Micros) {
+        let tenants = self.held_allocators(now).count();
+        let reserving = self.held_allocators(now).filter(|held| held.reserved_share(now) > 0.0).count();
+        if (reserving > 0) == self.quota_duty.logged_reservations {
+            return;
+        }
+        self.quota_duty.logged_reservations = reserving > 0;
+        let (linked, counted) = (self.linked_proxies(), self.total_proxies());
+        if reserving > 0 {
+            let missing = self.process_list().missing;
+            let named = missing[..missing.len().min(MAX_LOGGED_PROXIES)].join(", ");
+            log::warn!(
+                "reserves a part of the rate of {reserving} of {tenants} tenants: {linked} of {counted} proxies are linked, \
+                 {} are known and not linked: {named}",
+                missing.len()
+            );
+        } else {
+            log::info!("reserves no rate of {tenants} tenants: {linked} of {counted} proxies are linked");
+        }
+    }
+
+    /// The metrics of quota allocation, and of what delays it.
+    pub(super) fn quota_metrics(&self, now: Micros) -> Vec<Metric> {
+        let held: Vec<&QuotaAllocator> = self.held_allocators(now).collect();
+        let reserved_shares: Vec<f64> = held.iter().map(|allocator| allocator.reserved_share(now)).collect();
+        let reserving = reserved_shares.iter().filter(|share| **share > 0.0).count();
+        let rate: f64 = held.iter().map(|allocator| allocator.quota().rate).sum();
+        let reserved = held.iter().zip(&reserved_shares).map(|(held, share)| held.quota().rate * share);
+        let reserved_ratio = if rate > 0.0 { reserved.sum::<f64>() / rate } else { 0.0 };
+        let lowest_level = held.iter().map(|allocator| allocator.level()).reduce(f64::min).unwrap_or(0.0);
+        let gap = now.saturating_sub(self.last_tick);
+        // A registry that does not run its periodic work may still answer messages.
+        let stalled = self.counters.stalled_time + if gap > CALL_STALL_THRESHOLD { gap } else { 0 };
+        vec![
+            Metric::new("registry_quota_tenants", held.len() as f64),
+            Metric::new("registry_quota_tenants_reserving", reserving as f64),
+            Metric::new("registry_quota_reserved_ratio", reserved_ratio),
+            Metric::new("registry_quota_lowest_level_units", lowest_level),
+            Metric::new("registry_proxies_counted", self.total_proxies() as f64),
+            Metric::new("registry_duties_acquired_total", self.counters.slices_acquired as f64),
+            Metric::flag("registry_epoch_settled", !self.duties.is_joint(now)),
+            Metric::new("registry_stalled_seconds_total", stalled as f64 / 1e6),
+        ]
+    }
+
     /// Answers a proxy's lease requests.
     pub(super) fn grant_leases(
         &mut self,
--- a/crates/registry/src/registry/status.rs
+++ b/crates/registry/src/registry/status.rs
@@ -16,6 +16,10 @@
     pub heartbeats_rejected: u64,
     /// Gaps between two ticks longer than [`super::CALL_STALL_THRESHOLD`].
     pub stalls: u64,
+    /// The time in these gaps.
+    pub stalled_time: Micros,
+    /// Slices of tenants that were acquired, with new allocators.
+    pub slices_acquired: u64,
     /// Lease requests of proxies, counted per tenant.
     pub lease_requests: u64,
     /// Lease requests for tenants whose duty is not held here.
@@ -64,6 +68,7 @@
         self.remove_expired_tombstones(now);
         self.send_proxy_positions(out);
         self.release_reserved_shares(now);
+        self.report_reservations(now);
         let stores = self.connections_of(Role::ConfigStore);
         out.push(Output::Broadcast(stores, PeerMessage::ConfirmCurrent(now)));
         let heartbeats = self.heartbeats_seen_here(now);
@@ -119,6 +124,7 @@
             Metric::new("registry_units_leased_total", units_leased as f64),
             Metric::new("registry_leases_exhausted_total", leases_exhausted as f64),
         ];
+        metrics.extend(self.quota_metrics(now));
         metrics.extend(self.rollout_duty.metrics());
         metrics
     }
