--- a/crates/admission/src/quota_allocator.rs
+++ b/crates/admission/src/quota_allocator.rs
@@ -258,6 +258,12 @@
         self.unknown_shares = 0.0;
     }
 
+    /// The part of the rate that does not fill the bucket, because proxies that are not reachable may spend it.
+    pub fn reserved_share(&self, now: Micros) -> f64 {
+        let unknown = self.unknown_shares(now).min(self.max_unheard_share);
+        (unknown + self.lessees.missing_share()).min(1.0)
+    }
+
     /// The quota in force.
     pub fn quota(&self) -> Quota {
         self.quota
--- a/crates/admission/src/quota_allocator/lessees.rs
+++ b/crates/admission/src/quota_allocator/lessees.rs
@@ -98,6 +98,12 @@
         self.total_share
     }
 
+    /// The sum of the shares of missing proxies.
+    pub fn missing_share(&self) -> f64 {
+        let lessees = self.with_unspent.iter().filter_map(|proxy| self.by_proxy.get(proxy));
+        lessees.filter(|lessee| lessee.is_missing).map(Lessee::share).sum()
+    }
+
     /// Adds a proxy, which must not have an entry.
     pub fn insert(&mut self, proxy: &str, lessee: Lessee) {
         self.by_proxy.insert(proxy.into(), Lessee::default());
--- a/crates/admission/src/quota_allocator/tests.rs
+++ b/crates/admission/src/quota_allocator/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 const FLEET: Fleet = Fleet { proxies: 1, unheard: 0 };
+const UNHEARD: Fleet = Fleet { proxies: 1, unheard: 1 };
 
 fn usage(wanted: f64, returned: f64) -> Usage {
     Usage { wanted, returned, ..Usage::default() }
@@ -136,3 +137,25 @@
     let renewed = Usage { held_share: 0.95, ..usage(1.0, 0.0) };
     expect_that!(allocator.draw(start + 30_000, "a", FLEET, &renewed).share, gt(0.9));
 }
+
+#[gtest]
+fn the_reserved_share_is_what_does_not_fill_the_bucket() {
+    let quota = Quota { rate: 100.0, burst: 100.0 };
+    let mut allocator = QuotaAllocator::new(0, quota);
+    expect_that!(allocator.reserved_share(0), eq(0.0), "no proxy is known to be cut off");
+    allocator.draw(0, "a", UNHEARD, &usage(0.0, 0.0));
+    expect_that!(allocator.reserved_share(0), eq(MAX_TOTAL_SHARE));
+    allocator.draw(500_000, "a", UNHEARD, &usage(0.0, 0.0));
+    expect_that!(allocator.level(), near(0.5 * 100.0 * (1.0 - MAX_TOTAL_SHARE), 1e-6));
+    expect_that!(allocator.reserved_share(SHARE_LIFETIME), eq(0.0), "all shares granted before have expired");
+    allocator.draw(500_000, "a", FLEET, &usage(0.0, 0.0));
+    expect_that!(allocator.reserved_share(500_000), eq(0.0));
+    // A known proxy's own share is reserved while it is missing.
+    allocator.drop_unknown_shares();
+    let share = allocator.draw(1_000_000, "a", FLEET, &usage(1.0, 0.0)).share;
+    allocator.proxy_missing(1_000_000, "a", 1_000_000);
+    expect_that!(share, gt(0.5));
+    expect_that!(allocator.reserved_share(1_000_000), eq(share));
+    allocator.proxy_returned(1_000_000, "a");
+    expect_that!(allocator.reserved_share(1_000_000), eq(0.0));
+}
