Proxies fetch bulk data from one registry at a time

Cause: each end of each link started an anti-entropy exchange per realm whenever digests differed, throttled only by the messages received on that link.

Change: only the proxy starts exchanges, one at a time, and spreads its choice of the registry by rendezvous hashing. It prefers registries that have items, that answer, and that report themselves complete and current, and waits up to 0.2 s for the digests of the preferred one. Without progress for 0.5 s (1 s if all others have timed out, too) the next one is asked; late answers are merged, and taken up while nobody else has answered. The first digests of an empty registry start no exchange, so that not every proxy sends it everything. Anti-entropy of the subscriber moves to its own module.

--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -7,7 +7,6 @@
 use pinerelay_admission::lease_cache::{Decision, LeaseCache, RequestId};
 use pinerelay_admission::quota::Quota;
 use pinerelay_admission::Micros;
-use pinerelay_config_state::anti_entropy::SyncPart;
 use pinerelay_config_state::hash::rendezvous_order;
 use pinerelay_config_state::routing_table::RoutingTable;
 use pinerelay_config_state::server::{Server, ServerState};
@@ -21,9 +20,11 @@
 
 mod leases;
 mod registry_link;
+mod sync;
 
 pub use pinerelay_admission::lease_cache::Admission;
 use registry_link::{Confirmation, RegistryLink};
+use sync::Exchange;
 
 /// Interval at which the digests of the replica are sent, in microseconds.
 const DIGEST_INTERVAL: Micros = 600_000;
@@ -92,6 +93,8 @@
     leases: LeaseCache,
     /// The linked registries.
     registries: BTreeMap<ConnectionId, RegistryLink>,
+    /// The anti-entropy exchange in progress.
+    exchange: Option<Exchange>,
     /// Whether the replica has once been equal to the configuration of a registry that was complete and current.
     is_complete: bool,
     /// Since when no linked registry has been current, although one is complete.
@@ -127,6 +130,7 @@
             partial_since: None,
             leases: LeaseCache::new(),
             registries: BTreeMap::new(),
+            exchange: None,
             is_complete: false,
             no_current_since: None,
             is_unconfirmed: false,
@@ -257,7 +261,7 @@
         self.publish(now, out);
     }
 
-    /// Registers a link to a registry and starts anti-entropy; closes connections from other roles, except observers.
+    /// Registers a link to a registry and sends it the digests; closes connections from other roles, except observers.
     fn on_hello(&mut self, connection: ConnectionId, hello: Hello, out: &mut Vec<Output>) {
         if hello.role == Role::Observer {
             // An observer only requests metrics.
@@ -341,60 +345,6 @@
         }
     }
 
-    /// Compares a registry's digests with those of the replica, and starts anti-entropy for each realm that differs.
-    fn on_digests(
-        &mut self,
-        now: Micros,
-        connection: ConnectionId,
-        digests: [u64; 2],
-        out: &mut Vec<Output>,
-    ) {
-        let own_digests = self.digests();
-        if digests == own_digests {
-            self.last_in_sync = now;
-        }
-        let [config_digest, _] = digests;
-        let Some(registry) = self.registries.get_mut(&connection) else { return };
-        registry.config_digest = Some(config_digest);
-        // An anti-entropy exchange in progress continues on its own.
-        let is_in_progress = registry.last_sync.is_some_and(|at| now < at + DIGEST_INTERVAL / 2);
-        for realm in [CONFIG_REALM, RUNTIME_REALM] {
-            let index = usize::from(realm);
-            if !is_in_progress && digests[index] != own_digests[index] {
-                let request = PeerMessage::sync_request(&self.realms[index], realm);
-                out.push(Output::Send(connection, request));
-            }
-        }
-        self.check_complete(now);
-    }
-
-    /// Merges the items of an anti-entropy message, and replies with the next one.
-    fn on_sync(
-        &mut self,
-        now: Micros,
-        connection: ConnectionId,
-        realm: u8,
-        items: Vec<Item>,
-        parts: &[SyncPart],
-        out: &mut Vec<Output>,
-    ) {
-        self.update_registry(connection, |registry| registry.last_sync = Some(now));
-        let was_published = !self.is_unpublished;
-        let continues = items.is_empty() || self.merge(now, items, out);
-        if was_published && self.is_unpublished {
-            self.partial_since.get_or_insert(now);
-        }
-        if let Some(items) = self.realms.get(usize::from(realm)).filter(|_| continues) {
-            let reply = PeerMessage::sync_reply(items, realm, parts);
-            out.extend(reply.map(|reply| Output::Send(connection, reply)));
-        }
-    }
-
-    /// The digests of the configuration items and of the runtime items.
-    fn digests(&self) -> [u64; 2] {
-        [self.realms[0].digest(), self.realms[1].digest()]
-    }
-
     /// Checks whether the replica is equal to the configuration of a registry that is complete and current. A registry that was
     /// partitioned together with its store is complete, but may be out of date: its configuration is served unconfirmed once no
     /// registry has been current for `UNCONFIRMED_AFTER`.
@@ -414,7 +364,7 @@
         }
         let none_is_current = self.registries.values().all(|registry| registry.current_digest(now).is_none());
         let lacks_current = !complete.is_empty() && none_is_current;
-        let is_equal = complete.iter().any(|registry| registry.config_digest == Some(own_digest));
+        let is_equal = complete.iter().any(|registry| registry.config_digest() == Some(own_digest));
         let has_stalled = now > self.last_tick + STALL_THRESHOLD;
         self.no_current_since =
             lacks_current.then(|| self.no_current_since.filter(|_| !has_stalled).unwrap_or(now));
@@ -462,7 +412,8 @@
             return;
         }
         let own_digest = self.config_items().digest();
-        let is_reported = self.registries.values().any(|registry| registry.config_digest == Some(own_digest));
+        let is_reported =
+            self.registries.values().any(|registry| registry.config_digest() == Some(own_digest));
         let is_withheld =
             self.partial_since.is_some_and(|since| !self.is_serving || now < since + WITHHOLD_LIMIT);
         if is_reported || !is_withheld {
@@ -479,6 +430,7 @@
         out.extend(decisions.into_iter().map(Output::Decided));
         self.request_leases(now, out);
         self.check_complete(now);
+        self.continue_sync(now, out);
         self.publish(now, out);
         self.last_tick = now;
         if now >= self.next_keepalive {
--- a/crates/proxy/src/subscriber/registry_link.rs
+++ b/crates/proxy/src/subscriber/registry_link.rs
@@ -20,14 +20,16 @@
     pub hello: Hello,
     /// The last status that the registry reported.
     pub status: Option<RegistryStatus>,
-    /// The last received digest of the registry's configuration items.
-    pub config_digest: Option<u64>,
+    /// The last received digests of the registry's configuration items and runtime items.
+    pub digests: Option<[u64; 2]>,
+    /// By realm: since when its last digests differ from those of the replica, until an exchange starts.
+    pub differs_since: [Option<Micros>; 2],
     /// The last confirmation that its replica is current.
     pub confirmation: Option<Confirmation>,
     /// The send times of unanswered lease requests, oldest first; replies arrive in the same order.
     pub open_lease_requests: VecDeque<Micros>,
-    /// When the last anti-entropy message was received.
-    pub last_sync: Option<Micros>,
+    /// When an anti-entropy exchange with it last timed out; `None` once it answers in time, or is equal.
+    pub last_sync_timeout: Option<Micros>,
 }
 
 impl RegistryLink {
@@ -36,10 +38,11 @@
         RegistryLink {
             hello,
             status: None,
-            config_digest: None,
+            digests: None,
+            differs_since: [None; 2],
             confirmation: None,
             open_lease_requests: VecDeque::new(),
-            last_sync: None,
+            last_sync_timeout: None,
         }
     }
 
@@ -48,6 +51,30 @@
         self.status.as_ref().is_some_and(|status| status.is_complete)
     }
 
+    /// Records the registry's digests, and which realms differ from the replica's. The first digests of a registry without items
+    /// do not count: it has just started, and gets them from its store and the other registries rather than from each proxy.
+    pub fn digests_reported(&mut self, now: Micros, digests: [u64; 2], own_digests: [u64; 2]) {
+        for (index, differs_since) in self.differs_since.iter_mut().enumerate() {
+            let has_just_started = digests[index] == 0 && self.digests.is_none();
+            let differs = digests[index] != own_digests[index] && !has_just_started;
+            *differs_since = differs.then(|| differs_since.unwrap_or(now));
+        }
+        self.digests = Some(digests);
+        if digests == own_digests {
+            self.last_sync_timeout = None;
+        }
+    }
+
+    /// The last received digest of the registry's configuration items.
+    pub fn config_digest(&self) -> Option<u64> {
+        self.digests.map(|[config_digest, _]| config_digest)
+    }
+
+    /// Whether the registry reports that it is current, which it has to confirm.
+    pub fn reports_current(&self) -> bool {
+        self.status.as_ref().is_some_and(|status| status.is_current)
+    }
+
     /// Whether the registry reports a majority of the core.
     pub fn has_majority(&self) -> bool {
         self.status.as_ref().is_some_and(|status| status.has_majority)
--- a/crates/registry/src/registry/replication.rs
+++ b/crates/registry/src/registry/replication.rs
@@ -123,8 +123,8 @@
         peer.role == Role::Registry && is_settled && self.voters.contains(&peer.ip)
     }
 
-    /// A peer has sent the digests of its items: requests a sync of each realm that differs, unless an exchange is in progress or
-    /// the realm is withheld from the peer.
+    /// A peer has sent the digests of its items: requests a sync of each realm that differs, unless an exchange is in progress. A
+    /// proxy starts its exchanges itself, with one registry at a time.
     pub(super) fn on_digests(
         &mut self,
         connection: ConnectionId,
@@ -141,7 +141,7 @@
             self.last_sync.get(&connection).is_some_and(|at| self.last_tick < at + STATUS_INTERVAL / 2);
         for (realm, digest) in (0..).zip(digests) {
             let items = &self.realms[usize::from(realm)];
-            if !is_in_progress && digest != items.digest() && !self.is_withheld_from(peer, realm) {
+            if peer.role != Role::Proxy && !is_in_progress && digest != items.digest() {
                 out.push(Output::Send(connection, PeerMessage::sync_request(items, realm)));
             }
         }
