--- a/crates/proxy/src/subscriber/completeness.rs
+++ b/crates/proxy/src/subscriber/completeness.rs
@@ -33,7 +33,7 @@
         }
         let none_is_current = self.registries.values().all(|registry| registry.current_digest(now).is_none());
         let lacks_current = !complete.is_empty() && none_is_current;
-        let is_equal = complete.iter().any(|registry| registry.config_digest == Some(own_digest));
+        let is_equal = complete.iter().any(|registry| registry.config_digest() == Some(own_digest));
         let has_stalled = now + self.backlog > self.last_tick + STALL_THRESHOLD;
         self.no_current_since =
             lacks_current.then(|| self.no_current_since.filter(|_| !has_stalled).unwrap_or(now));
