meadow: a soak kills all twice, and starts some processes before others

Cause: each kill of all was followed by one orderly start of everything, which is the easier half of what operators ask for.

Change: half of the kills of all are followed by starts one by one, and of three one by another kill 0.1 to 2 s after the start. What a first kill cost is left out of `served` up to the second at the most, so that a play in which the first was never got over is not excused for the rest of `recovery`.

--- a/crates/meadow/src/judge/recovery.rs
+++ b/crates/meadow/src/judge/recovery.rs
@@ -21,9 +21,14 @@
     records.outcomes.iter().map(|o| o.begun).max().unwrap_or_default()
 }
 
+/// When all processes were killed the next time.
+fn next_kill(records: &Records, outage: &Outage) -> Option<Micros> {
+    records.outages.iter().map(|o| o.killed).filter(|killed| *killed > outage.killed).min()
+}
+
 /// When what is judged of an outage ends: with the play, or the next one's begin less the time that clients wait.
 fn end(records: &Records, outage: &Outage, terms: &Terms) -> Micros {
-    let next = records.outages.iter().map(|o| o.killed).filter(|killed| *killed > outage.killed).min();
+    let next = next_kill(records, outage);
     next.map_or(last(records), |killed| killed.saturating_sub(terms.client_wait))
 }
 
@@ -46,7 +51,8 @@
     let times = records.outages.iter().map(|outage| {
         let until = serves_again(records, outage, terms);
         let due = outage.running.unwrap_or(outage.killed) + terms.recovery;
-        (outage.killed.saturating_sub(terms.client_wait), until.unwrap_or(due))
+        let until = until.unwrap_or(next_kill(records, outage).unwrap_or(due).min(due));
+        (outage.killed.saturating_sub(terms.client_wait), until)
     });
     let times: Vec<(Micros, Micros)> = times.collect();
     let within = |begun: Micros| times.iter().any(|(from, until)| (*from..*until).contains(&begun));
--- a/crates/meadow/src/soak.rs
+++ b/crates/meadow/src/soak.rs
@@ -108,7 +108,7 @@
     Start(Target, Disk),
     /// All processes of the gateway are killed.
     KillAll,
-    /// All are started again, with their disks.
+    /// Those that do not run are started again, with their disks.
     StartAll,
     /// The operator calls.
     Change(Change),
@@ -134,7 +134,7 @@
             Step::Start(target, Disk::Same) => write!(f, "{target} is started"),
             Step::Start(target, Disk::Empty) => write!(f, "{target} is started on an empty disk"),
             Step::KillAll => write!(f, "all processes are killed"),
-            Step::StartAll => write!(f, "all processes are started"),
+            Step::StartAll => write!(f, "all processes that do not run are started"),
             Step::Change(change) => write!(f, "change {change:?}"),
             Step::ServerLeaves(n, pause) => write!(f, "server {n} leaves, and comes {pause:?} later"),
             Step::ServerCrashes(n, pause) => write!(f, "server {n} crashes, and comes {pause:?} later"),
--- a/crates/meadow/src/soak/draw.rs
+++ b/crates/meadow/src/soak/draw.rs
@@ -15,6 +15,10 @@
 const KILL_PLACE: (f64, f64) = (0.4, 0.55);
 /// All are down for no longer than this.
 const ALL_DOWN: Millis = 1_200;
+/// Of so many kills of all one is followed by another, while the gateway comes back.
+const AGAIN_ONE_IN: u64 = 3;
+/// How long after the start that is.
+const AGAIN: (Millis, Millis) = (100, 2_000);
 /// No trouble begins in this last part of a play.
 const LAST_PART: f64 = 0.15;
 /// A process that was started is let alone for this long.
@@ -36,6 +40,7 @@
 
 /// Where a plan stands while it is drawn.
 struct Draw {
+    soak: Soak,
     random: u64,
     last: Millis,
     /// When all are killed and started.
@@ -51,8 +56,8 @@
     let length = length.as_millis() as Millis;
     let last = (length as f64 * (1.0 - LAST_PART)) as Millis;
     let (kills, steps, routes, touched) = Default::default();
-    let mut draw = Draw { random: soak.seed, last, kills, steps, routes, touched };
-    draw.kill_all(length);
+    let mut draw = Draw { soak, random: soak.seed, last, kills, steps, routes, touched };
+    draw.kills(length);
     draw.cores(soak.cores);
     draw.proxies(soak.proxies);
     draw.servers();
@@ -77,22 +82,48 @@
         least + self.below(most - least)
     }
 
-    fn kill_all(&mut self, length: Millis) {
+    fn kills(&mut self, length: Millis) {
         for turn in 0..(length / KILL_CYCLE).max(1) {
             let cycle = KILL_CYCLE.min(length);
             let place = |part: f64| turn * cycle + (cycle as f64 * part) as Millis;
             let at = self.between(place(KILL_PLACE.0), place(KILL_PLACE.1));
-            let start = at + self.below(ALL_DOWN);
-            self.kills.push((at, start));
-            self.steps.push((at, Step::KillAll));
-            self.steps.push((start, Step::StartAll));
+            let start = self.kill_all(at);
+            if self.below(AGAIN_ONE_IN) == 0 {
+                let again = start + self.between(AGAIN.0, AGAIN.1);
+                self.kill_all(again);
+            }
+        }
+    }
+
+    /// All processes are killed, and started again: half of the times at once, else some before the others. When all are.
+    fn kill_all(&mut self, at: Millis) -> Millis {
+        let start = at + self.below(ALL_DOWN);
+        self.kills.push((at, start));
+        // Ahead of the starts at the same time.
+        self.steps.push((at, Step::KillAll));
+        let one_by_one = self.below(2) == 0;
+        let Soak { cores, proxies, .. } = self.soak;
+        let programs = [(Program::Store, cores), (Program::Registry, cores), (Program::Proxy, proxies)];
+        for (program, machines) in programs.into_iter().filter(|_| one_by_one) {
+            for machine in 0..machines {
+                let before = self.between(at, start + 1);
+                self.steps.push((before, Step::Start(Target { program, machine }, Disk::Same)));
+            }
         }
+        self.steps.push((start, Step::StartAll));
+        start
     }
 
     /// When a trouble at this time may be begun: not while all are dead, or have been started less than `settle` ago.
     fn after_kills(&self, at: Millis, settle: Millis) -> Millis {
-        let within = |&&(kill, start): &&(Millis, Millis)| (kill..start + settle).contains(&at);
-        self.kills.iter().find(within).map_or(at, |(_, start)| start + settle)
+        let later = |at, &(kill, start): &(Millis, Millis)| {
+            if (kill..start + settle).contains(&at) {
+                start + settle
+            } else {
+                at
+            }
+        };
+        self.kills.iter().fold(at, later)
     }
 
     /// Adds a step for a process, unless all are killed between the series' begin and it: they are started as one then.
--- a/crates/meadow/tests/judge/recovery.rs
+++ b/crates/meadow/tests/judge/recovery.rs
@@ -60,6 +60,17 @@
     expect_that!(lost_from(KILLED - TERMS.client_wait), eq(&NONE), "a client may still have waited");
     expect_that!(lost_from(KILLED - TERMS.client_wait - 60), eq(&[Rule::Served]), "it may not");
     expect_that!(lost_from(RUNNING + SECOND), eq(&[Rule::Served]), "after it was served again");
+    // Killed again before it could serve: what is lost after the second time counts as well.
+    let twice = |lost: Range<Micros>| {
+        broken(|r| {
+            let served = |begun: Micros| begun >= RUNNING + 2 * SECOND && !lost.contains(&begun);
+            *r = std::mem::take(r).with_outage(served);
+            let running = Some(RUNNING + 2 * SECOND);
+            r.outages.push(Outage { killed: RUNNING + SECOND, running, ready: running });
+        })
+    };
+    expect_that!(twice(0..0), eq(&NONE), "what both cost");
+    expect_that!(twice(RUNNING + 4 * SECOND..RUNNING + 7 * SECOND), eq(&[Rule::Served]), "and more");
 }
 
 #[gtest]
