--- a/crates/meadow/src/report.rs
+++ b/crates/meadow/src/report.rs
@@ -6,7 +6,7 @@
 use crate::field::{Field, QUOTA_PERIOD};
 use crate::judge::{most_in_a_window, serves_again, verdict, Finding, Terms, Verdict};
 use crate::operator::{GREEDY, REMOVED};
-use crate::record::{Micros, Records, Try};
+use crate::record::{Micros, Outage, Records, Try};
 
 /// No more breaches of a rule are printed.
 const BREACHES: usize = 8;
@@ -59,9 +59,12 @@
 
 /// How long it took to serve again after each kill of all processes.
 fn outages(records: &Records, terms: &Terms, text: &mut String) {
+    let last = records.outages.last();
+    let is_cut_off = |outage: &Outage| last.is_some_and(|last| last.killed > outage.killed);
     for outage in &records.outages {
         let after = |at: Option<Micros>| match (at, outage.running) {
             (Some(at), Some(running)) => format!("{:.1} s", at.saturating_sub(running) as f64 / 1e6),
+            _ if is_cut_off(outage) => "not before the next kill".into(),
             _ => "never".into(),
         };
         let (ready, serves) = (after(outage.ready), after(serves_again(records, outage, terms)));
--- a/crates/meadow/tests/soak.rs
+++ b/crates/meadow/tests/soak.rs
@@ -63,6 +63,9 @@
     // One that has ended by itself keeps its status.
     soak.kill().expect("its end");
     expect_that!(soak.wait().expect("its status").code(), some(eq(3)));
+    // What was cut short leaves its settings and logs.
+    let folder = std::env::temp_dir().join(format!("meadow-{}", soak.id()));
+    expect_that!(std::fs::remove_dir_all(folder), ok(anything()));
     let left = started.iter().filter(|id| std::path::Path::new(&format!("/proc/{id}")).exists());
     expect_that!(left.count(), eq(0));
 }
