--- a/crates/registry/tests/process_list.rs
+++ b/crates/registry/tests/process_list.rs
@@ -58,15 +58,14 @@
 
 /// The number of proxies in the last status that is sent to a connection.
 fn proxies_in_status(outputs: &[Output], receiver: u64) -> Option<u32> {
-    let statuses = outputs.iter().filter_map(|output| match output {
+    outputs.iter().rev().find_map(|output| match output {
         Output::Broadcast(receivers, PeerMessage::RegistryStatus(status))
             if receivers.contains(&receiver) =>
         {
             Some(status.proxies)
         }
         _ => None,
-    });
-    statuses.last()
+    })
 }
 
 #[gtest]
