smoker: recovery at full size, with processors, links and clients of 190 tenants

Change: recovery plays P proxies, the clients of 190 tenants, links of 2 Mbit/s and a processor for each process around the real state machines; the example recovery prints each half second, options take single causes out; three tests. world: sync and synced stand with the disks, plays without a recovery draw the same lots as before.

--- a/crates/smoker/src/disk.rs
+++ b/crates/smoker/src/disk.rs
@@ -3,7 +3,9 @@
 use pinerelay_config_state::Key;
 use pinerelay_consensus::{PersistentState, StateChange};
 
-use crate::plan::{Lot, Micros};
+use crate::plan::{Broken, Lot, Micros};
+use crate::process::Input;
+use crate::world::{Event, World};
 
 /// What a disk refuses is tried again after this, as `config_store::disk` does.
 pub const AGAIN: Micros = 300_000;
@@ -119,3 +121,48 @@
         kept.items.retain(|item| item.value.is_some());
     }
 }
+
+impl World {
+    /// A disk begins to write what waits, unless it is busy.
+    pub(crate) fn sync(&mut self, core: usize) {
+        let disk = &mut self.disks[core];
+        if disk.begin().is_none() {
+            return;
+        }
+        let slow = if self.lot.chance(4) { 40_000 } else { 6_000 };
+        let at = disk.stalled.max(self.now) + 2_000 + self.lot.upto(slow);
+        let life = self.procs[self.places.store(core)].life;
+        self.at(at, Event::Synced(core, life));
+    }
+
+    /// What was on its way to a disk is there, or refused.
+    pub(crate) fn synced(&mut self, core: usize, life: u64) {
+        let proc = self.places.store(core);
+        if !self.runs(proc, life) {
+            return;
+        }
+        let until = self.disks[core].stalled.max(self.procs[proc].frozen);
+        if until > self.now {
+            return self.at(until + 5_000, Event::Synced(core, life));
+        }
+        let disk = &mut self.disks[core];
+        let safe = if self.now < disk.refuses {
+            self.figures.count("writes refused");
+            if self.plan.broken == Some(Broken::Refusal) {
+                disk.swallowed()
+            } else {
+                disk.refused();
+                return self.later(AGAIN, Event::Retry(core, life));
+            }
+        } else {
+            disk.synced()
+        };
+        if self.recovery.is_none() {
+            self.copies();
+        }
+        if self.plan.broken != Some(Broken::Sync) {
+            safe.into_iter().for_each(|number| self.give(proc, Input::Written(number)));
+        }
+        self.sync(core);
+    }
+}
--- a/crates/smoker/src/lib.rs
+++ b/crates/smoker/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod outside;
 pub mod plan;
 pub mod process;
+pub mod recovery;
 pub mod scenarios;
 pub mod trouble;
 pub mod world;
--- a/crates/smoker/src/links.rs
+++ b/crates/smoker/src/links.rs
@@ -6,11 +6,11 @@
 use pinerelay_admission::lease::LeaseGrant;
 use pinerelay_config_state::operator_call;
 use pinerelay_consensus::{Membership, Message as ConsensusMessage};
-use pinerelay_peer_link::codec;
 use pinerelay_peer_link::message::{
     CallReply, ForwardedCall, PeerMessage, Role, TenantGrant, LEASE_DURATION,
 };
 
+use crate::net::Size;
 use crate::net::{Connection, CONNECT};
 use crate::plan::{Broken, Micros, SECOND};
 use crate::process::{Body, Input, Peer, Proc};
@@ -23,10 +23,15 @@
     /// A process says something on connections.
     #[expect(clippy::too_many_lines, reason = "not split yet: docs/ROADMAP.md, Gateway 13")]
     pub fn say(&mut self, proc: Proc, peers: &[Peer], mut speech: PeerMessage) {
-        if !self.plan.faults && self.now > 6 * SECOND && self.now < self.plan.calm_from() {
+        if self.recovery.is_none()
+            && !self.plan.faults
+            && self.now > 6 * SECOND
+            && self.now < self.plan.calm_from()
+        {
             let change = self.changes();
             self.figures.said(&speech, peers.len(), change);
         }
+        self.see_said(proc, peers.len(), &mut speech);
         let broken = self.plan.broken;
         let back = match &mut speech {
             PeerMessage::Digests(_) if broken == Some(Broken::Digests) => return,
@@ -94,6 +99,7 @@
             _ => false,
         };
         let said = Rc::new(speech);
+        let bytes = Size::new(self.is_free(&said));
         for peer in peers {
             let Some(&(connection, end)) = self.procs[proc].lines.get(peer) else { continue };
             if let Some(back) = &back {
@@ -105,8 +111,7 @@
                 continue;
             }
             let way = [self.places.machine(proc), self.places.machine(other)];
-            let at =
-                self.net.send(self.now, &mut self.lot, (connection, end), way, || codec::encode(&said).len());
+            let at = self.net.send(self.now, &mut self.lot, (connection, end), way, || bytes.of(&said));
             self.at(at, Event::Came(connection, 1 - end, Coming::Said(said.clone())));
         }
     }
--- a/crates/smoker/src/net.rs
+++ b/crates/smoker/src/net.rs
@@ -1,7 +1,11 @@
 //! Machines and the ways between them: what is cut, delayed and lost, and the connections that go over them.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
+use pinerelay_peer_link::codec;
+use pinerelay_peer_link::message::PeerMessage;
+
 use crate::plan::{Lot, Micros, SECOND};
 use crate::process::{Peer, Proc};
 
@@ -52,6 +56,23 @@
     pub held: [Micros; 2],
 }
 
+/// The bytes of a message, counted once for all connections that it goes over.
+pub struct Size(Cell<Option<usize>>);
+
+impl Size {
+    /// Of a message that takes no bytes, or whose bytes are counted when they are asked for.
+    pub fn new(is_free: bool) -> Size {
+        Size(Cell::new(is_free.then_some(0)))
+    }
+
+    /// Counts the message.
+    pub fn of(&self, message: &PeerMessage) -> usize {
+        let bytes = self.0.get().unwrap_or_else(|| codec::encode(message).len());
+        self.0.set(Some(bytes));
+        bytes
+    }
+}
+
 /// Machines and connections.
 #[derive(Debug)]
 pub struct Net {
@@ -69,6 +90,11 @@
         Net { machines: vec![Machine::default(); machines], cuts: BTreeMap::new(), connections: Vec::new() }
     }
 
+    /// What waits to go over a machine's link is lost.
+    pub fn drop_queued(&mut self, machine: usize) {
+        self.machines[machine].taken = [0; 2];
+    }
+
     /// Until when nothing gets from one machine to another.
     pub fn blocked(&self, from: usize, to: usize) -> Micros {
         if from == to {
--- a/crates/smoker/src/outside.rs
+++ b/crates/smoker/src/outside.rs
@@ -270,8 +270,10 @@
         let core = self.any_core();
         if !self.outside.first {
             if operator == 0 {
-                let items = operator_call::parse_update(first().as_bytes()).unwrap_or_default();
-                return self.ask(What::Update(first().into_bytes(), items), Some(operator), core);
+                let text =
+                    self.recovery.as_ref().map_or_else(first, |recovery| recovery.plan.configuration());
+                let items = operator_call::parse_update(text.as_bytes()).unwrap_or_default();
+                return self.ask(What::Update(text.into_bytes(), items), Some(operator), core);
             }
             return self.later(SECOND, Event::Operator(operator));
         }
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -13,7 +13,7 @@
 
 use crate::check::{Breach, Ledger};
 use crate::contact::Contact;
-use crate::disk::{self, Disk};
+use crate::disk::Disk;
 use crate::faults::{Fault, Faults};
 use crate::figures::Figures;
 use crate::look::LOOK;
@@ -22,6 +22,7 @@
 use crate::outside::{Outside, QUOTAS};
 use crate::plan::{Broken, Lot, Micros, Plan, SECOND};
 use crate::process::{wall, Body, Dial, Input, Output, Peer, Places, Proc, Process, Told};
+use crate::recovery::{Recovery, Step};
 use crate::scenarios::Act;
 
 /// The pause before another attempt to connect, as `peer_link::link` makes it.
@@ -85,6 +86,8 @@
     Look,
     /// At the end all cores are asked what stands.
     ReadAll,
+    /// Of a recovery at full size.
+    Recovery(Step),
 }
 
 /// The world.
@@ -129,6 +132,8 @@
     pub trail: Vec<(Micros, &'static str, usize)>,
     /// Since when some duty is held by nobody, after a core's end.
     pub gap: Option<Micros>,
+    /// The load, the processors and the samples of a recovery at full size.
+    pub recovery: Option<Box<Recovery>>,
 }
 
 /// The proxies that run: their last trouble, and their configuration.
@@ -146,17 +151,15 @@
 /// Plays a plan to its end, or to the first breach.
 pub fn play(plan: &Plan) -> Result<Figures, Breach> {
     let mut world = World::new(plan.clone());
+    world.schedule();
     let end = plan.seconds * SECOND;
-    while let Some(((at, _), event)) = world.queue.pop_first() {
-        world.now = at.min(end);
-        if at <= end {
-            world.happens(event);
-        }
-        world.ledger.overrun(world.now, at > end);
+    loop {
+        let is_over = !world.happens_next(end);
+        world.ledger.overrun(world.now, is_over);
         if let Some((invariant, what)) = world.ledger.breach.take() {
             return Err(Breach { seed: plan.seed, at: world.now, invariant, what, trail: world.trail });
         }
-        if at > end {
+        if is_over {
             break;
         }
     }
@@ -168,7 +171,8 @@
 }
 
 impl World {
-    fn new(plan: Plan) -> World {
+    /// A world in which all processes start and nobody calls yet.
+    pub(crate) fn new(plan: Plan) -> World {
         let places = Places { cores: plan.cores + plan.spares, proxies: plan.proxies };
         let mut world = World {
             places,
@@ -191,11 +195,18 @@
             figures: Figures::default(),
             trail: Vec::new(),
             gap: None,
+            recovery: None,
             plan,
         };
         (0..places.cores).for_each(|_| world.disks.push(world.new_disk()));
         (world.plan.cores..places.cores).for_each(|spare| world.net.machines[spare].off = true);
         (0..places.processes()).for_each(|proc| world.start(proc, true));
+        world
+    }
+
+    /// Schedules the callers from outside, the looks at the invariants, and the faults.
+    fn schedule(&mut self) {
+        let (places, world) = (self.places, self);
         (0..2).for_each(|n| world.at(SECOND, Event::Operator(n)));
         for place in 0..world.plan.servers {
             let at = SECOND + world.lot.upto(SECOND);
@@ -215,7 +226,16 @@
                 world.at(4 * SECOND, Event::Fault(fault));
             }
         }
-        world
+    }
+
+    /// The next event happens, if there is one up to the end; tells whether there was.
+    pub(crate) fn happens_next(&mut self, end: Micros) -> bool {
+        let Some(((at, _), event)) = self.queue.pop_first() else { return false };
+        self.now = at.min(end);
+        if at <= end {
+            self.happens(event);
+        }
+        at <= end
     }
 
     /// An empty disk.
@@ -236,6 +256,9 @@
 
     /// Whether the configuration and the servers change now.
     pub fn changes(&self) -> bool {
+        if self.recovery.is_some() {
+            return false;
+        }
         let from = if self.plan.faults { 2 * SECOND } else { self.plan.calm_from() / 2 };
         self.now >= from && self.now < self.plan.calm_from()
     }
@@ -291,6 +314,7 @@
             }
         }
         self.ledger.ends(proc);
+        self.drop_work(proc);
         if self.places.role(proc) == Role::ConfigStore {
             self.disks[self.places.machine(proc)].ends(&mut self.lot, power);
         }
@@ -301,8 +325,15 @@
         self.procs[proc].life == life && self.procs[proc].body.is_some()
     }
 
-    /// Tells a process something.
+    /// Tells a process something: at once, or where processors take time, when its turn comes.
     pub fn give(&mut self, proc: Proc, input: Input) {
+        if let Some(input) = self.queue_input(proc, input) {
+            self.give_now(proc, input);
+        }
+    }
+
+    /// Has a process handle something now.
+    pub(crate) fn give_now(&mut self, proc: Proc, input: Input) {
         let process = &mut self.procs[proc];
         let now = process.clock(self.now);
         let Some(body) = process.body.as_mut() else { return };
@@ -350,6 +381,9 @@
         match heard {
             Heard::Configured(table) => {
                 self.procs[proc].table = Some(table);
+                if self.recovery.is_some() {
+                    return;
+                }
                 let Some(Body::Proxy(subscriber)) = &self.procs[proc].body else { return };
                 self.ledger.configured(self.now, proc, &subscriber.realms()[0], &mut self.figures);
             }
@@ -357,50 +391,12 @@
                 let usable = server.is_some_and(|server| server.state == ServerState::Ready);
                 self.ledger.server(proc, id, usable);
             }
+            Heard::Decided(decision) if self.recovery.is_some() => self.decided(decision),
             Heard::Decided(decision) => self.admitted(decision),
             _ => {}
         }
     }
 
-    fn sync(&mut self, core: usize) {
-        let disk = &mut self.disks[core];
-        if disk.begin().is_none() {
-            return;
-        }
-        let slow = if self.lot.chance(4) { 40_000 } else { 6_000 };
-        let at = disk.stalled.max(self.now) + 2_000 + self.lot.upto(slow);
-        let life = self.procs[self.places.store(core)].life;
-        self.at(at, Event::Synced(core, life));
-    }
-
-    fn synced(&mut self, core: usize, life: u64) {
-        let proc = self.places.store(core);
-        if !self.runs(proc, life) {
-            return;
-        }
-        let until = self.disks[core].stalled.max(self.procs[proc].frozen);
-        if until > self.now {
-            return self.at(until + 5_000, Event::Synced(core, life));
-        }
-        let disk = &mut self.disks[core];
-        let safe = if self.now < disk.refuses {
-            self.figures.count("writes refused");
-            if self.plan.broken == Some(Broken::Refusal) {
-                disk.swallowed()
-            } else {
-                disk.refused();
-                return self.later(disk::AGAIN, Event::Retry(core, life));
-            }
-        } else {
-            disk.synced()
-        };
-        self.copies();
-        if self.plan.broken != Some(Broken::Sync) {
-            safe.into_iter().for_each(|number| self.give(proc, Input::Written(number)));
-        }
-        self.sync(core);
-    }
-
     fn happens(&mut self, event: Event) {
         let frozen = |world: &World, proc: Proc| Some(world.procs[proc].frozen).filter(|f| *f > world.now);
         match event {
@@ -409,7 +405,9 @@
                 if let Some(until) = frozen(self, proc) {
                     return self.at(until, Event::Tick(proc, life));
                 }
-                self.tick(proc, life);
+                if !self.queue_tick(proc) {
+                    self.tick(proc, life);
+                }
             }
             Event::Told(proc, _, number) => self.give(proc, Input::Written(number)),
             Event::Dial(proc, life, to) if self.runs(proc, life) => self.dial(proc, life, to),
@@ -436,11 +434,13 @@
             Event::Act(act) => self.act(act),
             Event::ReadAll => self.read_all(),
             Event::Look => self.look(),
+            Event::Recovery(step) => self.recovery_step(step),
             Event::Dial(..) | Event::Failed(..) | Event::Retry(..) => {}
         }
     }
 
-    fn tick(&mut self, proc: Proc, life: u64) {
+    /// Lets time pass for a process, and has it make and drop links.
+    pub(crate) fn tick(&mut self, proc: Proc, life: u64) {
         let silent = |world: &World, line: &(usize, usize)| {
             world.now >= world.net.connections[line.0].heard[line.1] + SILENCE
         };
@@ -451,7 +451,7 @@
             .map(|(&peer, _)| peer)
             .collect();
         silent.into_iter().for_each(|peer| self.close(proc, peer));
-        self.give(proc, Input::Tick);
+        self.give_now(proc, Input::Tick);
         let Some(body) = &self.procs[proc].body else { return };
         let (wanted, pause) = (body.wanted(self.places), body.pause());
         // A link that is not wanted any more is dropped.
