--- a/crates/admission/src/lease_cache/counts.rs
+++ b/crates/admission/src/lease_cache/counts.rs
@@ -14,7 +14,7 @@
     pub answers: u64,
     /// The sum of the times that the answers took.
     pub answer_time: Micros,
-    /// Answers that took at least [`LEASE_REQUEST_TIMEOUT`], after which a request is given up and repeated.
+    /// Answers that took at least the timeout of a lease request, after which a request is given up and repeated.
     pub late_answers: u64,
     /// Answers of nodes that do not allocate for the tenant.
     pub not_owner: u64,
