--- a/crates/smoker/src/recovery/processors.rs
+++ b/crates/smoker/src/recovery/processors.rs
@@ -201,10 +201,10 @@
     fn perform(&mut self, proc: Proc, life: u64, work: Work) {
         match work {
             Work::Input(input) => {
-                if let (Some(recovery), Input::Said(peer, PeerMessage::Hello(_))) =
-                    (&mut self.recovery, &input)
-                {
-                    recovery.processors[proc].introduced.insert(*peer);
+                match &input {
+                    Input::Said(peer, PeerMessage::Hello(_)) => self.introduced(proc, *peer),
+                    Input::Down(peer) => self.before_loss(proc, *peer),
+                    _ => {}
                 }
                 self.give_now(proc, input);
             }
@@ -219,6 +219,24 @@
         }
     }
 
+    fn introduced(&mut self, proc: Proc, peer: Peer) {
+        if let Some(recovery) = &mut self.recovery {
+            recovery.processors[proc].introduced.insert(peer);
+        }
+    }
+
+    /// Has a proxy whose connection is lost take its leave of a registry, if silence is taken out.
+    fn before_loss(&mut self, proc: Proc, peer: Peer) {
+        let is_registry = self.places.role(proc) == Role::Registry;
+        let Some(recovery) = &mut self.recovery else { return };
+        let was_introduced = recovery.processors[proc].introduced.remove(&peer);
+        if !(is_registry && was_introduced && recovery.plan.mended.silence) {
+            return;
+        }
+        // From other peers it has no effect.
+        self.give_now(proc, Input::Said(peer, PeerMessage::Goodbye));
+    }
+
     /// Notes how long ago the last tick was, and lets a registry hear of the proxies that run if silence is taken out.
     fn before_tick(&mut self, proc: Proc) {
         let is_registry = self.places.role(proc) == Role::Registry;
