--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -81,9 +81,11 @@
         LeaseCache { proxies: 1, ..LeaseCache::default() }
     }
 
-    /// Sets the number of proxies that share the quotas' rates, at least 1.
+    /// Sets the number of proxies that share the quotas' rates, at least 1, and limits the shares that are held already.
     pub fn set_proxies(&mut self, proxies: usize) {
         self.proxies = proxies.max(1);
+        let max_share = Fleet::heard(self.proxies).max_share();
+        self.tenants.values_mut().for_each(|cache| cache.limit_share(max_share));
     }
 
     /// Records that a tenant's lease request could not be sent, because no node that owns the tenant is reachable.
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -25,9 +25,12 @@
 /// A client's request is rejected when it has waited this long.
 pub(super) const WAIT_TIMEOUT: Micros = 300_000;
 /// A proxy that is cut off rejects a client's request after this shorter time: the allocator may be back, and answers within it.
-pub(super) const CUT_OFF_WAIT_TIMEOUT: Micros = 120_000;
+pub(super) const CUT_OFF_WAIT_TIMEOUT: Micros = 100_000;
 /// The minimum pause before the next lease request, after one that failed or found no units left.
 const MIN_BACKOFF: Micros = 25_000;
+/// The maximum pause after a lease request that found no units left: the allocator may have got more than it expected, or the
+/// duty another owner.
+const MAX_EXHAUSTED_PAUSE: Micros = 500_000;
 /// A proxy whose lease requests fail repeats them when clients' requests arrive, and otherwise at this interval or up to a quarter
 /// less. When no node allocates, the requests of all proxies fail at once, for all tenants, and the load of the repetitions must
 /// not keep the allocators from recovering.
@@ -194,6 +197,11 @@
         (self.share, self.share_requested_at) = (share, sent_at);
     }
 
+    /// Limits the share that is held. Allocators reserve no more for a proxy that they do not hear.
+    pub(super) fn limit_share(&mut self, max_share: f64) {
+        self.share = self.share.min(max_share);
+    }
+
     /// Rejects a client's request, with a time to return that is spaced past the latest promised one, or without a time if too many
     /// promised returns are open. A promised return is not deferred again.
     pub(super) fn reject(&mut self, now: Micros, proxies: usize) -> Admission {
@@ -317,7 +325,8 @@
                 true
             }
             LeaseGrant::Exhausted { retry_after, share } => {
-                self.exhausted_until = now.saturating_add(retry_after.max(MIN_BACKOFF));
+                self.exhausted_until =
+                    now.saturating_add(retry_after.clamp(MIN_BACKOFF, MAX_EXHAUSTED_PAUSE));
                 self.set_share(sent_at, share.min(max_share));
                 true
             }
