Rollout: a proxy that is silent on an open link is counted once

A rollout could be taken for drained while one proxy was unknown: linked plus missing proxies were compared with the total, and a silent proxy on an open link is both. Seen by reading, in the review of the same fault in the registry's count; no run showed it. The tests of the package hold.

--- a/crates/rollout/src/decider.rs
+++ b/crates/rollout/src/decider.rs
@@ -288,7 +288,9 @@
         let missing_is_done = |(node, since): (&String, &Micros)| {
             is_given_up(since) || self.proxies.get(node).is_some_and(has_drained)
         };
-        let known = fleet.linked_proxies.len() + fleet.missing_proxies.len();
+        // A proxy that is silent on an open link is linked and missing.
+        let is_unlinked = |node: &&String| !fleet.linked_proxies.contains_key(*node);
+        let known = fleet.linked_proxies.len() + fleet.missing_proxies.keys().filter(is_unlinked).count();
         known >= fleet.total_proxies
             && fleet.linked_proxies.iter().all(is_done)
             && fleet.missing_proxies.iter().all(missing_is_done)
