Registry: a misdirected lease request does not look at all tenants

Each request for a tenant whose duty is not held here went over all tenants to create allocators, which none of them lacked. Only requests for held duties do now. Leavings expire by what has been handled, not by the clock: behind a backlog of 0.7 s the acknowledgement may lie queued. By reading; the tests of the package hold.

--- a/crates/registry/src/registry/endpoints.rs
+++ b/crates/registry/src/registry/endpoints.rs
@@ -228,8 +228,9 @@
 
     /// Rejects deregistrations that no other registry has acknowledged within [`REPLICATION_TIMEOUT`].
     pub(super) fn expire_deregistrations(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let handled_until = self.handled_until(now);
         let pending = self.endpoints.pending.iter();
-        let expired = pending.filter(|(_, pending)| now >= pending.since + REPLICATION_TIMEOUT);
+        let expired = pending.filter(|(_, pending)| handled_until >= pending.since + REPLICATION_TIMEOUT);
         let expired: Vec<u64> = expired.map(|(&number, _)| number).collect();
         self.reject_pending_deregistrations(expired, out);
     }
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -270,8 +270,11 @@
         node: &str,
         requests: Vec<LeaseRequest>,
     ) -> Vec<TenantGrant> {
-        let has_allocator = |request: &LeaseRequest| self.quota_duty.allocators.contains_key(&request.tenant);
-        if !requests.iter().all(has_allocator) {
+        let lacks_allocator = |request: &LeaseRequest| {
+            !self.quota_duty.allocators.contains_key(&request.tenant)
+                && self.duties.holds(now, slice_of(&request.tenant))
+        };
+        if requests.iter().any(lacks_allocator) {
             self.update_allocators(now);
         }
         self.counters.lease_requests += requests.len() as u64;
