--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -93,15 +93,18 @@
     /// Records whether a registry owns the slice of a tenant. Further replies of a registry that is no longer the one to ask say
     /// nothing about the next candidate.
     fn record_owner(&mut self, tenant: &str, connection: ConnectionId, is_owner: bool) {
-        let is_asked = self.owner_of(tenant, &self.alive_registries()) == Some(connection);
-        let route = self.slice_routes.entry(slice_of(tenant)).or_default();
-        if is_owner {
-            *route = SliceRoute { owner: Some(connection), misdirected: 0 };
+        let slice = slice_of(tenant);
+        let route = self.slice_routes.get(&slice).copied().unwrap_or_default();
+        let route = if is_owner {
+            SliceRoute { owner: Some(connection), misdirected: 0 }
         } else if route.owner == Some(connection) {
-            *route = SliceRoute::default();
-        } else if is_asked {
-            route.misdirected += 1;
-        }
+            SliceRoute::default()
+        } else if self.owner_of(tenant, &self.alive_registries()) == Some(connection) {
+            SliceRoute { misdirected: route.misdirected + 1, ..route }
+        } else {
+            return;
+        };
+        self.slice_routes.insert(slice, route);
     }
 
     /// Handles a registry's reply to lease requests.
