--- a/crates/exporter/src/metric_names.rs
+++ b/crates/exporter/src/metric_names.rs
@@ -54,7 +54,7 @@
     KnownMetric {
         name: "proxy_quota_cut_off_total",
         help:
-            "Of the latter, those rejected at once: lease requests failed and no unit of the share was left",
+            "Of the latter, those rejected after a shorter wait: lease requests failed and no unit of the share was left",
     },
     KnownMetric {
         name: "proxy_tenants_cut_off",
