Admission: what the totals over lessees say twice is said once

Need, from a second reading of the whole change: a return value that nobody read, a conversion named after seconds that gave units, one iteration written twice, and the limit of a proxy's share worked out in two places.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -84,10 +84,15 @@
     /// Sets the number of proxies that share the quotas' rates, at least 1, and limits the shares that are held already.
     pub fn set_proxies(&mut self, proxies: usize) {
         self.proxies = proxies.max(1);
-        let max_share = Fleet::heard(self.proxies).max_share();
+        let max_share = self.max_share();
         self.tenants.values_mut().for_each(|cache| cache.limit_share(max_share));
     }
 
+    /// The limit of a share that this proxy holds.
+    fn max_share(&self) -> f64 {
+        Fleet::heard(self.proxies).max_share()
+    }
+
     /// Records that a tenant's lease request could not be sent, because no node that owns the tenant is reachable.
     pub fn no_owner_reached(&mut self, now: Micros, tenant: &str) {
         if let Some(cache) = self.tenants.get_mut(tenant) {
@@ -147,9 +152,9 @@
         tenant: &str,
         grant: LeaseGrant,
     ) -> Vec<Decision> {
+        let max_share = self.max_share();
         let Some(cache) = self.tenants.get_mut(tenant) else { return Vec::new() };
         self.counts.add_answer(now, sent_at, &grant);
-        let max_share = Fleet::heard(self.proxies).max_share();
         if !cache.take_grant(now, sent_at, grant, max_share) {
             return Vec::new();
         }
--- a/crates/admission/src/quota_allocator/lessees.rs
+++ b/crates/admission/src/quota_allocator/lessees.rs
@@ -100,8 +100,12 @@
 
     /// The sum of the shares of missing proxies.
     pub fn missing_share(&self) -> f64 {
-        let lessees = self.with_unspent.iter().filter_map(|proxy| self.by_proxy.get(proxy));
-        lessees.filter(|lessee| lessee.is_missing).map(Lessee::share).sum()
+        self.with_unspent().filter(|lessee| lessee.is_missing).map(Lessee::share).sum()
+    }
+
+    /// The entries of the proxies that may have unspent units of their shares.
+    fn with_unspent(&self) -> impl Iterator<Item = &Lessee> {
+        self.with_unspent.iter().filter_map(|proxy| self.by_proxy.get(proxy))
     }
 
     /// Adds a proxy, which must not have an entry.
@@ -123,13 +127,13 @@
         }
     }
 
-    /// Removes a proxy; returns whether it had an entry.
-    pub fn remove(&mut self, now: Micros, proxy: &str) -> bool {
-        let Some(lessee) = self.by_proxy.remove(proxy) else { return false };
+    /// Removes a proxy, if it has an entry.
+    pub fn remove(&mut self, now: Micros, proxy: &str) {
+        let Some(lessee) = self.by_proxy.remove(proxy) else { return };
         self.with_unspent.remove(proxy);
         self.total_share -= lessee.share();
-        self.total_demand.add(now, -seconds_of_demand(lessee.demand.get(now, DEMAND_WINDOW)), DEMAND_WINDOW);
-        true
+        let demand = lessee.demand.get(now, DEMAND_WINDOW);
+        self.total_demand = Rate { value: self.total_demand.get(now, DEMAND_WINDOW) - demand, at: now };
     }
 
     /// Removes the proxies that have requested nothing for [`IDLE_TIMEOUT`], except missing ones, and sums up the others anew,
@@ -164,8 +168,7 @@
 
     /// The maximum of units that all proxies may have accumulated from their shares and not spent.
     pub fn unspent(&self, now: Micros, quota: Quota) -> f64 {
-        let lessees = self.with_unspent.iter().filter_map(|proxy| self.by_proxy.get(proxy));
-        lessees.map(|lessee| lessee.unspent(now, quota)).sum()
+        self.with_unspent().map(|lessee| lessee.unspent(now, quota)).sum()
     }
 
     /// Sets aside what missing proxies may spend of their shares within the elapsed seconds. Returns the sum of their shares.
@@ -180,8 +183,3 @@
         missing_shares
     }
 }
-
-/// The units that raise a rate with the time constant [`DEMAND_WINDOW`] by this much.
-fn seconds_of_demand(rate: f64) -> f64 {
-    rate * DEMAND_WINDOW / 1e6
-}
