Store: runtime items and status reports move to modules of their own

The items of servers and nodes with what is still to be written of them are in service/runtime_items.rs, the status, digests, metrics and the log of the quorum in service/status.rs. Nothing behaves differently.

--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -6,24 +6,27 @@
 use pinerelay_config_state::anti_entropy::{fits_one_message, SyncPart};
 use pinerelay_config_state::error::ValidationErrorKind;
 use pinerelay_config_state::operator_call::parse_update;
-use pinerelay_config_state::server::Server;
-use pinerelay_config_state::{Item, ItemSet, Key, Kind, ValidationError};
+use pinerelay_config_state::{Item, ItemSet, ValidationError};
 use pinerelay_consensus::{
-    Input, Membership, Message, Micros, Output as StoreOutput, PersistentState, QuorumHealth, Reply, Request,
-    RequestId, StateChange, Store, StoreConfig,
+    Input, Message, Micros, Output as StoreOutput, PersistentState, QuorumHealth, Reply, Request, RequestId,
+    StateChange, Store, StoreConfig,
 };
 use pinerelay_peer_link::link::{ConnectionId, KEEPALIVE_INTERVAL};
 use pinerelay_peer_link::message::{
-    CallReply, ForwardedCall, Hello, Metric, PeerMessage, Role, CONFIG_REALM, UNDERSTANDS_ROLLOUTS,
+    CallReply, ForwardedCall, Hello, PeerMessage, Role, CONFIG_REALM, UNDERSTANDS_ROLLOUTS,
 };
 
+mod runtime_items;
+mod status;
+
+use runtime_items::RuntimeItems;
+use status::Status;
+
 /// A longer gap between two ticks counts as a stall of the process, in microseconds.
 const STALL_THRESHOLD: Micros = 250_000;
 /// Changes are rejected for so long after a stall, because they may have been queued during it, in microseconds. Together with
 /// the time that a store takes for a call, it is at most the 1 s after which callers retry elsewhere.
 const REJECT_AFTER_STALL: Micros = 150_000;
-/// The name of the item that stores the machines of all proxies.
-const PROXIES_ITEM: &str = "proxies";
 /// The id of writes whose completion nothing waits for.
 const UNAWAITED_WRITE: u64 = 0;
 
@@ -45,14 +48,6 @@
     },
 }
 
-/// The status of the store as it is sent to registries.
-#[derive(Debug, Clone, PartialEq)]
-struct Status {
-    membership: Membership,
-    is_complete: bool,
-    is_current: bool,
-}
-
 /// The origin of a forwarded call.
 #[derive(Debug, Clone, Copy)]
 struct CallOrigin {
@@ -61,35 +56,11 @@
     number: u64,
 }
 
-/// The machines of all proxies, as reported by the registry on the same machine.
-#[derive(Debug, Default)]
-struct ProxyList {
-    /// The number of changes so far.
-    revision: u64,
-    machines: Vec<String>,
-}
-
-impl ProxyList {
-    fn from_item(item: Item) -> ProxyList {
-        let text = String::from_utf8(item.value.unwrap_or_default()).unwrap_or_default();
-        ProxyList { revision: item.version.revision, machines: text.lines().map(String::from).collect() }
-    }
-
-    fn to_item(&self) -> Item {
-        let text = self.machines.join("\n").into_bytes();
-        Item::with_revision(Key::new(Kind::Node, PROXIES_ITEM), self.revision, Some(text))
-    }
-}
-
 /// A store, its connections, and the runtime items that it stores for registries.
 pub struct StoreService {
     store: Store,
-    /// Items of servers and nodes, from registries. They are stored in case all processes lose their memory at once; nothing
-    /// waits for their writes.
-    runtime_items: ItemSet,
-    /// Runtime items that were not passed to the disk yet.
-    unwritten_items: Vec<Item>,
-    proxies: ProxyList,
+    /// Items of servers and nodes, from registries. Nothing waits for their writes.
+    runtime: RuntimeItems,
     own_hello: Hello,
     /// The time of day when the process started, in seconds since the Unix epoch.
     started_at: u64,
@@ -122,25 +93,18 @@
         mut state: Option<PersistentState>,
         out: &mut Vec<Output>,
     ) -> StoreService {
-        let (mut runtime_items, mut proxies) = (ItemSet::default(), ProxyList::default());
+        let mut runtime = RuntimeItems::default();
         if let Some(state) = &mut state {
             let items = std::mem::take(&mut state.items).into_iter();
             let (config_items, others): (Vec<Item>, Vec<Item>) =
                 items.partition(|item| item.key.kind.is_config());
             state.items = config_items;
-            runtime_items.merge_all(others);
-            if let Some(item) = runtime_items.get(&Key::new(Kind::Node, PROXIES_ITEM)).cloned() {
-                runtime_items.remove(&item.key);
-                proxies = ProxyList::from_item(item);
-            }
-            runtime_items.remove_if(|item| Server::is_expired_tombstone(item, time_of_day));
+            runtime = RuntimeItems::from_stored(others, time_of_day);
         }
         let mut store_outputs = Vec::new();
         let mut service = StoreService {
             store: Store::new(config, state, &mut store_outputs),
-            runtime_items,
-            unwritten_items: Vec::new(),
-            proxies,
+            runtime,
             own_hello,
             started_at: time_of_day,
             peers: BTreeMap::new(),
@@ -161,7 +125,7 @@
 
     /// The stored items of servers and nodes.
     pub fn runtime_items(&self) -> &ItemSet {
-        &self.runtime_items
+        self.runtime.items()
     }
 
     /// The store.
@@ -230,7 +194,8 @@
         self.send_status(self.status(now), out);
         self.log_quorum_health(now);
         out.push(Output::Broadcast(self.connections_of(Role::ConfigStore), PeerMessage::KeepAlive));
-        self.write_runtime_items(now, out);
+        self.runtime.remove_expired(self.time_of_day(now));
+        self.write_runtime_items(out);
     }
 
     /// Handles a message from a connection.
@@ -258,7 +223,7 @@
             out.push(Output::Send(connection, rollouts_announcement));
             self.sent_status = None;
             if hello.ip == self.own_hello.ip {
-                let proxies = PeerMessage::KnownProxies(self.proxies.machines.clone());
+                let proxies = PeerMessage::KnownProxies(self.runtime.proxies().to_vec());
                 out.push(Output::Send(connection, proxies));
             }
         }
@@ -296,9 +261,8 @@
     }
 
     fn on_known_proxies(&mut self, peer: &Hello, machines: Vec<String>) {
-        if peer.ip == self.own_hello.ip && machines != self.proxies.machines {
-            self.proxies = ProxyList { revision: self.proxies.revision + 1, machines };
-            self.unwritten_items.push(self.proxies.to_item());
+        if peer.ip == self.own_hello.ip {
+            self.runtime.set_proxies(machines);
         }
     }
 
@@ -315,7 +279,7 @@
     ) {
         // A registry may have committed items that this store has missed. The exchange ends once it brings nothing new.
         let continues = items.is_empty() || self.merge(now, &peer.ip, items, out);
-        let own_items = if realm == CONFIG_REALM { self.store.items() } else { &self.runtime_items };
+        let own_items = if realm == CONFIG_REALM { self.store.items() } else { self.runtime.items() };
         let reply = PeerMessage::sync_reply(own_items, realm, parts).filter(|_| continues);
         out.extend(reply.map(|reply| Output::Send(connection, reply)));
     }
@@ -379,90 +343,19 @@
     fn merge(&mut self, now: Micros, from: &str, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
         let (config_items, others): (Vec<_>, Vec<_>) =
             items.into_iter().partition(|item| item.key.kind.is_config());
-        let time_of_day = self.time_of_day(now);
-        let others = others.into_iter().filter(|item| !Server::is_expired_tombstone(item, time_of_day));
-        let others = self.runtime_items.merge_all(others);
+        let has_new_runtime_items = self.runtime.merge(others, self.time_of_day(now));
         let digest = self.store.items().digest();
         if !config_items.is_empty() {
             let message = Message::Update(config_items);
             self.step(now, Input::Message { from: from.into(), message }, out);
         }
-        let has_new = !others.is_empty() || self.store.items().digest() != digest;
-        self.unwritten_items.extend(others);
-        has_new
-    }
-
-    /// Logs the quorum health if it has changed.
-    fn log_quorum_health(&mut self, now: Micros) {
-        let health = self.store.quorum_health(now);
-        if self.logged_health == health {
-            return;
-        }
-        self.logged_health = health;
-        let QuorumHealth { voters, heard, needed } = health;
-        let level = if health.has_quorum() { log::Level::Info } else { log::Level::Warn };
-        log::log!(level, "heard from {heard} of {voters} voters, quorum is {needed}");
-    }
-
-    /// Metrics of the store and its calls.
-    pub fn metrics(&self) -> Vec<Metric> {
-        let health = self.store.quorum_health(self.last_tick);
-        let is_complete = self.sent_status.as_ref().is_some_and(|status| status.is_complete);
-        vec![
-            Metric::new("config_store_items", self.store.items().len() as f64),
-            Metric::flag("config_store_complete", self.store.is_complete()),
-            Metric::flag("config_store_complete_reported", is_complete),
-            Metric::new("config_store_voters", health.voters as f64),
-            Metric::new("config_store_voters_heard", health.heard as f64),
-            Metric::new("config_store_quorum", health.needed as f64),
-            Metric::new("config_store_spare_voters", health.spare_voters() as f64),
-            Metric::new("config_store_open_writes", self.open_writes as f64),
-            Metric::new("config_store_open_calls", self.calls.len() as f64),
-            Metric::new("config_store_calls_total", self.last_call as f64),
-        ]
-    }
-
-    fn status(&self, now: Micros) -> Status {
-        Status {
-            membership: self.store.membership().clone(),
-            is_complete: self.store.is_complete(),
-            is_current: self.store.is_current(now),
-        }
-    }
-
-    /// Sends the status to all registries if it has changed since the last time.
-    fn send_changed_status(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let status = self.status(now);
-        if self.sent_status.as_ref() != Some(&status) {
-            self.send_status(status, out);
-        }
-    }
-
-    /// Sends the status and the digests of all items to all registries.
-    fn send_status(&mut self, status: Status, out: &mut Vec<Output>) {
-        let Status { membership, is_complete, is_current } = status.clone();
-        if self.sent_status.as_ref().is_some_and(|sent| sent.is_complete != is_complete) {
-            log::info!("the replica is {}", if is_complete { "complete" } else { "not complete" });
-        }
-        self.sent_status = Some(status);
-        let registries = self.connections_of(Role::Registry);
-        let message = PeerMessage::StoreStatus { membership, is_complete, is_current };
-        out.push(Output::Broadcast(registries.clone(), message));
-        out.push(Output::Broadcast(registries, PeerMessage::Digests(self.digests())));
-    }
-
-    fn digests(&self) -> [u64; 2] {
-        [self.store.items().digest(), self.runtime_items.digest()]
+        has_new_runtime_items || self.store.items().digest() != digest
     }
 
-    /// Writes the runtime items that have arrived since the last time, and drops expired tombstones from memory.
-    fn write_runtime_items(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let time_of_day = self.time_of_day(now);
-        self.runtime_items.remove_if(|item| Server::is_expired_tombstone(item, time_of_day));
-        let committed = std::mem::take(&mut self.unwritten_items);
-        if !committed.is_empty() {
+    /// Writes the runtime items that have arrived since the last time.
+    fn write_runtime_items(&mut self, out: &mut Vec<Output>) {
+        if let Some(change) = self.runtime.take_unwritten() {
             self.open_writes += 1;
-            let change = StateChange { committed, ..StateChange::default() };
             out.push(Output::Write { id: UNAWAITED_WRITE, change });
         }
     }
