Store: a server's leaving is written as soon as the store hears of it

Cause: stores batched all items of servers until the next keep-alive, 0.6 s.

Change: when merged items hold a server that is draining or gone, the store writes at once all that is unwritten. Other items wait for the keep-alive as before.

--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -339,11 +339,15 @@
             || self.resumed_at.is_some_and(|at| now < at + REJECT_AFTER_STALL)
     }
 
-    /// Merges items from a registry; returns whether any of them was new.
+    /// Merges items from a registry; returns whether any of them was new. A server's leaving is written at once: a loss of all
+    /// memory would otherwise undo it after its acknowledgement.
     fn merge(&mut self, now: Micros, from: &str, items: Vec<Item>, out: &mut Vec<Output>) -> bool {
         let (config_items, others): (Vec<_>, Vec<_>) =
             items.into_iter().partition(|item| item.key.kind.is_config());
         let has_new_runtime_items = self.runtime.merge(others, self.time_of_day(now));
+        if self.runtime.has_unwritten_leaving() {
+            self.write_runtime_items(out);
+        }
         let digest = self.store.items().digest();
         if !config_items.is_empty() {
             let message = Message::Update(config_items);
--- a/crates/config-store/src/service/runtime_items.rs
+++ b/crates/config-store/src/service/runtime_items.rs
@@ -1,6 +1,6 @@
 //! The items of servers and nodes that registries report, and which of them are still to be written.
 
-use pinerelay_config_state::server::Server;
+use pinerelay_config_state::server::{Server, ServerState};
 use pinerelay_config_state::{Item, ItemSet, Key, Kind};
 use pinerelay_consensus::StateChange;
 
@@ -34,6 +34,16 @@
     proxies: ProxyList,
     /// Items that were not passed to the disk yet.
     unwritten: Vec<Item>,
+    /// Whether one of them is a server's leaving.
+    has_unwritten_leaving: bool,
+}
+
+/// Whether an item says that a server is draining or gone.
+fn is_leaving(item: &Item) -> bool {
+    let server = item.value.as_deref().and_then(Server::decode);
+    let is_gone = item.value.is_none();
+    let is_draining = server.is_some_and(|server| server.state == ServerState::Draining);
+    item.key.kind == Kind::Server && (is_gone || is_draining)
 }
 
 impl RuntimeItems {
@@ -72,6 +82,7 @@
         let items = items.into_iter().filter(|item| !Server::is_expired_tombstone(item, time_of_day));
         let new = self.items.merge_all(items);
         let has_new = !new.is_empty();
+        self.has_unwritten_leaving |= new.iter().any(is_leaving);
         self.unwritten.extend(new);
         has_new
     }
@@ -81,8 +92,14 @@
         self.items.remove_if(|item| Server::is_expired_tombstone(item, time_of_day));
     }
 
+    /// Whether a server's leaving was not passed to the disk yet. It is urgent: the server is told that it may end.
+    pub(super) fn has_unwritten_leaving(&self) -> bool {
+        self.has_unwritten_leaving
+    }
+
     /// The change that writes all items that were not passed to the disk yet; `None` without any.
     pub(super) fn take_unwritten(&mut self) -> Option<StateChange> {
+        self.has_unwritten_leaving = false;
         let committed = std::mem::take(&mut self.unwritten);
         (!committed.is_empty()).then(|| StateChange { committed, ..StateChange::default() })
     }
--- a/crates/config-store/tests/leaving.rs
+++ b/crates/config-store/tests/leaving.rs
@@ -2,12 +2,15 @@
 
 use googletest::prelude::*;
 use pinerelay_config_state::server::{Server, ServerState};
-use pinerelay_config_state::Kind;
+use pinerelay_config_state::{Item, Kind};
 use pinerelay_config_store::service::{Output, StoreService};
 use pinerelay_consensus::StoreConfig;
 use pinerelay_peer_link::message::{Hello, PeerMessage, Role};
 
 const IP: &str = "127.0.0.1";
+/// The connection of the registry.
+const REGISTRY: u64 = 1;
+const SERVER: &str = "server-1";
 
 fn hello(role: Role) -> Hello {
     Hello { node: "core-1".into(), ip: IP.into(), role, process_id: 1 }
@@ -21,10 +24,7 @@
     })
 }
 
-// Guards against a leaving that is acknowledged and forgotten when all processes are killed within the next 0.6 s: registries
-// acknowledge it once two of them have it in memory, and stores write it with the next keep-alive.
-#[gtest]
-fn a_leaving_is_written_as_soon_as_the_store_hears_of_it() {
+fn service(out: &mut Vec<Output>) -> StoreService {
     let config = StoreConfig {
         name: IP.into(),
         process_id: 1,
@@ -32,20 +32,60 @@
         first_start: true,
         seeds: vec![IP.into()],
     };
-    let mut out = Vec::new();
-    let mut service = StoreService::new(0, hello(Role::ConfigStore), config, None, &mut out);
-    service.receive(1_000, 1, PeerMessage::Hello(hello(Role::Registry)), &mut out);
-    service.tick(2_000, &mut out);
+    let mut service = StoreService::new(0, hello(Role::ConfigStore), config, None, out);
+    service.receive(1_000, REGISTRY, PeerMessage::Hello(hello(Role::Registry)), out);
+    service.tick(2_000, out);
     out.clear();
+    service
+}
+
+/// The item of a server as of a heartbeat.
+fn server_item(state: ServerState, call_count: u64) -> Item {
     let server = Server {
         service: "s".into(),
         address: "127.0.0.2:80".parse().expect("an address"),
         zone: "z".into(),
         revision: "1".into(),
         capacity: 1,
-        state: ServerState::Draining,
+        state,
         warmup_ms: 0,
     };
-    service.receive(3_000, 1, PeerMessage::Update(vec![server.to_item("server-1", 2)]), &mut out);
+    server.to_item(SERVER, call_count)
+}
+
+// Guards against a leaving that is acknowledged and forgotten when all processes are killed within the next 0.6 s: registries
+// acknowledge it once two of them have it in memory, and stores write it with the next keep-alive.
+#[gtest]
+fn a_leaving_is_written_as_soon_as_the_store_hears_of_it() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    let item = server_item(ServerState::Draining, 2);
+    service.receive(3_000, REGISTRY, PeerMessage::Update(vec![item]), &mut out);
+    expect_that!(writes_server(&out), eq(true));
+}
+
+// Guards against the same loss of a server's last call, after which its address may belong to another service.
+#[gtest]
+fn the_end_of_a_server_is_written_as_soon_as_the_store_hears_of_it() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    service.receive(3_000, REGISTRY, PeerMessage::Update(vec![Server::tombstone(SERVER, 0)]), &mut out);
     expect_that!(writes_server(&out), eq(true));
 }
+
+// Guards against a write and a sync for each heartbeat: only a leaving is urgent, and only the first time.
+#[gtest]
+fn other_heartbeats_and_known_leavings_are_not_written_at_once() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    let ready = server_item(ServerState::Ready, 1);
+    service.receive(3_000, REGISTRY, PeerMessage::Update(vec![ready]), &mut out);
+    expect_that!(writes_server(&out), eq(false), "a ready server");
+    let leaving = server_item(ServerState::Draining, 2);
+    service.receive(4_000, REGISTRY, PeerMessage::Update(vec![leaving.clone()]), &mut out);
+    expect_that!(writes_server(&out), eq(true));
+    out.clear();
+    service.receive(5_000, REGISTRY, PeerMessage::Update(vec![leaving]), &mut out);
+    service.tick(1_000_000, &mut out);
+    expect_that!(writes_server(&out), eq(false), "a leaving that is written already");
+}
