Registry: a leaving is acknowledged once the store has written it

Cause: a leaving was acknowledged once another registry had it in memory. With all power lost before a store's write was durable, an acknowledged leaving was forgotten until the server's next heartbeat, also with stores that write at once.

Change: the registry sends `Replicate` to the store of its machine too and answers when both have acknowledged. The store answers `Replicated` when all its writes up to that item are durable; writes of runtime items have ids of their own for this, above those of the consensus group. After REPLICATION_TIMEOUT (0.7 s) what another registry has acknowledged counts as before: a server is not refused for a slow disk. A store that ends meanwhile is treated as a slow one. Without a store as before; without other voters the store alone is waited for, where the call was answered at once.

Compatibility: no new message. A store of an earlier release ignores `Replicate` from a registry and keeps the link; so that it is not waited for in vain, stores announce that they answer, by a reserved number in `ConfirmCurrent` as `UNDERSTANDS_ROLLOUTS` does it. A registry of an earlier release ignores the announcement.

--- a/crates/config-store/src/service.rs
+++ b/crates/config-store/src/service.rs
@@ -13,12 +13,15 @@
 };
 use pinerelay_peer_link::link::{ConnectionId, KEEPALIVE_INTERVAL};
 use pinerelay_peer_link::message::{
-    CallReply, ForwardedCall, Hello, PeerMessage, Role, CONFIG_REALM, UNDERSTANDS_ROLLOUTS,
+    CallReply, ForwardedCall, Hello, PeerMessage, Role, ACKNOWLEDGES_WRITES, CONFIG_REALM,
+    UNDERSTANDS_ROLLOUTS,
 };
 
+mod acknowledgements;
 mod runtime_items;
 mod status;
 
+use acknowledgements::Acknowledgements;
 use runtime_items::RuntimeItems;
 use status::Status;
 
@@ -27,8 +30,6 @@
 /// Changes are rejected for so long after a stall, because they may have been queued during it, in microseconds. Together with
 /// the time that a store takes for a call, it is at most the 1 s after which callers retry elsewhere.
 const REJECT_AFTER_STALL: Micros = 150_000;
-/// The id of writes whose completion nothing waits for.
-const UNAWAITED_WRITE: u64 = 0;
 
 /// An action that the caller has to carry out.
 #[derive(Debug, PartialEq)]
@@ -59,8 +60,10 @@
 /// A store, its connections, and the runtime items that it stores for registries.
 pub struct StoreService {
     store: Store,
-    /// Items of servers and nodes, from registries. Nothing waits for their writes.
+    /// Items of servers and nodes, from registries.
     runtime: RuntimeItems,
+    /// Acknowledgements to registries that wait for the writes of such items.
+    acknowledgements: Acknowledgements,
     own_hello: Hello,
     /// The time of day when the process started, in seconds since the Unix epoch.
     started_at: u64,
@@ -105,6 +108,7 @@
         let mut service = StoreService {
             store: Store::new(config, state, &mut store_outputs),
             runtime,
+            acknowledgements: Acknowledgements::new(),
             own_hello,
             started_at: time_of_day,
             peers: BTreeMap::new(),
@@ -157,6 +161,7 @@
     /// Handles the end of a connection: calls from it are cancelled.
     pub fn disconnected(&mut self, now: Micros, connection: ConnectionId, out: &mut Vec<Output>) {
         self.peers.remove(&connection);
+        self.acknowledgements.disconnected(connection);
         let from_connection = self.calls.iter().filter(|(_, origin)| origin.connection == connection);
         let open_calls: Vec<RequestId> = from_connection.map(|(&id, _)| id).collect();
         for id in open_calls {
@@ -168,6 +173,8 @@
     /// Handles the completion of a write: its change is durable.
     pub fn write_completed(&mut self, now: Micros, id: u64, out: &mut Vec<Output>) {
         self.open_writes = self.open_writes.saturating_sub(1);
+        self.acknowledgements.write_completed(id);
+        self.send_acknowledgements(out);
         self.step(now, Input::WriteCompleted { id, succeeded: true }, out);
         self.send_changed_status(now, out);
     }
@@ -221,6 +228,7 @@
             // The reserved number tells the registry that this store understands rollouts; it asks for no confirmation.
             let rollouts_announcement = PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS);
             out.push(Output::Send(connection, rollouts_announcement));
+            out.push(Output::Send(connection, PeerMessage::ConfirmCurrent(ACKNOWLEDGES_WRITES)));
             self.sent_status = None;
             if hello.ip == self.own_hello.ip {
                 let proxies = PeerMessage::KnownProxies(self.runtime.proxies().to_vec());
@@ -249,6 +257,9 @@
             (Role::Registry, PeerMessage::Update(items)) => {
                 self.merge(now, &peer.ip, items, out);
             }
+            (Role::Registry, PeerMessage::Replicate { number, items }) => {
+                self.on_replicate(now, connection, number, items, out);
+            }
             (Role::Registry, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS)) => {}
             (Role::Registry, PeerMessage::ConfirmCurrent(asked_at)) => {
                 self.on_confirm_current(now, connection, asked_at, out);
@@ -284,6 +295,30 @@
         out.extend(reply.map(|reply| Output::Send(connection, reply)));
     }
 
+    /// Writes runtime items, and acknowledges them once they are durable. Configuration items are not accepted this way.
+    fn on_replicate(
+        &mut self,
+        now: Micros,
+        connection: ConnectionId,
+        number: u64,
+        mut items: Vec<Item>,
+        out: &mut Vec<Output>,
+    ) {
+        items.retain(|item| !item.key.kind.is_config());
+        self.runtime.merge(items, self.time_of_day(now));
+        self.write_runtime_items(out);
+        self.acknowledgements.wait(connection, number);
+        self.send_acknowledgements(out);
+    }
+
+    /// Acknowledges the replicated items that have become durable.
+    fn send_acknowledgements(&mut self, out: &mut Vec<Output>) {
+        let durable = self.acknowledgements.take_durable().into_iter();
+        out.extend(
+            durable.map(|(connection, number)| Output::Send(connection, PeerMessage::Replicated(number))),
+        );
+    }
+
     /// Answers with the remaining duration of the lease, if the replica is current.
     fn on_confirm_current(
         &self,
@@ -360,7 +395,7 @@
     fn write_runtime_items(&mut self, out: &mut Vec<Output>) {
         if let Some(change) = self.runtime.take_unwritten() {
             self.open_writes += 1;
-            out.push(Output::Write { id: UNAWAITED_WRITE, change });
+            out.push(Output::Write { id: self.acknowledgements.next_write(), change });
         }
     }
 
--- a/crates/config-store/tests/leaving.rs
+++ b/crates/config-store/tests/leaving.rs
@@ -5,7 +5,7 @@
 use pinerelay_config_state::{Item, Kind};
 use pinerelay_config_store::service::{Output, StoreService};
 use pinerelay_consensus::StoreConfig;
-use pinerelay_peer_link::message::{Hello, PeerMessage, Role};
+use pinerelay_peer_link::message::{Hello, PeerMessage, Role, ACKNOWLEDGES_WRITES};
 
 const IP: &str = "127.0.0.1";
 /// The connection of the registry.
@@ -24,6 +24,28 @@
     })
 }
 
+/// The ids of the writes among the outputs.
+fn writes(outputs: &[Output]) -> Vec<u64> {
+    let write = |output: &Output| match output {
+        Output::Write { id, .. } => Some(*id),
+        _ => None,
+    };
+    outputs.iter().filter_map(write).collect()
+}
+
+/// The numbers of the acknowledgements among the outputs.
+fn acknowledged(outputs: &[Output]) -> Vec<u64> {
+    let acknowledgement = |output: &Output| match output {
+        Output::Send(REGISTRY, PeerMessage::Replicated(number)) => Some(*number),
+        _ => None,
+    };
+    outputs.iter().filter_map(acknowledgement).collect()
+}
+
+fn replicate(number: u64, item: Item) -> PeerMessage {
+    PeerMessage::Replicate { number, items: vec![item] }
+}
+
 fn service(out: &mut Vec<Output>) -> StoreService {
     let config = StoreConfig {
         name: IP.into(),
@@ -89,3 +111,60 @@
     service.tick(1_000_000, &mut out);
     expect_that!(writes_server(&out), eq(false), "a leaving that is written already");
 }
+
+// Guards against an acknowledgement before the write: it would be worth no more than that of a registry, which has the item in
+// memory.
+#[gtest]
+fn a_replicated_leaving_is_acknowledged_once_it_is_written() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    service.receive(3_000, REGISTRY, replicate(7, server_item(ServerState::Draining, 2)), &mut out);
+    expect_that!(acknowledged(&out), is_empty());
+    let [write] = writes(&out)[..] else { panic!("{out:?}") };
+    service.write_completed(4_000, write, &mut out);
+    expect_that!(acknowledged(&out), elements_are![eq(&7)]);
+}
+
+// Guards against taking an item for durable because it is known: the registry sends it as an update first.
+#[gtest]
+fn a_leaving_that_is_being_written_is_acknowledged_after_its_own_write() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    let ready = server_item(ServerState::Ready, 1);
+    service.receive(3_000, REGISTRY, PeerMessage::Update(vec![ready]), &mut out);
+    service.tick(1_000_000, &mut out);
+    let leaving = server_item(ServerState::Draining, 2);
+    service.receive(1_100_000, REGISTRY, PeerMessage::Update(vec![leaving.clone()]), &mut out);
+    service.receive(1_100_000, REGISTRY, replicate(7, leaving.clone()), &mut out);
+    let [earlier, own] = writes(&out)[..] else { panic!("{out:?}") };
+    service.write_completed(1_200_000, earlier, &mut out);
+    expect_that!(acknowledged(&out), is_empty());
+    service.write_completed(1_300_000, own, &mut out);
+    expect_that!(acknowledged(&out), elements_are![eq(&7)]);
+    out.clear();
+    service.receive(1_400_000, REGISTRY, replicate(8, leaving), &mut out);
+    expect_that!(writes(&out), is_empty());
+    expect_that!(acknowledged(&out), elements_are![eq(&8)], "it is durable already");
+}
+
+// Guards against an acknowledgement that a later connection would take for its own.
+#[gtest]
+fn a_connection_that_has_closed_gets_no_acknowledgement() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    service.receive(3_000, REGISTRY, replicate(7, server_item(ServerState::Draining, 2)), &mut out);
+    let [write] = writes(&out)[..] else { panic!("{out:?}") };
+    service.disconnected(4_000, REGISTRY, &mut out);
+    service.write_completed(5_000, write, &mut out);
+    expect_that!(acknowledged(&out), is_empty());
+}
+
+// Guards against registries that wait in vain for a store of an earlier release: only stores that announce it are waited for.
+#[gtest]
+fn registries_are_told_that_writes_are_acknowledged() {
+    let mut out = Vec::new();
+    let mut service = service(&mut out);
+    service.receive(3_000, REGISTRY + 1, PeerMessage::Hello(hello(Role::Registry)), &mut out);
+    let announcement = PeerMessage::ConfirmCurrent(ACKNOWLEDGES_WRITES);
+    expect_that!(out, contains(eq(&Output::Send(REGISTRY + 1, announcement))));
+}
--- a/crates/peer-link/src/message.rs
+++ b/crates/peer-link/src/message.rs
@@ -23,6 +23,10 @@
 /// would close a link on which such an item arrives; they ignore this message, or send an answer that is ignored.
 pub const UNDERSTANDS_ROLLOUTS: u64 = u64::MAX;
 
+/// In [`PeerMessage::ConfirmCurrent`] from a store, instead of a time: it acknowledges a [`PeerMessage::Replicate`] once the items
+/// are durable. Stores of earlier releases ignore that message, and registries of earlier releases ignore this one.
+pub const ACKNOWLEDGES_WRITES: u64 = u64::MAX - 1;
+
 /// The program that a process executes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum Role {
--- a/crates/registry/src/registry/endpoints.rs
+++ b/crates/registry/src/registry/endpoints.rs
@@ -14,7 +14,8 @@
 const LOST_AFTER_INTERVALS: f64 = 3.2;
 /// A server is deregistered once it has been lost for this long.
 const LOST_LIMIT: Micros = 120_000_000;
-/// The time within which another registry must acknowledge a deregistration: the server waits one second for its answer.
+/// The time within which another registry must acknowledge a deregistration, and the machine's store may: the server waits one
+/// second for its answer.
 const REPLICATION_TIMEOUT: Micros = 700_000;
 
 /// The maximum number of versions of a service that are logged.
@@ -29,7 +30,8 @@
     here: Option<Micros>,
 }
 
-/// A draining or deregistering server whose call is answered once another registry has acknowledged the item.
+/// A draining or deregistering server whose call is answered once another registry and the machine's store have acknowledged
+/// the item.
 #[derive(Debug)]
 struct PendingDeregistration {
     /// The number of the server's call.
@@ -40,6 +42,23 @@
     since: Micros,
     /// The connections on which other registries were asked; acknowledgements on other connections are ignored.
     requested_on: BTreeSet<ConnectionId>,
+    /// Whether another registry has acknowledged the item, or none has to.
+    is_replicated: bool,
+    /// The connection to the store that has not written the item yet.
+    awaited_store: Option<ConnectionId>,
+}
+
+impl PendingDeregistration {
+    /// Notes that the process at the other end of a connection has acknowledged the item.
+    fn acknowledged_on(&mut self, connection: ConnectionId) {
+        self.is_replicated |= self.requested_on.contains(&connection);
+        self.awaited_store = self.awaited_store.filter(|store| *store != connection);
+    }
+
+    /// Whether the item survives a failure of this machine, and a loss of all memory.
+    fn is_safe(&self) -> bool {
+        self.is_replicated && self.awaited_store.is_none()
+    }
 }
 
 /// The state of the servers beyond their items.
@@ -85,7 +104,7 @@
         }
     }
 
-    /// The number of deregistrations that no other registry has acknowledged yet.
+    /// The number of deregistrations whose calls are not answered yet.
     pub(super) fn pending_deregistrations(&self) -> usize {
         self.pending.len()
     }
@@ -170,23 +189,34 @@
         out.push(Output::Broadcast(receivers, PeerMessage::Update(vec![item])));
     }
 
-    /// Replicates a draining or deregistered server's item to the other registries. If it were known here alone, a failure of
-    /// this machine would lose it, and proxies would go on sending requests to a server that was allowed to stop. So the call is
-    /// acknowledged once another registry that presumes to reach a majority of the core has it, or at once without other voters.
+    /// Replicates a draining or deregistered server's item to the other registries and the machine's store. If it were known here
+    /// alone, a failure of this machine would lose it, and a loss of all memory if no store had written it; proxies would go on
+    /// sending requests to a server that was allowed to stop. So the call is acknowledged once another registry that presumes to
+    /// reach a majority of the core has it, unless there are no other voters, and the store has written it.
     fn replicate(&mut self, now: Micros, call: u64, key: &Key, out: &mut Vec<Output>) {
-        if self.voters.len() <= 1 {
-            self.endpoints.replicated.insert(key.name.clone());
-            return out.push(Output::Answer(call, CallReply::ok()));
-        }
-        let requested_on: BTreeSet<ConnectionId> = self.registry_connections().into_values().collect();
-        let item = self.runtime_items().get(key).cloned().filter(|_| !requested_on.is_empty());
+        let is_replicated = self.voters.len() <= 1;
+        let requested_on: BTreeSet<ConnectionId> =
+            if is_replicated { BTreeSet::new() } else { self.registry_connections().into_values().collect() };
+        let can_be_replicated = is_replicated || !requested_on.is_empty();
+        let item = self.runtime_items().get(key).cloned().filter(|_| can_be_replicated);
         let Some(item) = item else { return self.reject_deregistration(call, out) };
+        let awaited_store = self.acknowledging_store();
+        let receivers: Vec<ConnectionId> = requested_on.iter().copied().chain(awaited_store).collect();
+        let id = key.name.clone();
+        let pending =
+            PendingDeregistration { call, id, since: now, requested_on, is_replicated, awaited_store };
+        if pending.is_safe() {
+            return self.acknowledge_deregistration(pending, out);
+        }
         let number = self.next_number();
-        let receivers = requested_on.iter().copied().collect();
-        let pending = PendingDeregistration { call, id: key.name.clone(), since: now, requested_on };
         self.endpoints.pending.insert(number, pending);
-        let message = PeerMessage::Replicate { number, items: vec![item] };
-        out.push(Output::Broadcast(receivers, message));
+        out.push(Output::Broadcast(receivers, PeerMessage::Replicate { number, items: vec![item] }));
+    }
+
+    /// Acknowledges the call of a draining or deregistering server.
+    fn acknowledge_deregistration(&mut self, pending: PendingDeregistration, out: &mut Vec<Output>) {
+        self.endpoints.replicated.insert(pending.id);
+        out.push(Output::Answer(pending.call, CallReply::ok()));
     }
 
     /// Rejects the call of a draining or deregistering server.
@@ -195,14 +225,12 @@
         out.push(Output::Answer(call, CallReply::error(503, "no other registry holds it")));
     }
 
-    /// Another registry has acknowledged a replicated item.
+    /// Another registry or the machine's store has acknowledged a replicated item.
     pub(super) fn on_replicated(&mut self, connection: ConnectionId, number: u64, out: &mut Vec<Output>) {
-        let pending = self.endpoints.pending.get(&number);
-        if pending.is_some_and(|pending| pending.requested_on.contains(&connection)) {
-            if let Some(pending) = self.endpoints.pending.remove(&number) {
-                self.endpoints.replicated.insert(pending.id);
-                out.push(Output::Answer(pending.call, CallReply::ok()));
-            }
+        let Some(pending) = self.endpoints.pending.get_mut(&number) else { return };
+        pending.acknowledged_on(connection);
+        if pending.is_safe() {
+            self.finish_deregistrations(vec![number], out);
         }
     }
 
@@ -211,7 +239,7 @@
     pub(super) fn retry_replication(&mut self, connection: ConnectionId, ip: &str, out: &mut Vec<Output>) {
         let other = self.registry_connections().get(ip).copied();
         let mut failed = Vec::new();
-        let pending = self.endpoints.pending.iter_mut();
+        let pending = self.endpoints.pending.iter_mut().filter(|(_, pending)| !pending.is_replicated);
         for (&number, pending) in pending.filter(|(_, pending)| pending.requested_on.contains(&connection)) {
             pending.requested_on.remove(&connection);
             let item = self.realms[1].get(&server_key(&pending.id));
@@ -223,23 +251,26 @@
                 failed.push(number);
             }
         }
-        self.reject_pending_deregistrations(failed, out);
+        self.finish_deregistrations(failed, out);
     }
 
-    /// Rejects deregistrations that no other registry has acknowledged within [`REPLICATION_TIMEOUT`].
+    /// Answers deregistrations after [`REPLICATION_TIMEOUT`]. A store that has not written the item by then delays the answer, but
+    /// a slow disk is no reason to refuse a server its end.
     pub(super) fn expire_deregistrations(&mut self, now: Micros, out: &mut Vec<Output>) {
         let handled_until = self.handled_until(now);
         let pending = self.endpoints.pending.iter();
         let expired = pending.filter(|(_, pending)| handled_until >= pending.since + REPLICATION_TIMEOUT);
         let expired: Vec<u64> = expired.map(|(&number, _)| number).collect();
-        self.reject_pending_deregistrations(expired, out);
+        self.finish_deregistrations(expired, out);
     }
 
-    /// Drops pending deregistrations and rejects their calls.
-    fn reject_pending_deregistrations(&mut self, numbers: Vec<u64>, out: &mut Vec<Output>) {
+    /// Answers the calls of pending deregistrations: with success if another registry has the item.
+    fn finish_deregistrations(&mut self, numbers: Vec<u64>, out: &mut Vec<Output>) {
         for number in numbers {
-            if let Some(pending) = self.endpoints.pending.remove(&number) {
-                self.reject_deregistration(pending.call, out);
+            match self.endpoints.pending.remove(&number) {
+                Some(pending) if pending.is_replicated => self.acknowledge_deregistration(pending, out),
+                Some(pending) => self.reject_deregistration(pending.call, out),
+                None => {}
             }
         }
     }
--- a/crates/registry/src/registry/messages.rs
+++ b/crates/registry/src/registry/messages.rs
@@ -8,7 +8,7 @@
 use pinerelay_consensus::Membership;
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{
-    Hello, PeerMessage, RegistryStatus, Role, LEASE_DURATION, UNDERSTANDS_ROLLOUTS,
+    Hello, PeerMessage, RegistryStatus, Role, ACKNOWLEDGES_WRITES, LEASE_DURATION, UNDERSTANDS_ROLLOUTS,
 };
 
 use super::processes::PeerRegistry;
@@ -150,6 +150,10 @@
             PeerMessage::Current { asked_at, epoch, digest, lease_left } => {
                 self.on_current(now, connection, asked_at, epoch, digest, lease_left);
             }
+            PeerMessage::ConfirmCurrent(ACKNOWLEDGES_WRITES) => {
+                self.stores.entry(connection).or_default().acknowledges_writes = true;
+            }
+            PeerMessage::Replicated(number) => self.on_replicated(connection, number, out),
             PeerMessage::CallReply(number, reply) => self.on_call_reply(connection, number, reply, out),
             other => self.receive_from_any(now, connection, peer, other, out),
         }
--- a/crates/registry/src/registry/processes.rs
+++ b/crates/registry/src/registry/processes.rs
@@ -22,6 +22,8 @@
     pub is_complete: Option<bool>,
     /// The last digest of its configuration items; `None` until it has sent one.
     pub config_digest: Option<u64>,
+    /// Whether it acknowledges replicated items once they are durable.
+    pub acknowledges_writes: bool,
     /// When its last message arrived, or the first tick after a later stall ran.
     pub last_message: Micros,
 }
@@ -86,6 +88,14 @@
         self.reported_stores().find(is_own)
     }
 
+    /// The store on this machine, if it acknowledges replicated items once they are durable.
+    pub(super) fn acknowledging_store(&self) -> Option<ConnectionId> {
+        let acknowledges = |connection: &ConnectionId| {
+            self.stores.get(connection).is_some_and(|store| store.acknowledges_writes)
+        };
+        self.own_store().filter(acknowledges)
+    }
+
     /// The number of proxies that share the tenants' quotas: the largest number that this or another registry knows.
     pub(super) fn total_proxies(&self) -> usize {
         let elsewhere = self.registries.values().map(|registry| registry.proxies as usize).max();
