Node tests: a test that fails prints the logs of its nodes

Cause: the log of a node under test went into a pipe that was read line by line on demand, so a failed test dropped it unread; five tests of `operations` failed together once and left nothing to trace. A node that logs more than the pipe holds would also have stood still.

Change: `fakes::log::NodeLog` reads the log while the node runs and keeps it, with the time of each line; dropping an `Edge` while the test fails prints it, so every assertion, `until` and `end_in_success` has it.

--- a/crates/node/tests/crowd.rs
+++ b/crates/node/tests/crowd.rs
@@ -132,7 +132,7 @@
         until("ready", || new.call("GET", "/api/ready", "").0 == 200);
         let ready = began.elapsed();
         old.terminate();
-        assert!(old.end().0.success());
+        old.end_in_success();
         served(4);
         over.store(true, Ordering::Relaxed);
         let again = totals.connected.load(Ordering::Relaxed) - before;
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -2,17 +2,20 @@
 //! and clients. Tests synchronise on received messages rather than on time.
 #![allow(dead_code)]
 
+mod log;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::spawn;
 use std::time::{Duration, Instant};
 
+use log::NodeLog;
 use serde_json::{json, Value};
 
 /// Timeout of every wait; far longer than anything here takes, even on a slow machine.
@@ -454,7 +457,7 @@
     pub ops: Option<SocketAddr>,
     child: Child,
     path: PathBuf,
-    log: BufReader<ChildStderr>,
+    log: NodeLog,
 }
 
 /// A path in the system's temporary folder that no other test uses.
@@ -483,9 +486,14 @@
 
 /// Polls until the condition holds, for changes that the node makes later without any other sign.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
+    until_within(what, TIMEOUT, holds);
+}
+
+/// The same with a time limit of its own.
+pub fn until_within(what: &str, limit: Duration, holds: impl Fn() -> bool) {
     let begun = Instant::now();
     while !holds() {
-        assert!(begun.elapsed() < TIMEOUT, "never: {what}");
+        assert!(begun.elapsed() < limit, "never: {what}");
         std::thread::sleep(Duration::from_millis(5));
     }
 }
@@ -539,7 +547,7 @@
     }
 
     fn started((mut child, path): (Child, PathBuf)) -> Edge {
-        let mut log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut log = NodeLog::read(child.stderr.take().expect("a log"));
         let address = address_in(&mut log, "pinerelay: listening on ");
         Edge { address, ops: None, child, path, log }
     }
@@ -589,9 +597,7 @@
 
     /// The next line of the log.
     pub fn next_log_line(&mut self) -> String {
-        let mut line = String::new();
-        assert!(self.log.read_line(&mut line).expect("a line") > 0, "the node has ended");
-        line
+        self.log.next_line()
     }
 
     pub fn terminate(&self) {
@@ -617,25 +623,35 @@
 
     /// Waits for the node to exit; returns its status and the rest of its log.
     pub fn end(mut self) -> (ExitStatus, String) {
-        let mut rest = String::new();
-        self.log.read_to_string(&mut rest).expect("the log");
+        let rest = self.log.rest();
         (self.child.wait().expect("an end"), rest)
     }
+
+    /// Waits for the node to exit, which it has to do with success.
+    pub fn end_in_success(mut self) {
+        self.log.rest();
+        let status = self.child.wait().expect("an end");
+        assert!(status.success(), "{status}");
+    }
 }
 
 impl Drop for Edge {
+    /// Kills the node; if the test is failing, prints its log.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.log.rest();
+            eprintln!("log of the node at {} (process {}):\n{}", self.address, self.child.id(), self.log);
+        }
     }
 }
 
 /// The address at the end of the first log line with this prefix.
-fn address_in(log: &mut impl BufRead, begin: &str) -> SocketAddr {
-    let mut line = String::new();
+fn address_in(log: &mut NodeLog, begin: &str) -> SocketAddr {
+    let mut line = log.next_line();
     while !line.starts_with(begin) {
-        line.clear();
-        assert!(log.read_line(&mut line).expect("a line") > 0, "the node has ended");
+        line = log.next_line();
     }
     line.trim_end().rsplit(' ').next().expect("an address").parse().expect("an address")
 }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -497,8 +497,7 @@
     assert_eq!(new.answer().status(), 200);
     held.answer("200 OK", "", "held");
     assert_eq!(client.answer().body, b"held");
-    let (status, log_text) = edge.end();
-    assert!(status.success(), "{log_text}");
+    edge.end_in_success();
 }
 
 #[test]
@@ -527,7 +526,7 @@
         }
     };
     assert_eq!(back, 1.0 - leased);
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 #[test]
@@ -538,7 +537,7 @@
     let _held = app.next();
     edge.terminate();
     assert_failed(&client.answer());
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 #[test]
@@ -631,7 +630,7 @@
     a.no_request();
     edge.terminate();
     edge.signal("HUP");
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 #[test]
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -250,7 +250,7 @@
         let answer = client.answer();
         assert_eq!((answer.status(), answer.header("connection")), (200, None));
     }
-    assert!(old.end().0.success());
+    old.end_in_success();
     assert_eq!(new.metric("downstream_requests_total{lane=\"post\",result=\"completed\"}"), 10.0);
     b.no_request();
 }
--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -98,8 +98,7 @@
         }
         std::thread::yield_now();
     }
-    let (status, log) = edge.end();
-    assert!(status.success(), "{log}");
+    edge.end_in_success();
     Some(())
 }
 
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -70,7 +70,7 @@
         });
         assert_eq!(lost(&mut clients), 0, "of {} that had been written completely", clients.len());
     });
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 #[test]
@@ -96,7 +96,7 @@
         }
         assert_eq!(lost(&mut clients), 0);
     });
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 #[test]
@@ -143,7 +143,7 @@
     served_by(&app, || drop(serve_clients(&edge, 20)));
     other.no_request();
     edge.terminate();
-    assert!(edge.end().0.success());
+    edge.end_in_success();
 }
 
 /// A process resumes with unread requests, and behind them an unread message that forbids their app server.
@@ -231,7 +231,7 @@
         assert!(confirmed < 80, "the old process goes on");
         sleep(Duration::from_millis(20));
     }
-    assert!(old.end().0.success());
+    old.end_in_success();
     assert!(confirmed > 10, "{confirmed} calls in its last second");
     // A call that it applied as it ended, without an answer, may hold too.
     let hold = || new.metric("members_unavailable") as usize;
