Node tests: their files lie in the build's own folder, not in the system's temporary one

Cause: the records of nodes under test lay in the temporary folder that all programs share and that gets cleared; configurations were left there after every run. In a trial that removes the folder of the records once a node has started, exactly five of the eight tests of `operations` fail, and the other three pass: three where an operator's call is answered 500, a_broken_file_changes_nothing (one more line in the log) and two_processes_together_keep_the_descriptor_limit_of_one (three plays of three, the first with the removal of the second process's folder failing in the trial's own code). With all writes failing it is four (two of two), with writes that block for 2.5 s three (one of one). That a cleared folder is what made five fail together once is suspected, not shown: the logs of that run are gone.

Change: paths of tests are in CARGO_TARGET_TMPDIR, configurations are removed with their node, and a folder left by a killed test is passed over. No assertion changes; a node that can't write still fails its test.

--- a/crates/node/tests/check.rs
+++ b/crates/node/tests/check.rs
@@ -2,7 +2,7 @@
 
 mod fakes;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
 use fakes::{config, entry, refusing_address};
@@ -15,7 +15,8 @@
 }
 
 fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("pinerelay-check-{}-{name}", std::process::id()));
+    let path =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("pinerelay-check-{}-{name}", std::process::id()));
     std::fs::write(&path, text).expect("a file");
     path
 }
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -5,7 +5,7 @@
 mod log;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -460,11 +460,12 @@
     log: NodeLog,
 }
 
-/// A path in the system's temporary folder that no other test uses.
+/// A path that no other running test uses. It is in a folder of this package's build: the temporary folder of the system
+/// may be cleared while the test runs.
 pub fn temp_path(ending: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    std::env::temp_dir().join(format!("pinerelay-{}-{number}{ending}", std::process::id()))
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("pinerelay-{}-{number}{ending}", std::process::id()))
 }
 
 /// A folder that is removed after the test.
@@ -472,9 +473,15 @@
 
 impl Folder {
     pub fn new() -> Folder {
-        let path = temp_path(".d");
-        std::fs::create_dir(&path).expect("a folder");
-        Folder(path)
+        loop {
+            let path = temp_path(".d");
+            match std::fs::create_dir(&path) {
+                Ok(()) => return Folder(path),
+                // Left behind by a killed test of an earlier process with this number.
+                Err(error) if error.kind() == ErrorKind::AlreadyExists => {}
+                Err(error) => panic!("{}: {error}", path.display()),
+            }
+        }
     }
 }
 
@@ -515,7 +522,9 @@
 
 /// Starts a node that is expected to fail; returns its exit status and log.
 pub fn failed_start(config: &str) -> (ExitStatus, String) {
-    let out = launch(config, None).0.wait_with_output().expect("an end");
+    let (child, path) = launch(config, None);
+    let out = child.wait_with_output().expect("an end");
+    std::fs::remove_file(path).expect("the file");
     (out.status, String::from_utf8(out.stderr).expect("text"))
 }
 
@@ -609,6 +618,11 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
+    /// The configuration file that it has been started with.
+    pub fn config_file(&self) -> &Path {
+        &self.path
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
@@ -636,10 +650,11 @@
 }
 
 impl Drop for Edge {
-    /// Kills the node; if the test is failing, prints its log.
+    /// Kills the node and removes its configuration; if the test is failing, prints its log.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
         if std::thread::panicking() {
             self.log.rest();
             eprintln!("log of the node at {} (process {}):\n{}", self.address, self.child.id(), self.log);
@@ -704,7 +719,7 @@
         let mut rest = Vec::new();
         match self.reader.read_to_end(&mut rest) {
             Ok(_) => {}
-            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => {}
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
             Err(e) => panic!("the connection stays open: {e}"),
         }
         String::from_utf8_lossy(&rest).into_owned()
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -300,6 +300,7 @@
             .envs([("PROXY_FD", fd.as_ref()), ("PROXY_CONFIG", path.as_os_str())])
             .output()
             .expect("an end");
+        std::fs::remove_file(path).expect("the file");
         let log_text = String::from_utf8(out.stderr).expect("text");
         assert_eq!(out.status.code(), Some(1), "{log_text}");
         assert!(log_text.starts_with("pinerelay: PROXY_FD: ") && log_text.lines().count() == 1, "{log_text}");
--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -2,7 +2,7 @@
 
 mod fakes;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use fakes::*;
@@ -17,7 +17,10 @@
 
 impl File {
     fn new(name: &str, redis: &Redis) -> File {
-        let file = File(std::env::temp_dir().join(format!("pinerelay-{}-{name}.toml", std::process::id())));
+        let file = File(
+            Path::new(env!("CARGO_TARGET_TMPDIR"))
+                .join(format!("pinerelay-{}-{name}.toml", std::process::id())),
+        );
         file.names(redis);
         file
     }
