--- a/crates/node/src/net/succession/shared.rs
+++ b/crates/node/src/net/succession/shared.rs
@@ -222,3 +222,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/fakes/log.rs
+++ b/crates/node/tests/fakes/log.rs
@@ -45,6 +45,11 @@
         line.unwrap_or_else(|| panic!("the node has logged no further line:\n{self}"))
     }
 
+    /// Whether a line, taken or not, contains this text.
+    pub fn contains(&self, text: &str) -> bool {
+        lock_lines(&self.lines.0).read.iter().any(|(_, line)| line.contains(text))
+    }
+
     /// Waits until the node has closed its log; takes all lines that are left.
     pub fn rest(&mut self) -> String {
         let (lock, wake) = &*self.lines;
--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -21,6 +21,11 @@
 /// Timeout of every wait; far longer than anything here takes, even on a slow machine.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The end of the answer to an operator's call that the disk keeps waiting.
+pub const DISK_STALLED: &str = "the disk stands still";
+/// How long the node waits for the disk before it gives that answer.
+pub const MIN_DISK_WAIT: Duration = Duration::from_millis(700);
+
 pub struct Message {
     pub first: String,
     pub headers: BTreeMap<String, String>,
@@ -571,6 +576,39 @@
         self.try_call(method, path, body).expect("an answer")
     }
 
+    /// Excludes an app server, as [`Edge::confirm`].
+    pub fn exclude(&self, name: &str) -> usize {
+        self.confirm("/api/exclude", name, "out here, but the next process does not know of it yet")
+    }
+
+    /// Includes an app server, as [`Edge::confirm`].
+    pub fn include(&self, name: &str) -> usize {
+        self.confirm("/api/include", name, "call again, it may stay out")
+    }
+
+    /// Calls until the answer is 200, as operators have to: a call that the disk keeps waiting is answered 500 and is to be
+    /// repeated. Any other answer, and this one ahead of its time, fails the test. Returns the number of calls.
+    fn confirm(&self, path: &str, name: &str, stalled: &str) -> usize {
+        let begun = Instant::now();
+        for calls in 1.. {
+            let called = Instant::now();
+            let (status, body) = self.call("POST", path, name);
+            if status == 200 {
+                return calls;
+            }
+            let stalled = format!("{stalled}: {DISK_STALLED}\n");
+            assert_eq!((status, &body), (500, &stalled), "{path} {name:?}");
+            assert!(called.elapsed() >= MIN_DISK_WAIT, "{path} {name:?}: {:?}: {body}", called.elapsed());
+            assert!(begun.elapsed() < TIMEOUT, "never: {path} {name:?} answered 200");
+        }
+        unreachable!("the loop has no end")
+    }
+
+    /// Whether the log contains this text by now.
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.log.contains(text)
+    }
+
     /// None if the node ends meanwhile.
     pub fn try_call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let mut stream = TcpStream::connect(self.ops.expect("an operators' address")).ok()?;
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -60,16 +60,34 @@
         ("POST", "/api/exclude", "s-2", 404),
         ("POST", "/api/include", "s-2", 404),
         ("POST", "/api/exclude", "", 404),
-        ("POST", "/api/include", "s-1", 200),
-        ("POST", "/api/exclude", " s-1\n", 200),
-        ("POST", "/api/exclude", "s-1", 200),
     ] {
         assert_eq!(edge.call(method, path, body).0, status, "{method} {path} {body:?}");
     }
+    edge.include("s-1");
+    edge.exclude(" s-1\n");
+    edge.exclude("s-1");
     assert_eq!(edge.metric("members_unavailable"), 1.0);
     drop(silent);
 }
 
+#[test]
+fn a_call_that_the_disk_keeps_waiting_is_answered_500_and_200_when_repeated() {
+    let folder = Folder::new();
+    let edge = Edge::with_operators(&config(&[entry("s-1", refusing_address(), "a", "up")]), &folder.0);
+    // A write to a FIFO without a reader blocks.
+    let path = folder.0.join("pinerelay-127.0.0.1-0.0.held.next");
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
+    std::thread::scope(|scope| {
+        let calls = scope.spawn(|| edge.exclude("s-1"));
+        until("stalled", || edge.has_logged(DISK_STALLED));
+        assert_eq!(edge.metric("members_unavailable"), 1.0, "it is excluded here all the same");
+        std::fs::read(&path).expect("what was to be written");
+        assert!(calls.join().expect("confirmed") > 1);
+    });
+    edge.include("s-1");
+    until("included", || edge.metric("members_unavailable") == 0.0);
+}
+
 #[test]
 fn an_excluded_server_gets_no_new_requests_until_included() {
     let folder = Folder::new();
@@ -85,7 +103,7 @@
     client.ask(&ask("post", "p-0"));
     let (first, seen) = next_of(&[&a, &b]);
     let (held, other, name) = if first == 0 { (&a, &b, "s-1") } else { (&b, &a, "s-2") };
-    assert_eq!(edge.call("POST", "/api/exclude", name).0, 200);
+    let excluded = edge.exclude(name);
     seen.answer("200 OK", "", "ends");
     assert_eq!(client.answer().body, b"ends");
     lists.publish_and_wait(entry(name, held.address, "a", "up"));
@@ -95,8 +113,8 @@
     }
     held.no_request();
     // Included again, and the only one once the other is excluded. It counts as just started and ramps up slowly.
-    assert_eq!(edge.call("POST", "/api/include", name).0, 200);
-    assert_eq!(edge.call("POST", "/api/exclude", if first == 0 { "s-2" } else { "s-1" }).0, 200);
+    let calls = [excluded, edge.include(name), edge.exclude(if first == 0 { "s-2" } else { "s-1" })];
+    assert!(calls.contains(&1), "each of {calls:?} had to be repeated");
     served(held, &mut client, &ask("post", "p-back"));
 }
 
@@ -219,16 +237,17 @@
     let platform = TcpListener::bind("127.0.0.1:0").expect("a port");
     let old = Edge::inheriting(&config, &folder.0, &platform);
     assert_eq!(old.address, platform.local_addr().expect("an address"));
-    assert_eq!(old.call("POST", "/api/exclude", "s-2").0, 200);
+    let mut calls = vec![old.exclude("s-2")];
     let (mut kept, mut waits) = (old.client(), old.client());
     served(&a, &mut kept, &ask("post", "p-1"));
     let new = Edge::inheriting(&config, &folder.0, &platform);
     until("ready", || new.call("GET", "/api/ready", "").0 == 200);
     assert_eq!(new.metric("members_unavailable"), 1.0, "the next process knows the exclusion");
     // A call to the new process takes effect in the old one too.
-    assert_eq!(new.call("POST", "/api/include", "s-2").0, 200);
+    calls.push(new.include("s-2"));
     until("let back in both", || old.metric("members_unavailable") == 0.0);
-    assert_eq!(new.call("POST", "/api/exclude", "s-2").0, 200);
+    calls.push(new.exclude("s-2"));
+    assert!(calls.contains(&1), "each of {calls:?} had to be repeated");
     until("held out in both", || old.metric("members_unavailable") == 1.0);
     served(&a, &mut waits, &ask("post", "p-1b"));
     waits.ask(&ask("post", "p-2"));
