Node tests: the upgrade's second client makes a request before the calls

Cause: a connection that has carried no request is closed after 2.2 s (`front.head_wait`). The test of the upgrade opened one, started a process and made three operators' calls before its first request, so a machine that is slow for 2.2 s in between failed it: no request within 30 s.

Change: the client is served once right after it has connected; everything that was asserted still is.

--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -240,6 +240,8 @@
     let mut calls = vec![old.exclude("s-2")];
     let (mut kept, mut waits) = (old.client(), old.client());
     served(&a, &mut kept, &ask("post", "p-1"));
+    // A connection without any request would be closed 2.2 s later.
+    served(&a, &mut waits, &ask("post", "p-1a"));
     let new = Edge::inheriting(&config, &folder.0, &platform);
     until("ready", || new.call("GET", "/api/ready", "").0 == 200);
     assert_eq!(new.metric("members_unavailable"), 1.0, "the next process knows the exclusion");
