store-redis: all connections are opened with the first call

Cause: a customer's count has another name every half minute, and the name chooses the connection. A connection was only made with its first call. A node that stops while the store is 1.5 s late and whose window ends meanwhile returns its lease to the next window's count; where that is on the other connection, it waited for a login of two late replies (3 s) and was still waiting when the node ended, 3.5 s after SIGTERM. The lease was lost: the known red test "61.53976 units stand there, and nothing comes back". 61.5 units are 3 of a lease and 2 a second over 29.3 s of a window of 30 s; it depended on the time of day, not on load.

Change: a call lets every channel without a connection connect, at the first call, after a restart and after a move. Two tests of the store, without a window: with logins that never end, the first call over the other connection has to arrive. The test of a lost reply has one connection now: the login of a second one could be taken for the call whose reply is to be cut off.

--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -59,7 +59,7 @@
     assert_eq!(client.answer().status(), 200);
 }
 
-/// How many counts there are: one for each window of a minute in which the node has called.
+/// How many counts there are: one for each window of half a minute in which the node has called.
 fn counts(redis: &Redis) -> i64 {
     match redis.look(&["DBSIZE"]) {
         Reply::Number(counts) => counts,
@@ -103,7 +103,7 @@
     Some(())
 }
 
-/// A window ends once a minute, so a repeated run ends within the next window.
+/// A window ends every half minute, so a repeated run ends within the next window.
 fn returns_lease_within_a_window(name: &str, late: Duration) {
     let seen = (0..3).find_map(|_| returns_lease(name, late));
     assert_eq!(seen, Some(()), "three windows ended one after the other");
--- a/crates/store-redis/src/store.rs
+++ b/crates/store-redis/src/store.rs
@@ -49,6 +49,9 @@
     wake: Notify,
     /// The number of calls that were sent and have no reply yet.
     in_flight: Cell<usize>,
+    is_connected: Cell<bool>,
+    /// A call was added to any channel while this one had no connection, so it connects even if its queue is empty.
+    connect_requested: Cell<bool>,
 }
 
 struct Shared {
@@ -115,6 +118,17 @@
         let call = Call { name, amount, keep_for, made_at: Instant::now(), is_retry: false };
         channel.queue.borrow_mut().push_back(call);
         channel.wake.notify_one();
+        self.connect_all();
+    }
+
+    /// Lets all channels connect: a counter's successor may be assigned to another channel, and its first call, which
+    /// may be the last of a node that stops, should not have to wait for a login.
+    fn connect_all(&self) {
+        for channel in self.channels.iter().filter(|channel| !channel.is_connected.get()) {
+            if !channel.connect_requested.replace(true) {
+                channel.wake.notify_one();
+            }
+        }
     }
 
     /// Whether the outcome of every call has been reported.
@@ -173,15 +187,19 @@
 async fn run_channel(channel: Rc<Channel>, shared: Rc<Shared>) {
     let mut delay = MIN_RECONNECT_DELAY;
     loop {
-        if channel.queue.borrow().is_empty() {
+        if channel.queue.borrow().is_empty() && !channel.connect_requested.get() {
             channel.wake.notified().await;
             continue;
         }
+        channel.connect_requested.set(false);
         let moves = shared.moves.get();
         match connect(&channel, &shared).await {
             Ok((connection, driver)) => {
                 delay = MIN_RECONNECT_DELAY;
+                channel.connect_requested.set(false);
+                channel.is_connected.set(true);
                 run_connection(&channel, &shared, connection, driver, moves).await;
+                channel.is_connected.set(false);
             }
             Err(why) => {
                 shared.log(&why);
--- a/crates/store-redis/tests/store.rs
+++ b/crates/store-redis/tests/store.rs
@@ -15,10 +15,15 @@
 
 const NAME: CountName = CountName(0x2a);
 const KEY: &str = "bole:q:2a";
+/// A counter whose calls take the other one of two connections.
+const OTHER_NAME: CountName = CountName(0x2b);
+const OTHER_KEY: &str = "bole:q:2b";
 const LIFETIME: u64 = 60_000_000;
 /// A call timeout that no reply in these tests reaches, even on a busy machine, and one that expires soon.
 const LONG_TIMEOUT: u64 = 20_000_000;
 const SHORT_TIMEOUT: u64 = 50_000;
+/// A call timeout that a login without delays does not reach, and that a call which waits for a late one soon does.
+const CONNECT_TIMEOUT: u64 = 5_000_000;
 
 /// The outcomes that the store has reported and no test has taken yet.
 #[derive(Default)]
@@ -113,7 +118,9 @@
 fn a_call_whose_reply_is_lost_is_retried_and_counted_once() {
     run(async {
         let redis = open_redis().await;
-        let node = Node::new(server(&redis), LONG_TIMEOUT, 1);
+        // The login of a second connection must not be taken for the call.
+        let server = Settings { connections: 1, ..settings(&redis) }.server().expect("a server");
+        let node = Node::new(server, LONG_TIMEOUT, 1);
         assert_eq!(node.add(2.0).await, (Outcome::Ok, 2.0));
         // The next reply is cut off in the middle and its connection closed; later replies are complete.
         let calls = redis.calls();
@@ -128,6 +135,47 @@
     });
 }
 
+/// The node's next counter may be assigned to another connection. While the server replies late, a login takes two late
+/// replies, and a node that stops has no time for them: its lease would not be returned.
+#[test]
+fn the_first_call_over_another_connection_does_not_wait_for_a_login() {
+    run(async {
+        let redis = open_redis().await;
+        let node = Node::new(server(&redis), CONNECT_TIMEOUT, 1);
+        // More round trips than a login takes, on the same thread.
+        for _ in 0..100 {
+            assert_eq!(node.add(0.0).await, (Outcome::Ok, 0.0));
+        }
+        redis.feel(|m| m.late = Duration::from_secs(3_600));
+        node.store.add(OTHER_NAME, 1.0, LIFETIME);
+        while redis.sum(OTHER_KEY).is_none() {
+            assert_eq!(*node.outcomes.reported.borrow(), [], "the call was not sent");
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(redis.sum(OTHER_KEY), Some(1_000_000));
+    });
+}
+
+/// A server that has restarted is connected to again over all connections by the next call.
+#[test]
+fn a_call_restores_all_connections_that_the_server_has_closed() {
+    run(async {
+        let redis = open_redis().await;
+        let node = Node::new(server(&redis), CONNECT_TIMEOUT, 1);
+        assert_eq!(node.add(0.0).await, (Outcome::Ok, 0.0));
+        redis.restart();
+        for _ in 0..100 {
+            assert_eq!(node.add(0.0).await, (Outcome::Ok, 0.0));
+        }
+        redis.feel(|m| m.late = Duration::from_secs(3_600));
+        node.store.add(OTHER_NAME, 1.0, LIFETIME);
+        while redis.sum(OTHER_KEY).is_none() {
+            assert_eq!(*node.outcomes.reported.borrow(), [], "the call was not sent");
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
 #[test]
 fn rejected_leases_are_never_counted() {
     for refusal in [Refusal::Oom, Refusal::ReadOnly, Refusal::Loading, Refusal::Misconf, Refusal::Busy] {
