Links: only a connection that carried the greeting resets the backoff

Cause: `connect` reset its backoff as soon as a TCP connection was made. Change: the backoff is a state machine of its own without I/O and clock (`backoff.rs`), and is reset by a connection that was reported as connected, which means that the greeting has arrived.

--- a/crates/peer-link/src/lib.rs
+++ b/crates/peer-link/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`process_address`]: the addresses of processes.
 //! - [`query`]: a single request for the metrics of a process on a connection of its own.
 
+mod backoff;
 pub mod codec;
 pub mod event_order;
 pub mod link;
--- a/crates/peer-link/src/link.rs
+++ b/crates/peer-link/src/link.rs
@@ -21,6 +21,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::backoff::Backoff;
 use crate::codec::{self, CodecError, Decoder, GREETING};
 use crate::message::{Metric, PeerMessage};
 
@@ -33,10 +34,6 @@
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(600);
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The initial backoff between attempts to connect.
-const BACKOFF_MIN: Duration = Duration::from_millis(100);
-/// The maximum backoff.
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
 /// The maximum size of a link's send queue, in bytes. A link whose peer reads too slowly is closed above it.
 const SEND_QUEUE_LIMIT: usize = 32 << 20;
 /// The pause of the listener after a failed `accept`.
@@ -214,18 +211,19 @@
         }
     }
 
-    /// Connects to an address, and reconnects with exponential backoff until the handle is dropped.
+    /// Connects to an address, and reconnects with exponential backoff until the handle is dropped. Only a connection that carried
+    /// the greeting of the other end resets the backoff: the kernel also accepts connections for a process that never greets.
     pub fn connect(self: &Rc<Self>, address: SocketAddrV4) -> LinkHandle {
         let links = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let mut backoff = BACKOFF_MIN;
+            let mut backoff = Backoff::new();
             loop {
                 if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-                    backoff = BACKOFF_MIN;
-                    links.clone().run_connection(stream, address).await;
+                    if links.clone().run_connection(stream, address).await {
+                        backoff.reset();
+                    }
                 }
-                sleep(backoff).await;
-                backoff = (backoff * 2).min(BACKOFF_MAX);
+                sleep(backoff.pause()).await;
             }
         });
         LinkHandle(task.abort_handle())
@@ -287,8 +285,8 @@
         self.report(LinkEvent::Received(id, message), permit);
     }
 
-    /// Runs one connection until it ends. Cancelling the future closes it.
-    async fn run_connection(self: Rc<Self>, stream: TcpStream, peer: SocketAddrV4) {
+    /// Runs one connection until it ends; returns whether it was reported as connected. Cancelling the future closes it.
+    async fn run_connection(self: Rc<Self>, stream: TcpStream, peer: SocketAddrV4) -> bool {
         // Errors are ignored: without these options messages and failure detection are only slower.
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(LINK_TIMEOUT));
@@ -317,6 +315,7 @@
             }
             _ = write_messages(writer, receiver, &queued_bytes) => {}
         }
+        reported.get()
     }
 
     /// Reads messages until the connection ends or nothing arrives for [`LINK_TIMEOUT`].
