Links: a connection that was given up before it was accepted costs no event

Cause: a process that accepts late took a connection whose other end had given up for a live one: the greeting had arrived, so it was reported as connected and as disconnected, and a greeting was written. After an overload each late connection brought two events to the queue that was behind. Change: once a greeting without a message has arrived, the socket is asked whether the other end has closed or reset it; then it is dropped without a report. Messages behind a greeting are handled as before, also if the connection has ended since.

--- a/crates/peer-link/src/link.rs
+++ b/crates/peer-link/src/link.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -333,7 +334,12 @@
                 _ => return Ok(()),
             }
             self.set_receive_capacity(id, decoder.capacity());
-            if decoder.greeting_received()? && !reported.replace(true) {
+            if decoder.greeting_received()? && !reported.get() {
+                if decoder.buffered() == 0 && has_ended(&reader) {
+                    // The other end gave up while the connection waited to be accepted.
+                    return Ok(());
+                }
+                reported.set(true);
                 self.report(LinkEvent::Connected(id, peer), None);
             }
             let mut buffered = decoder.buffered();
@@ -346,6 +352,15 @@
     }
 }
 
+/// Whether nothing more will arrive on a connection, since the other end has closed or reset it.
+fn has_ended(reader: &OwnedReadHalf) -> bool {
+    let mut next = [MaybeUninit::uninit()];
+    match SockRef::from(reader.as_ref()).peek(&mut next) {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Writes the greeting and then the queued messages, until the connection ends.
 async fn write_messages(
     mut writer: OwnedWriteHalf,
