Links: pauses between attempts to connect have jitter

Cause: all processes that start together, or lose the same peer, reconnected after the same pauses, so hundreds of attempts met at one accept queue. The generator is seeded for each link (`RandomState` of the standard library), and the state machine takes the seed as an argument.

--- a/crates/peer-link/src/link.rs
+++ b/crates/peer-link/src/link.rs
@@ -4,7 +4,9 @@
 //! links of a process share limits on received data that is buffered, so that no peer can exhaust its memory.
 
 use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
+use std::hash::BuildHasher;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -217,7 +219,7 @@
     pub fn connect(self: &Rc<Self>, address: SocketAddrV4) -> LinkHandle {
         let links = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let mut backoff = Backoff::new();
+            let mut backoff = Backoff::new(RandomState::new().hash_one(address));
             loop {
                 if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
                     if links.clone().run_connection(stream, address).await {
