Simulator: the order of events as in the programs can be played

Cause: a simulated process handled all messages before a due tick, as programs did before ticks were kept from starving, so no play showed what the programs do under overload. Change: `EventOrder::BoundedMessages` lets a due tick wait for as many events as the programs do (`event_order::MAX_OVERDUE_EVENTS`), and each tick is told its backlog, the time for which the oldest event has waited; the programs' estimate may be longer by about a tick. The default order stays, as it is harder. The example has `--order messages|bounded|tick`.

--- a/crates/smoker/examples/recovery.rs
+++ b/crates/smoker/examples/recovery.rs
@@ -5,7 +5,7 @@
 use getopts::Options;
 use pinerelay_smoker::plan::{Micros, SECOND};
 use pinerelay_smoker::recovery::faults::{RecoveryFault, FAULT_ENDS};
-use pinerelay_smoker::recovery::plan::{ClientReturn, Costs, Mended, RecoveryPlan};
+use pinerelay_smoker::recovery::plan::{ClientReturn, Costs, EventOrder, Mended, RecoveryPlan};
 use pinerelay_smoker::recovery::play;
 
 fn options() -> Options {
@@ -15,6 +15,7 @@
     options.optopt("", "seed", "of all lots (default 1)", "N");
     options.optopt("", "seconds", "how long it lasts (default by the fault)", "N");
     options.optopt("", "mended", "causes taken out: silence,ticks,probes,content,lease-work,all", "NAMES");
+    options.optopt("", "order", "of events when a tick is due (default messages)", "messages|bounded|tick");
     options.optopt("", "core-message", "microseconds for a message at a registry", "N");
     options.optopt("", "proxy-message", "microseconds for a message at a proxy", "N");
     options.optflag("", "at-once", "clients come back at once, whatever time they are told");
@@ -33,6 +34,12 @@
     for name in found.opt_str("mended").unwrap_or_default().split(',').filter(|name| !name.is_empty()) {
         plan.mended = plan.mended.and(Mended::named(name)?);
     }
+    plan.order = match found.opt_str("order").as_deref() {
+        None | Some("messages") => EventOrder::MessagesFirst,
+        Some("bounded") => EventOrder::BoundedMessages,
+        Some("tick") => EventOrder::TickFirst,
+        Some(_) => return None,
+    };
     if found.opt_present("no-costs") {
         plan.costs = Costs::none();
     }
--- a/crates/smoker/src/process.rs
+++ b/crates/smoker/src/process.rs
@@ -156,8 +156,8 @@
     Down(Peer),
     /// A change is on disk.
     Written(u64),
-    /// Time has passed.
-    Tick,
+    /// Time has passed, while messages that arrived within the last so many microseconds may not have been handled yet.
+    Tick(Micros),
 }
 
 impl Body {
@@ -219,7 +219,7 @@
                     Input::Said(peer, speech) => service.receive(now, peer, speech, &mut wants),
                     Input::Down(peer) => service.disconnected(now, peer, &mut wants),
                     Input::Written(number) => service.write_completed(now, number, &mut wants),
-                    Input::Tick => service.tick(now, &mut wants),
+                    Input::Tick(backlog) => service.tick_with_backlog(now, backlog, &mut wants),
                 }
                 out.extend(wants.into_iter().map(Output::from));
             }
@@ -229,7 +229,7 @@
                     Input::Up(peer) => registry.connected(peer, &mut wants),
                     Input::Said(peer, speech) => registry.receive(now, peer, speech, &mut wants),
                     Input::Down(peer) => registry.disconnected(now, peer, &mut wants),
-                    Input::Tick => registry.tick(now, &mut wants),
+                    Input::Tick(backlog) => registry.tick_with_backlog(now, backlog, &mut wants),
                     Input::Written(_) => {}
                 }
                 out.extend(wants.into_iter().map(Output::from));
@@ -240,7 +240,7 @@
                     Input::Up(peer) => subscriber.connected(peer, &mut wants),
                     Input::Said(peer, speech) => subscriber.receive(now, peer, speech, &mut wants),
                     Input::Down(peer) => subscriber.disconnected(peer),
-                    Input::Tick => subscriber.tick(now, &mut wants),
+                    Input::Tick(backlog) => subscriber.tick_with_backlog(now, backlog, &mut wants),
                     Input::Written(_) => {}
                 }
                 out.extend(wants.into_iter().map(Output::from));
--- a/crates/smoker/src/recovery/plan.rs
+++ b/crates/smoker/src/recovery/plan.rs
@@ -102,6 +102,8 @@
 pub enum EventOrder {
     /// Messages: the tick waits until none is left.
     MessagesFirst,
+    /// Messages, but a due tick waits for a limited number of them, as in the programs.
+    BoundedMessages,
     /// The tick.
     TickFirst,
 }
--- a/crates/smoker/src/recovery/processors.rs
+++ b/crates/smoker/src/recovery/processors.rs
@@ -4,6 +4,7 @@
 
 use pinerelay_admission::lease::LeaseGrant;
 use pinerelay_peer_link::codec;
+use pinerelay_peer_link::event_order::MAX_OVERDUE_EVENTS;
 use pinerelay_peer_link::message::{PeerMessage, Role};
 
 use super::clients::Outcome;
@@ -13,6 +14,9 @@
 use crate::process::{Input, Peer, Proc};
 use crate::world::{Event, World};
 
+#[cfg(test)]
+mod tests;
+
 /// What waits for a processor.
 pub(crate) enum Work {
     /// A message, or a connection that comes or goes.
@@ -26,8 +30,11 @@
 /// A process's events.
 #[derive(Default)]
 pub(crate) struct Processor {
-    waiting: VecDeque<Work>,
+    /// Each with the moment at which it arrived.
+    waiting: VecDeque<(Micros, Work)>,
     tick_due: bool,
+    /// The events handled since the tick became due.
+    overdue_events: usize,
     /// What is handled now.
     current: Option<Work>,
     /// It is busy with what it handles, or with sending.
@@ -60,11 +67,18 @@
 
     /// Takes out what is handled next.
     fn next(&mut self, order: EventOrder) -> Option<Work> {
-        if self.tick_due && (order == EventOrder::TickFirst || self.waiting.is_empty()) {
-            self.tick_due = false;
+        let is_turn_of_tick = match order {
+            EventOrder::MessagesFirst => false,
+            EventOrder::BoundedMessages => self.overdue_events >= MAX_OVERDUE_EVENTS,
+            EventOrder::TickFirst => true,
+        };
+        if self.tick_due && (is_turn_of_tick || self.waiting.is_empty()) {
+            (self.tick_due, self.overdue_events) = (false, 0);
             return Some(Work::Tick);
         }
-        self.waiting.pop_front()
+        let (_, work) = self.waiting.pop_front()?;
+        self.overdue_events += usize::from(self.tick_due);
+        Some(work)
     }
 }
 
@@ -139,11 +153,18 @@
     pub(crate) fn queue_work(&mut self, proc: Proc, work: Work) {
         let Some(recovery) = &mut self.recovery else { return };
         if self.procs[proc].body.is_some() {
-            recovery.processors[proc].waiting.push_back(work);
+            recovery.processors[proc].waiting.push_back((self.now, work));
             self.handle_next(proc);
         }
     }
 
+    /// For how long the oldest event of a process has been waiting; zero if none waits.
+    pub(crate) fn backlog(&self, proc: Proc) -> Micros {
+        let processor = self.recovery.as_ref().map(|recovery| &recovery.processors[proc]);
+        let oldest = processor.and_then(|processor| processor.waiting.front());
+        oldest.map_or(0, |(arrived, _)| self.now - arrived)
+    }
+
     /// The tick of a process is due: it waits for its turn, if processors take time; tells whether they do.
     pub(crate) fn queue_tick(&mut self, proc: Proc) -> bool {
         let Some(recovery) = &mut self.recovery else { return false };
--- a/crates/smoker/src/world.rs
+++ b/crates/smoker/src/world.rs
@@ -451,7 +451,7 @@
             .map(|(&peer, _)| peer)
             .collect();
         silent.into_iter().for_each(|peer| self.close(proc, peer));
-        self.give_now(proc, Input::Tick);
+        self.give_now(proc, Input::Tick(self.backlog(proc)));
         let Some(body) = &self.procs[proc].body else { return };
         let (wanted, pause) = (body.wanted(self.places), body.pause());
         // A link that is not wanted any more is dropped.
