--- a/crates/smoker/src/recovery/faults.rs
+++ b/crates/smoker/src/recovery/faults.rs
@@ -19,9 +19,11 @@
 pub const BURST_LENGTH: Micros = 6 * SECOND;
 /// So many times the traffic come in a burst.
 const BURST_FACTOR: f64 = 3.0;
-/// Core machines that are cut off after a burst.
-const CUT_MACHINES: usize = 2;
-/// For so long.
+/// Core machines that are lost within a burst, or cut off after it.
+const LOST_MACHINES: usize = 2;
+/// How long after its begin core machines are lost in a burst. They are back when it ends.
+pub const LOSS_IN_BURST: Micros = 2 * SECOND;
+/// Core machines are cut off for so long.
 const CUT_LENGTH: Micros = 8 * SECOND;
 
 /// A fault.
@@ -39,6 +41,8 @@
     Burst,
     /// The same, and then two core machines are cut off.
     BurstAndCut,
+    /// The same, and two core machines that allocate are without power for the most of it.
+    BurstAndLoss,
     /// All machines are without power, and one proxy stays away for 30 s.
     LateProxy,
 }
@@ -53,21 +57,22 @@
         /// One proxy stays away.
         late: bool,
     },
-    /// A core machine is lost.
-    Lose,
+    /// So many core machines that allocate are without power for so long.
+    Lose(usize, Micros),
     /// Core machines are cut off.
     Cut,
 }
 
 impl RecoveryFault {
     /// All faults, by their names.
-    pub const ALL: [(&str, RecoveryFault); 7] = [
+    pub const ALL: [(&str, RecoveryFault); 8] = [
         ("none", RecoveryFault::None),
         ("all-power", RecoveryFault::AllPower),
         ("core-power", RecoveryFault::CorePower),
         ("core-machine", RecoveryFault::CoreMachine),
         ("burst", RecoveryFault::Burst),
         ("burst-and-cut", RecoveryFault::BurstAndCut),
+        ("burst-and-loss", RecoveryFault::BurstAndLoss),
         ("late-proxy", RecoveryFault::LateProxy),
     ];
 
@@ -75,7 +80,7 @@
     pub(crate) fn seconds(self) -> u64 {
         match self {
             RecoveryFault::None => 12,
-            RecoveryFault::Burst | RecoveryFault::BurstAndCut => 28,
+            RecoveryFault::Burst | RecoveryFault::BurstAndCut | RecoveryFault::BurstAndLoss => 28,
             _ => 22,
         }
     }
@@ -88,15 +93,20 @@
             RecoveryFault::AllPower => vec![(off, Step::Power { proxies: true, late: false })],
             RecoveryFault::CorePower => vec![(off, Step::Power { proxies: false, late: false })],
             RecoveryFault::LateProxy => vec![(off, Step::Power { proxies: true, late: true })],
-            RecoveryFault::CoreMachine => vec![(FAULT_ENDS, Step::Lose)],
+            RecoveryFault::CoreMachine => vec![(FAULT_ENDS, Step::Lose(1, CORE_MACHINE_AFTER))],
             RecoveryFault::BurstAndCut => vec![(FAULT_ENDS + BURST_LENGTH, Step::Cut)],
+            RecoveryFault::BurstAndLoss => {
+                let lost = Step::Lose(LOST_MACHINES, BURST_LENGTH - LOSS_IN_BURST);
+                vec![(FAULT_ENDS + LOSS_IN_BURST, lost)]
+            }
         }
     }
 }
 
 /// How many times the usual requests come at a moment.
 pub(crate) fn burst_factor(fault: RecoveryFault, now: Micros) -> f64 {
-    let has_burst = matches!(fault, RecoveryFault::Burst | RecoveryFault::BurstAndCut);
+    let has_burst =
+        matches!(fault, RecoveryFault::Burst | RecoveryFault::BurstAndCut | RecoveryFault::BurstAndLoss);
     if has_burst && (FAULT_ENDS..FAULT_ENDS + BURST_LENGTH).contains(&now) {
         BURST_FACTOR
     } else {
@@ -109,14 +119,13 @@
     pub(crate) fn fault_step(&mut self, step: Step) {
         match step {
             Step::Power { proxies, late } => self.cut_power(proxies, late),
-            Step::Lose => {
-                let machine = self.allocating_machines(1);
-                machine.into_iter().for_each(|machine| {
-                    self.befall(Trouble::Power(machine, CORE_MACHINE_AFTER));
-                });
+            Step::Lose(machines, span) => {
+                for machine in self.allocating_machines(machines) {
+                    self.befall(Trouble::Power(machine, span));
+                }
             }
             Step::Cut => {
-                for machine in self.allocating_machines(CUT_MACHINES) {
+                for machine in self.allocating_machines(LOST_MACHINES) {
                     let ways = Ways::Both;
                     self.befall(Trouble::Cut { machine, ways, outside: false, span: CUT_LENGTH });
                 }
