Registry: the duties of a silent registry are claimed as its promises expire

Cause: the duty table took every linked registry for alive. A registry without power, or cut off, keeps its links for two seconds, so nobody claimed its slices until then, although its promises expire 0.9 s after its last claim.

Change: registries record when they last handled a message of each other one. One that has been silent for PROMISE_DURATION, up to where messages have been handled, does not count as alive for duties. It is no longer promised anything by then, so no lease is cut short; when it is heard again on the same link, the others release its slices.

--- a/crates/admission/src/duty.rs
+++ b/crates/admission/src/duty.rs
@@ -20,8 +20,9 @@
 
 /// The number of slices that keys are hashed into.
 pub const SLICE_COUNT: usize = 16;
-/// For how long a voter's promise of a slice is valid.
-const PROMISE_DURATION: Micros = 900_000;
+/// For how long a voter's promise of a slice is valid. No node acts for a slice for longer than this after the last claim that it
+/// sent.
+pub const PROMISE_DURATION: Micros = 900_000;
 /// The holder of a lease stops this much before the promises expire, because clocks run at different rates.
 const CLOCK_MARGIN: Micros = 100_000;
 /// For this long after a change of epoch, majorities of both epochs are needed. This is longer than the lease of an epoch,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -122,6 +122,8 @@
     stores: BTreeMap<ConnectionId, StoreLink>,
     /// The status of other registries, by IP address.
     registries: BTreeMap<String, PeerRegistry>,
+    /// When the last message of each linked registry was handled, or the first tick after a later stall ran, by IP address.
+    registries_heard: BTreeMap<String, Micros>,
     proxies: Proxies,
     /// The last process id of each peer, by role and node.
     process_ids: BTreeMap<(Role, String), u64>,
@@ -173,6 +175,7 @@
             peers: BTreeMap::new(),
             stores: BTreeMap::new(),
             registries: BTreeMap::new(),
+            registries_heard: BTreeMap::new(),
             proxies: Proxies::default(),
             process_ids: BTreeMap::new(),
             last_sync: BTreeMap::new(),
@@ -278,6 +281,7 @@
         if has_stalled {
             // Messages that arrived during the stall have not been read yet.
             self.stores.values_mut().for_each(|store| store.last_message = now);
+            self.registries_heard.values_mut().for_each(|heard| *heard = now);
         }
         self.update_own_store(now);
         self.update_majority(now, has_stalled);
--- a/crates/registry/src/registry/messages.rs
+++ b/crates/registry/src/registry/messages.rs
@@ -33,6 +33,7 @@
         let is_linked = self.peers.values().any(|peer| peer.role == hello.role && peer.node == hello.node);
         if hello.role == Role::Registry && !is_linked {
             self.registries.remove(&hello.ip);
+            self.registries_heard.remove(&hello.ip);
             self.update_duties(now, out);
         }
     }
@@ -79,7 +80,8 @@
         match peer.role {
             Role::Proxy => self.record_proxy_message(now, &peer.node),
             Role::ConfigStore => self.stores.entry(connection).or_default().last_message = now,
-            Role::Registry | Role::Observer => {}
+            Role::Registry => self.record_registry_message(now, &peer.ip),
+            Role::Observer => {}
         }
     }
 
@@ -198,8 +200,13 @@
                 self.proxies.set.connected(&hello.node);
                 self.record_proxy_message(now, &hello.node);
             }
-            Role::Registry if is_new_process => self.duties.peer_restarted(now, &hello.ip),
-            _ => {}
+            Role::Registry => {
+                if is_new_process {
+                    self.duties.peer_restarted(now, &hello.ip);
+                }
+                self.record_registry_message(now, &hello.ip);
+            }
+            Role::ConfigStore | Role::Observer => {}
         }
         self.peers.insert(connection, hello);
         match role {
--- a/crates/registry/src/registry/processes.rs
+++ b/crates/registry/src/registry/processes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use pinerelay_admission::duty::PROMISE_DURATION;
 use pinerelay_admission::quota_allocator::SHARE_LIFETIME;
 use pinerelay_admission::Micros;
 use pinerelay_peer_link::link::ConnectionId;
@@ -12,6 +13,9 @@
 
 /// A proxy counts as missing once it has been silent for this long.
 const PROXY_TIMEOUT: Micros = 650_000;
+/// The duties of a registry are claimed by others once it has been silent for this long: the promises for what it had claimed until
+/// then have expired. Registries send a message every [`super::STATUS_INTERVAL`].
+const REGISTRY_TIMEOUT: Micros = PROMISE_DURATION;
 /// A missing proxy is forgotten after this time, when its quota share has expired.
 const MISSING_LIMIT: Micros = SHARE_LIFETIME;
 
@@ -71,6 +75,27 @@
         registries.map(|(&connection, hello)| (hello.ip.clone(), connection)).collect()
     }
 
+    /// Records that a message of a registry has arrived.
+    pub(super) fn record_registry_message(&mut self, now: Micros, ip: &str) {
+        match self.registries_heard.get_mut(ip) {
+            Some(heard) => *heard = now,
+            None => {
+                self.registries_heard.insert(ip.into(), now);
+            }
+        }
+    }
+
+    /// The IP addresses of the linked registries that have not been silent for [`REGISTRY_TIMEOUT`] among the handled messages.
+    pub(super) fn heard_registries(&self) -> BTreeSet<String> {
+        // As the last tick found: between ticks messages may have been waiting for longer than is known.
+        let handled_until = self.handled_until(self.last_tick);
+        let is_heard = |ip: &String| {
+            let heard = self.registries_heard.get(ip);
+            heard.is_some_and(|heard| handled_until < heard + REGISTRY_TIMEOUT)
+        };
+        self.registry_connections().into_keys().filter(is_heard).collect()
+    }
+
     /// The stores that have reported their status.
     pub(super) fn reported_stores(&self) -> impl Iterator<Item = ConnectionId> + '_ {
         let reported = self.stores.iter().filter(|(_, store)| store.is_complete.is_some());
--- a/crates/registry/src/registry/quota_duty.rs
+++ b/crates/registry/src/registry/quota_duty.rs
@@ -81,11 +81,10 @@
 }
 
 impl Registry {
-    /// Updates the duties from the registries that are linked, and then the allocators.
+    /// Updates the duties from the registries that are linked and not silent, and then the allocators.
     pub(super) fn update_duties(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let alive: BTreeSet<String> = self.registry_connections().into_keys().collect();
         let mut actions = Vec::new();
-        self.duties.tick(now, alive, &mut actions);
+        self.duties.tick(now, self.heard_registries(), &mut actions);
         self.apply_duty_actions(now, actions, out);
         let held = self.duties.held_count(now);
         if held != self.quota_duty.logged_slices {
