Proxy: a registry that is silent on an open link is not asked for leases

Cause: the owner of a slice was asked until its link closed, two seconds after its last byte. If its machine had lost power or was cut off, each lease request timed out and went to it again, also once another registry had taken the duty over.

Change: a registry that has been silent for PROMISE_DURATION (0.9 s), up to where the proxy has handled what had arrived, is no candidate. If all are silent the proxy asks as before, and the first that is heard again gives the others as long to be heard. A silent owner is remembered until another registry answers as the owner. A lease request that times out does not move on by itself.

--- a/crates/proxy/src/subscriber.rs
+++ b/crates/proxy/src/subscriber.rs
@@ -90,6 +90,10 @@
     logged_cut_off: bool,
     /// The linked registries.
     registries: BTreeMap<ConnectionId, RegistryLink>,
+    /// When the last message of any registry was handled.
+    last_registry_message: Micros,
+    /// Since when the registries have not all been silent at once.
+    in_contact_since: Micros,
     /// The anti-entropy exchange in progress.
     exchange: Option<Exchange>,
     /// Whether the replica has once been equal to the configuration of a registry that was complete and current.
@@ -113,6 +117,9 @@
     last_tick: Micros,
     /// How long messages may have been waiting at the last tick to be handled; 0 if none were.
     backlog: Micros,
+    /// Up to this time all messages have been handled that had arrived, as the last tick found. The silence of registries is judged
+    /// up to it, also between ticks: after a stall clients' requests may be handled before messages.
+    handled_until: Micros,
 }
 
 impl Subscriber {
@@ -130,6 +137,8 @@
             leases: LeaseCache::new(),
             logged_cut_off: false,
             registries: BTreeMap::new(),
+            last_registry_message: now,
+            in_contact_since: now,
             exchange: None,
             is_complete: false,
             no_current_since: None,
@@ -142,6 +151,7 @@
             next_keepalive: now,
             last_tick: now,
             backlog: 0,
+            handled_until: now,
         }
     }
 
@@ -256,8 +266,9 @@
         out: &mut Vec<Output>,
     ) {
         match message {
-            PeerMessage::Hello(hello) => self.on_hello(connection, hello, out),
+            PeerMessage::Hello(hello) => self.on_hello(now, connection, hello, out),
             message if self.registries.contains_key(&connection) => {
+                self.record_registry_message(now, connection);
                 self.dispatch(now, connection, message, out);
             }
             _ => out.push(Output::Close(connection)),
@@ -266,7 +277,7 @@
     }
 
     /// Registers a link to a registry and sends it the digests; closes connections from other roles, except observers.
-    fn on_hello(&mut self, connection: ConnectionId, hello: Hello, out: &mut Vec<Output>) {
+    fn on_hello(&mut self, now: Micros, connection: ConnectionId, hello: Hello, out: &mut Vec<Output>) {
         if hello.role == Role::Observer {
             // An observer only requests metrics.
             return;
@@ -277,7 +288,8 @@
         }
         log::info!("linked to registry {}", hello.ip);
         self.known_registries.insert(hello.ip.clone());
-        self.registries.insert(connection, RegistryLink::new(hello));
+        self.registries.insert(connection, RegistryLink::new(now, hello));
+        self.record_registry_message(now, connection);
         out.push(Output::Send(connection, PeerMessage::Digests(self.digests())));
         out.push(Output::Send(connection, PeerMessage::ConfirmCurrent(UNDERSTANDS_ROLLOUTS)));
     }
@@ -404,6 +416,7 @@
     /// Runs the periodic work, while messages that arrived within the last `backlog` may not have been handled yet.
     pub fn tick_with_backlog(&mut self, now: Micros, backlog: Micros, out: &mut Vec<Output>) {
         self.backlog = backlog;
+        self.handled_until = now.saturating_sub(backlog);
         let decisions = self.leases.tick(now);
         out.extend(decisions.into_iter().map(Output::Decided));
         self.request_leases(now, out);
--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use pinerelay_admission::duty::{slice_of, slice_owner};
+use pinerelay_admission::duty::{slice_of, slice_owner, PROMISE_DURATION};
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
 use pinerelay_admission::Micros;
 use pinerelay_config_state::hash::rendezvous_order;
 use pinerelay_peer_link::link::ConnectionId;
 use pinerelay_peer_link::message::{PeerMessage, TenantGrant};
 
+use super::registry_link::RegistryLink;
 use super::{Output, Subscriber};
 
 /// Which registry to ask for leases of the tenants of a slice.
@@ -20,6 +21,9 @@
     misdirected: usize,
 }
 
+/// A registry that has been silent for this long is not asked for leases, in microseconds. If it lost power after its last message,
+/// the promises of its duties have expired. Registries send a message every 0.6 s.
+const OWNER_SILENCE_LIMIT: Micros = PROMISE_DURATION;
 /// A proxy is reported as cut off once the lease requests of one in this many tenants fail.
 const CUT_OFF_REPORT_DIVISOR: usize = 2;
 /// It is reported as answered again once no more than one in this many still fail.
@@ -69,15 +73,45 @@
         }
     }
 
-    /// The linked registries that report a majority, by address.
+    /// The linked registries that report a majority and are not silent, by address. If all of them are silent, the proxy itself is
+    /// probably cut off, and silence says nothing about a single registry: then all that report a majority.
     fn alive_registries(&self) -> BTreeMap<String, ConnectionId> {
-        let alive = self.registries.iter().filter(|(_, registry)| registry.has_majority());
-        alive.map(|(&connection, registry)| (registry.hello.ip.clone(), connection)).collect()
+        let heard = self.majority_registries(|registry| !self.is_silent(registry));
+        if heard.is_empty() {
+            return self.majority_registries(|_| true);
+        }
+        heard
+    }
+
+    /// The linked registries that report a majority and meet a condition, by address.
+    fn majority_registries(
+        &self,
+        condition: impl Fn(&RegistryLink) -> bool,
+    ) -> BTreeMap<String, ConnectionId> {
+        let registries =
+            self.registries.iter().filter(|(_, registry)| registry.has_majority() && condition(registry));
+        registries.map(|(&connection, registry)| (registry.hello.ip.clone(), connection)).collect()
+    }
+
+    /// Whether a registry has been silent for [`OWNER_SILENCE_LIMIT`] among the handled messages, while others were not.
+    fn is_silent(&self, registry: &RegistryLink) -> bool {
+        let since = registry.last_message.max(self.in_contact_since);
+        self.handled_until >= since + OWNER_SILENCE_LIMIT
+    }
+
+    /// Records that a message of a registry is handled. Once all have been silent, each gets the time to be heard again.
+    pub(super) fn record_registry_message(&mut self, now: Micros, connection: ConnectionId) {
+        if now >= self.last_registry_message + OWNER_SILENCE_LIMIT {
+            self.in_contact_since = now;
+        }
+        self.last_registry_message = now;
+        self.update_registry(connection, |registry| registry.last_message = now);
     }
 
     /// Returns the registry that presumably owns the tenant's slice: the one that last answered as its owner, and otherwise the
     /// candidates in rendezvous order. Registries may view each other differently, or may not be eligible yet after a change of
-    /// voters, so each `NotOwner` reply moves on to the next candidate.
+    /// voters, so each `NotOwner` reply moves on to the next candidate. The owner is remembered while it is silent, until another
+    /// registry answers as the owner: it may have kept its duty.
     fn owner_of(&self, tenant: &str, alive: &BTreeMap<String, ConnectionId>) -> Option<ConnectionId> {
         let slice = slice_of(tenant);
         let route = self.slice_routes.get(&slice).copied().unwrap_or_default();
--- a/crates/proxy/src/subscriber/registry_link.rs
+++ b/crates/proxy/src/subscriber/registry_link.rs
@@ -18,6 +18,8 @@
 pub(super) struct RegistryLink {
     /// The registry's `Hello` message.
     pub hello: Hello,
+    /// When its last message was handled.
+    pub last_message: Micros,
     /// The last status that the registry reported.
     pub status: Option<RegistryStatus>,
     /// The last received digests of the registry's configuration items and runtime items.
@@ -34,9 +36,10 @@
 
 impl RegistryLink {
     /// Creates a link for which only `Hello` has been received.
-    pub fn new(hello: Hello) -> RegistryLink {
+    pub fn new(now: Micros, hello: Hello) -> RegistryLink {
         RegistryLink {
             hello,
+            last_message: now,
             status: None,
             digests: None,
             differs_since: [None; 2],
--- a/crates/smoker/tests/recovery.rs
+++ b/crates/smoker/tests/recovery.rs
@@ -2,10 +2,11 @@
 
 use googletest::prelude::*;
 use pinerelay_smoker::plan::{Micros, SECOND};
+use pinerelay_smoker::recovery::clients::Outcome;
 use pinerelay_smoker::recovery::faults::{RecoveryFault, BURST_LENGTH, FAULT_ENDS};
 use pinerelay_smoker::recovery::plan::RecoveryPlan;
 use pinerelay_smoker::recovery::play;
-use pinerelay_smoker::recovery::samples::{Report, Second};
+use pinerelay_smoker::recovery::samples::{Report, Second, SAMPLE};
 
 /// So much of what is asked within the quotas has to be admitted: most.
 const MOST: f64 = 0.5;
@@ -56,3 +57,22 @@
         expect_most_admitted(&report, burst_ends - SECOND, machines);
     }
 }
+
+/// After the loss of a core machine its duties are with others within this time: they lapse 0.9 s after its last claim.
+const TAKEOVER: Micros = 3 * SAMPLE;
+/// At most one in this many requests waits in vain for a lease from then on.
+const WAITED_IN_VAIN_DIVISOR: u64 = 50;
+
+// Guards against duties that stay with a lost machine until the links to it close, and against proxies that go on asking it.
+#[gtest]
+fn the_duties_of_a_lost_core_machine_are_taken_over_before_the_links_to_it_close() {
+    for machines in [36, 100] {
+        let report = recover(machines, RecoveryFault::CoreMachine, FAULT_ENDS);
+        expect_most_admitted(&report, FAULT_ENDS - SECOND, machines);
+        let samples = &report.samples[((FAULT_ENDS + TAKEOVER) / SAMPLE) as usize..];
+        for sample in samples {
+            let in_vain = sample.count(Outcome::WaitedInVain) * WAITED_IN_VAIN_DIVISOR;
+            expect_that!(in_vain, le(sample.asked), "{machines} machines: {report}");
+        }
+    }
+}
