Node: unit tests of `shared` start no child while other tests hold file locks

Cause: made the FIFO that blocks a write with `mkfifo`, in the process of the unit tests. A child inherits open files until it runs its program, so the locks of other tests on their records lasted longer than their holders: processes_share_claims_standings_and_exclusions_and_a_crash_frees_a_slot failed in a run of the package.

Change: the write blocks on a full pipe of the test's own; no child. The assertions of both tests are as they were. Tests in `tests/` hold no locks in their own process.

Both tests fail if the call does not wait, the one on the stalled disk if it waits for half of 0.7 s.

--- a/crates/node/src/net/succession/shared/tests.rs
+++ b/crates/node/src/net/succession/shared/tests.rs
@@ -1,7 +1,10 @@
 use std::fs;
+use std::io::Read;
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::pin::pin;
-use std::process::Command;
+
+use tokio::net::unix::pipe;
 
 use super::*;
 
@@ -28,11 +31,24 @@
         Shared::join(&self.0, Folder::listen_address(), 400).expect("a slot").0
     }
 
-    /// Makes the next write of exclusions block until the returned function is called: a FIFO without a reader.
-    fn stall(&self) -> impl FnOnce() {
+    /// Makes the next write of exclusions block until the returned function is called: its file is a full pipe. Danger: a
+    /// FIFO made by a child process would disturb other tests, since the child inherits their file locks for a moment.
+    async fn stall(&self) -> impl FnOnce() {
+        let (writer, reader) = pipe::pipe().expect("a pipe");
+        writer.writable().await.expect("an open pipe");
+        let mut length = 0;
+        while let Ok(written) = writer.try_write(&[0; 4096]) {
+            length += written;
+        }
+        let opened_again = format!("/proc/self/fd/{}", writer.as_raw_fd());
         let path = self.0.join("pinerelay-127.0.0.1-3000.0.held.next");
-        assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
-        move || drop(fs::read(path).expect("what was to be written"))
+        std::os::unix::fs::symlink(opened_again, path).expect("a link");
+        let mut reader = fs::File::from(reader.into_blocking_fd().expect("a descriptor"));
+        move || {
+            reader.read_exact(&mut vec![0; length]).expect("what fills the pipe");
+            // The write that was blocked still needs both ends.
+            std::mem::forget((writer, reader));
+        }
     }
 }
 
@@ -44,7 +60,7 @@
 
 /// Runs with a clock that jumps to the next timer whenever nothing else is left to do.
 fn with_jumping_clock<T>(run: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     runtime.expect("a runtime").block_on(run)
 }
 
@@ -76,8 +92,8 @@
 fn a_call_on_a_stalled_disk_is_answered_after_its_wait_and_succeeds_when_repeated() {
     let folder = Folder::new("stalled");
     let shared = folder.join();
-    let resume = folder.stall();
     with_jumping_clock(async {
+        let resume = folder.stall().await;
         let mut call = pin!(shared.call("s-1", Call::Exclude));
         assert!(timeout(JUST_BEFORE_WAIT_ENDS, &mut call).await.is_err(), "answered too early");
         let error = call.await.expect_err("the write blocks");
