Proxy: one message of lease requests at a time is unanswered at a registry

Cause: each client's request of another tenant was a message of its own, repeated after 0.12 s for each tenant. In a burst of three times the traffic the queue of a registry grew to seconds of requests that had been repeated since; claims of duties waited behind them, duties lapsed, and what was repeated kept the state up after the burst. Change: requests that become due while a registry has not answered share the next message. A registry that does not answer gets another one after 0.12, 0.24 and then 0.48 s. The queue is bounded by the number of proxies.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -19,6 +19,7 @@
 
 pub use counts::LeaseCounts;
 use tenant::TenantCache;
+pub use tenant::LEASE_REQUEST_TIMEOUT;
 
 /// Identifies a client's request.
 pub type RequestId = u64;
@@ -134,9 +135,16 @@
 
     /// Returns the lease requests to send now, which also return unspent units.
     pub fn lease_requests(&mut self, now: Micros) -> Vec<LeaseRequest> {
-        let tenants = self.tenants.iter_mut();
-        let requests: Vec<LeaseRequest> =
-            tenants.filter_map(|(tenant, cache)| cache.lease_request(now, tenant)).collect();
+        self.lease_requests_if(now, |_| true)
+    }
+
+    /// Returns the lease requests to send now, of the tenants whose allocator may be asked now. The others stay due.
+    pub fn lease_requests_if(&mut self, now: Micros, may_ask: impl Fn(&str) -> bool) -> Vec<LeaseRequest> {
+        let due = self.tenants.iter_mut().filter_map(|(tenant, cache)| {
+            let is_asked = cache.is_request_due(now) && may_ask(tenant);
+            is_asked.then(|| cache.lease_request(now, tenant))?
+        });
+        let requests: Vec<LeaseRequest> = due.collect();
         self.counts.requests += requests.iter().filter(|request| request.wanted >= 1.0).count() as u64;
         requests
     }
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -21,7 +21,7 @@
 /// A request that arrives up to this long after a promised time counts as that client's return.
 const CLIENT_RETURN_WINDOW: Micros = 50_000;
 /// An unanswered lease request is repeated after this time, possibly to another node.
-pub(super) const LEASE_REQUEST_TIMEOUT: Micros = 120_000;
+pub const LEASE_REQUEST_TIMEOUT: Micros = 120_000;
 /// A client's request is rejected when it has waited this long.
 pub(super) const WAIT_TIMEOUT: Micros = 300_000;
 /// A proxy that is cut off rejects a client's request after this shorter time: the allocator may be back, and answers within it.
@@ -255,6 +255,11 @@
         self.probe_at = now + (PROBE_INTERVAL as f64 * (1.0 - spread)) as Micros;
     }
 
+    /// Whether there are units to request or to return now.
+    pub(super) fn is_request_due(&mut self, now: Micros) -> bool {
+        self.returned >= 1.0 || self.wanted_units(now) >= 1.0
+    }
+
     /// Returns the lease request to send now, if any, and records it as sent.
     pub(super) fn lease_request(&mut self, now: Micros, tenant: &str) -> Option<LeaseRequest> {
         let wanted = self.wanted_units(now);
--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -1,4 +1,7 @@
 //! Requests leases of quota units, each from the registry that owns the tenant's slice.
+//!
+//! One message with lease requests at a time is unanswered on a link. Requests that become due meanwhile share the next one, so
+//! what waits in a registry's queue is bounded by the number of proxies, however many tenants and clients there are.
 
 use std::collections::BTreeMap;
 
@@ -45,13 +48,17 @@
         }
     }
 
-    /// Sends the lease requests that are due.
+    /// Sends the lease requests that are due, except to registries that have not answered the last ones yet.
     pub(super) fn request_leases(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let requests = self.leases.lease_requests(now);
+        let alive = self.alive_registries();
+        let (registries, routes) = (&self.registries, &self.slice_routes);
+        let requests = self.leases.lease_requests_if(now, |tenant| {
+            let owner = presumed_owner(routes, tenant, &alive).and_then(|owner| registries.get(&owner));
+            owner.is_none_or(|owner| owner.may_be_asked_for_leases(now))
+        });
         if requests.is_empty() {
             return;
         }
-        let alive = self.alive_registries();
         let mut by_connection: BTreeMap<ConnectionId, Vec<LeaseRequest>> = BTreeMap::new();
         for request in requests {
             let owner = self.owner_of(&request.tenant, &alive);
@@ -108,20 +115,9 @@
         self.update_registry(connection, |registry| registry.last_message = now);
     }
 
-    /// Returns the registry that presumably owns the tenant's slice: the one that last answered as its owner, and otherwise the
-    /// candidates in rendezvous order. Registries may view each other differently, or may not be eligible yet after a change of
-    /// voters, so each `NotOwner` reply moves on to the next candidate. The owner is remembered while it is silent, until another
-    /// registry answers as the owner: it may have kept its duty.
+    /// Returns the registry that presumably owns the tenant's slice.
     fn owner_of(&self, tenant: &str, alive: &BTreeMap<String, ConnectionId>) -> Option<ConnectionId> {
-        let slice = slice_of(tenant);
-        let route = self.slice_routes.get(&slice).copied().unwrap_or_default();
-        if let Some(owner) = route.owner.filter(|owner| alive.values().any(|connection| connection == owner))
-        {
-            return Some(owner);
-        }
-        let candidates = rendezvous_order(&format!("duty-{slice}"), alive.keys());
-        debug_assert!(candidates.first().copied() == slice_owner(slice, alive.keys()));
-        candidates.get(route.misdirected % candidates.len().max(1)).map(|name| alive[*name])
+        presumed_owner(&self.slice_routes, tenant, alive)
     }
 
     /// Records whether a registry owns the slice of a tenant. Further replies of a registry that is no longer the one to ask say
@@ -160,3 +156,22 @@
         self.request_leases(now, out);
     }
 }
+
+/// Returns the registry that presumably owns the tenant's slice: the one that last answered as its owner, and otherwise the
+/// candidates in rendezvous order. Registries may view each other differently, or may not be eligible yet after a change of
+/// voters, so each `NotOwner` reply moves on to the next candidate. The owner is remembered while it is silent, until another
+/// registry answers as the owner: it may have kept its duty.
+fn presumed_owner(
+    routes: &BTreeMap<usize, SliceRoute>,
+    tenant: &str,
+    alive: &BTreeMap<String, ConnectionId>,
+) -> Option<ConnectionId> {
+    let slice = slice_of(tenant);
+    let route = routes.get(&slice).copied().unwrap_or_default();
+    if let Some(owner) = route.owner.filter(|owner| alive.values().any(|connection| connection == owner)) {
+        return Some(owner);
+    }
+    let candidates = rendezvous_order(&format!("duty-{slice}"), alive.keys());
+    debug_assert!(candidates.first().copied() == slice_owner(slice, alive.keys()));
+    candidates.get(route.misdirected % candidates.len().max(1)).map(|name| alive[*name])
+}
--- a/crates/proxy/src/subscriber/registry_link.rs
+++ b/crates/proxy/src/subscriber/registry_link.rs
@@ -2,9 +2,13 @@
 
 use std::collections::VecDeque;
 
+use pinerelay_admission::lease_cache::LEASE_REQUEST_TIMEOUT;
 use pinerelay_admission::Micros;
 use pinerelay_peer_link::message::{Hello, RegistryStatus};
 
+/// How often the timeout of unanswered messages with lease requests is doubled at most.
+const MAX_TIMEOUT_DOUBLINGS: usize = 2;
+
 /// A registry's confirmation that its replica is current.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Confirmation {
@@ -49,6 +53,14 @@
         }
     }
 
+    /// Whether a message with lease requests may be sent to the registry: the last one is answered, or has timed out. The timeout
+    /// doubles with each unanswered message.
+    pub fn may_be_asked_for_leases(&self, now: Micros) -> bool {
+        let Some(&sent_at) = self.open_lease_requests.back() else { return true };
+        let doublings = (self.open_lease_requests.len() - 1).min(MAX_TIMEOUT_DOUBLINGS);
+        now >= sent_at + (LEASE_REQUEST_TIMEOUT << doublings)
+    }
+
     /// Whether the registry reports that it has the complete configuration.
     pub fn is_complete(&self) -> bool {
         self.status.as_ref().is_some_and(|status| status.is_complete)
--- a/crates/smoker/tests/recovery.rs
+++ b/crates/smoker/tests/recovery.rs
@@ -72,7 +72,9 @@
 fn expect_burst_and_loss_are_borne(machines: usize) {
     let burst_ends = FAULT_ENDS + BURST_LENGTH;
     let mut plan = plan(machines, RecoveryFault::BurstAndLoss, burst_ends);
+    // The order of events and the cost of a lease request are those of the programs.
     plan.order = EventOrder::BoundedMessages;
+    plan.mended.lease_work = true;
     let report = play(&plan);
     let in_burst = report.seconds(FAULT_ENDS, burst_ends);
     // A second in which full buckets are emptied does not make up for another.
