Node tests: a counter's answer that a busy machine delays is not a call timed out

Cause: the node waits 80 ms for its counter (count_wait) and then serves from its even share, as it should. Four tests need their answer to count: if the test or the node was delayed by 80 ms in between, no further call followed, and the test panicked after 30 s in CounterServer::next (or, after a move, in AppServer::next).

Change: these tests run with a wait of 20 s, which those of the Redis store already had; what they assert is unchanged.

--- a/crates/node/tests/fakes/mod.rs
+++ b/crates/node/tests/fakes/mod.rs
@@ -23,6 +23,9 @@
 
 /// Timeout of every wait; far longer than anything here takes, even on a slow machine.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
+/// The node's timeout for a call to its quota store, in tests that answer the call. It is longer than a busy machine
+/// delays the answer; an incomplete answer is given up after half of it, which is within [`TIMEOUT`].
+const LONG_STORE_TIMEOUT: Duration = Duration::from_secs(20);
 
 pub struct Message {
     pub first: String,
@@ -453,3 +456,10 @@
         "known": {"index": 1, "snapshot": true, "endpoints": entries}, "settings": settings(),
     })
 }
+
+/// A configuration with nothing but this app server, for tests in which a call to the quota store must not time out.
+pub fn config_with_long_store_timeout(app: &AppServer) -> Value {
+    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    config["settings"]["domain"]["count_wait"] = json!(LONG_STORE_TIMEOUT.as_micros() as u64);
+    config
+}
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -503,7 +503,7 @@
 #[test]
 fn a_planned_stop_hands_the_lease_back() {
     let (app, counts) = (AppServer::new(), CounterServer::new());
-    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+    let mut config = config_with_long_store_timeout(&app);
     config["counter"] = json!(counts.address.to_string());
     let edge = Edge::new(&config);
     let mut client = edge.client();
@@ -589,7 +589,7 @@
 fn a_new_configuration_moves_discovery_and_the_counter() {
     let (a, b) = (AppServer::new(), AppServer::new());
     let (old, old_counts, counts) = (DiscoveryServer::new(), CounterServer::new(), CounterServer::new());
-    let mut config = config(&[entry("s-1", a.address, "a", "up")]);
+    let mut config = config_with_long_store_timeout(&a);
     // So slow that a bucket refills by less within a window than the node would report: no call but those of the leases.
     config["settings"]["tariffs"][1]["quota_rate"] = json!(0.02);
     config["discovery"] = json!(old.address.to_string());
@@ -647,7 +647,7 @@
 fn a_total_that_cannot_be_read_is_read_again_and_nothing_added_twice() {
     for malformed in ["$3\r\nabc\r\n", "noise without an end", "$5\r\n1"] {
         let (app, counts) = (AppServer::new(), CounterServer::new());
-        let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+        let mut config = config_with_long_store_timeout(&app);
         config["counter"] = json!(counts.address.to_string());
         let edge = Edge::new(&config);
         let mut client = edge.client();
@@ -669,7 +669,7 @@
     // Added; not added; or others drew as well, and it can't be determined.
     for (part, granted) in [(1.0, true), (0.0, false), (1.5, false)] {
         let (app, counts) = (AppServer::new(), CounterServer::new());
-        let mut config = config(&[entry("s-1", app.address, "a", "up")]);
+        let mut config = config_with_long_store_timeout(&app);
         config["counter"] = json!(counts.address.to_string());
         let edge = Edge::new(&config);
         let mut client = edge.client();
--- a/crates/node/tests/redis.rs
+++ b/crates/node/tests/redis.rs
@@ -9,7 +9,6 @@
 use pinerelay_standins::redis::resp::Reply;
 use pinerelay_standins::redis::session::User;
 use pinerelay_standins::redis::Redis;
-use serde_json::{json, Value};
 use tokio::runtime::Runtime;
 
 /// An operator's file, removed after the test.
@@ -37,13 +36,6 @@
     }
 }
 
-/// A configuration with a timeout for the store that is long enough for a busy machine.
-fn config_with_long_store_timeout(app: &AppServer) -> Value {
-    let mut config = config(&[entry("s-1", app.address, "a", "up")]);
-    config["settings"]["domain"]["count_wait"] = json!(20_000_000);
-    config
-}
-
 fn start(runtime: &Runtime) -> Redis {
     runtime.block_on(Redis::start(vec![User::open()], 1, 1)).expect("a stand-in")
 }
