Node tests: a discovery answer that comes late is not taken for the log of a reload

Cause: a_new_configuration_moves_discovery_and_the_counter took the next line of the log for that of the invalid file. On a busy machine the node may have logged before that discovery gave no answer in time.

Change: such lines are skipped; any other line still fails the test, which then prints it.

--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -641,7 +641,12 @@
     // Invalid files: one log line each, and nothing changes. Neither does the same configuration again.
     for bad in ["{", "{\"discovery\":\"nowhere\"}"] {
         edge.reload(bad);
-        assert!(edge.next_log_line().starts_with("pinerelay: the old configuration stays: "));
+        let mut line = edge.next_log_line();
+        // On a busy machine discovery's answers may be late, which is logged as well.
+        while line.starts_with("pinerelay: discovery: no answer in time; ") {
+            line = edge.next_log_line();
+        }
+        assert!(line.starts_with("pinerelay: the old configuration stays: "), "{line}");
     }
     edge.reload(&config.to_string());
     new.publish_and_wait(entry("s-2", b.address, "a", "up"));
