Proxy: tenants whose lease request waits for an unanswering registry live on their shares

A request that was held back because the registry had not answered another one never failed, so its tenant's clients were refused at 0.3 s in place of living on the share. Reports of spent units counted as unanswered requests and put the next one off, also for tenants of a registry that answers slowly. The presumed owner was worked out for each tenant that is due, at each client's request. Change: a request that is held back while the registry has not answered for 0.12 s counts as failed from then on. Messages that only report are not counted. Two messages may be unanswered. The owner is looked up once for a slice.

--- a/crates/admission/src/lease_cache.rs
+++ b/crates/admission/src/lease_cache.rs
@@ -46,6 +46,17 @@
     pub admission: Admission,
 }
 
+/// Whether a node may be asked for leases now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permission {
+    /// It may be.
+    Granted,
+    /// Not before it has answered.
+    Deferred,
+    /// Not now, and it has not answered in time: its tenants' requests fail without being sent.
+    Unanswered,
+}
+
 /// The numbers of rejected client requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RejectionCounts {
@@ -135,16 +146,29 @@
 
     /// Returns the lease requests to send now, which also return unspent units.
     pub fn lease_requests(&mut self, now: Micros) -> Vec<LeaseRequest> {
-        self.lease_requests_if(now, |_| true)
+        self.lease_requests_if(now, |_| Permission::Granted)
     }
 
-    /// Returns the lease requests to send now, of the tenants whose allocator may be asked now. The others stay due.
-    pub fn lease_requests_if(&mut self, now: Micros, may_ask: impl Fn(&str) -> bool) -> Vec<LeaseRequest> {
-        let due = self.tenants.iter_mut().filter_map(|(tenant, cache)| {
-            let is_asked = cache.is_request_due(now) && may_ask(tenant);
-            is_asked.then(|| cache.lease_request(now, tenant))?
+    /// Returns the lease requests to send now, of the tenants whose allocating node may be asked now. The others stay due.
+    pub fn lease_requests_if(
+        &mut self,
+        now: Micros,
+        permission: impl Fn(&str) -> Permission,
+    ) -> Vec<LeaseRequest> {
+        let requests = self.tenants.iter_mut().filter_map(|(tenant, cache)| {
+            if !cache.is_request_due(now) {
+                return None;
+            }
+            match permission(tenant) {
+                Permission::Granted => cache.lease_request(now, tenant),
+                Permission::Deferred => None,
+                Permission::Unanswered => {
+                    cache.fail_without_request(now);
+                    None
+                }
+            }
         });
-        let requests: Vec<LeaseRequest> = due.collect();
+        let requests: Vec<LeaseRequest> = requests.collect();
         self.counts.requests += requests.iter().filter(|request| request.wanted >= 1.0).count() as u64;
         requests
     }
--- a/crates/admission/src/lease_cache/tenant.rs
+++ b/crates/admission/src/lease_cache/tenant.rs
@@ -290,6 +290,13 @@
         self.record_failure(now);
     }
 
+    /// Records that a due lease request is not sent, because the allocating node does not answer.
+    pub(super) fn fail_without_request(&mut self, now: Micros) {
+        if self.wanted_units(now) >= 1.0 {
+            self.failing_since.get_or_insert(now);
+        }
+    }
+
     /// Records a failed lease request, and sets the pause before the next one.
     fn record_failure(&mut self, now: Micros) {
         self.failing_since.get_or_insert(now);
--- a/crates/proxy/src/subscriber/leases.rs
+++ b/crates/proxy/src/subscriber/leases.rs
@@ -1,12 +1,15 @@
 //! Requests leases of quota units, each from the registry that owns the tenant's slice.
 //!
-//! One message with lease requests at a time is unanswered on a link. Requests that become due meanwhile share the next one, so
-//! what waits in a registry's queue is bounded by the number of proxies, however many tenants and clients there are.
+//! At most two messages that request units are unanswered on a link. Requests that become due meanwhile share the next one, and a
+//! registry that does not answer gets further ones ever more rarely. So what waits in a registry's queue goes by the number of
+//! proxies, however many tenants and clients there are.
 
+use std::cell::{Cell, OnceCell};
 use std::collections::BTreeMap;
 
-use pinerelay_admission::duty::{slice_of, slice_owner, PROMISE_DURATION};
+use pinerelay_admission::duty::{slice_of, slice_owner, PROMISE_DURATION, SLICE_COUNT};
 use pinerelay_admission::lease::{LeaseGrant, LeaseRequest};
+use pinerelay_admission::lease_cache::Permission;
 use pinerelay_admission::Micros;
 use pinerelay_config_state::hash::rendezvous_order;
 use pinerelay_peer_link::link::ConnectionId;
@@ -48,17 +51,25 @@
         }
     }
 
-    /// Sends the lease requests that are due, except to registries that have not answered the last ones yet.
+    /// Sends the lease requests that are due, except to registries that have too many unanswered ones.
     pub(super) fn request_leases(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let alive = self.alive_registries();
-        let (registries, routes) = (&self.registries, &self.slice_routes);
+        let (contact, registries, routes) = (self.contact(), &self.registries, &self.slice_routes);
+        let alive = OnceCell::new();
+        let by_slice: [Cell<Option<Permission>>; SLICE_COUNT] = Default::default();
         let requests = self.leases.lease_requests_if(now, |tenant| {
-            let owner = presumed_owner(routes, tenant, &alive).and_then(|owner| registries.get(&owner));
-            owner.is_none_or(|owner| owner.may_be_asked_for_leases(now))
+            let slice = slice_of(tenant);
+            by_slice[slice].get().unwrap_or_else(|| {
+                let alive = alive.get_or_init(|| alive_registries(registries, contact));
+                let owner = presumed_owner(routes, slice, alive).and_then(|owner| registries.get(&owner));
+                let permission = owner.map_or(Permission::Granted, |owner| owner.lease_permission(now));
+                by_slice[slice].set(Some(permission));
+                permission
+            })
         });
         if requests.is_empty() {
             return;
         }
+        let alive = alive.into_inner().unwrap_or_else(|| self.alive_registries());
         let mut by_connection: BTreeMap<ConnectionId, Vec<LeaseRequest>> = BTreeMap::new();
         for request in requests {
             let owner = self.owner_of(&request.tenant, &alive);
@@ -75,35 +86,20 @@
             }
         }
         for (connection, requests) in by_connection {
-            self.update_registry(connection, |registry| registry.open_lease_requests.push_back(now));
+            let asks = requests.iter().any(|request| request.wanted >= 1.0);
+            self.update_registry(connection, |registry| registry.lease_message_sent(now, asks));
             out.push(Output::Send(connection, PeerMessage::LeaseRequests(requests)));
         }
     }
 
-    /// The linked registries that report a majority and are not silent, by address. If all of them are silent, the proxy itself is
-    /// probably cut off, and silence says nothing about a single registry: then all that report a majority.
+    /// The linked registries that may be asked for leases, by address.
     fn alive_registries(&self) -> BTreeMap<String, ConnectionId> {
-        let heard = self.majority_registries(|registry| !self.is_silent(registry));
-        if heard.is_empty() {
-            return self.majority_registries(|_| true);
-        }
-        heard
-    }
-
-    /// The linked registries that report a majority and meet a condition, by address.
-    fn majority_registries(
-        &self,
-        condition: impl Fn(&RegistryLink) -> bool,
-    ) -> BTreeMap<String, ConnectionId> {
-        let registries =
-            self.registries.iter().filter(|(_, registry)| registry.has_majority() && condition(registry));
-        registries.map(|(&connection, registry)| (registry.hello.ip.clone(), connection)).collect()
+        alive_registries(&self.registries, self.contact())
     }
 
-    /// Whether a registry has been silent for [`OWNER_SILENCE_LIMIT`] among the handled messages, while others were not.
-    fn is_silent(&self, registry: &RegistryLink) -> bool {
-        let since = registry.last_message.max(self.in_contact_since);
-        self.handled_until >= since + OWNER_SILENCE_LIMIT
+    /// What silence is judged by.
+    fn contact(&self) -> Contact {
+        Contact { since: self.in_contact_since, handled_until: self.handled_until }
     }
 
     /// Records that a message of a registry is handled. Once all have been silent, each gets the time to be heard again.
@@ -117,7 +113,7 @@
 
     /// Returns the registry that presumably owns the tenant's slice.
     fn owner_of(&self, tenant: &str, alive: &BTreeMap<String, ConnectionId>) -> Option<ConnectionId> {
-        presumed_owner(&self.slice_routes, tenant, alive)
+        presumed_owner(&self.slice_routes, slice_of(tenant), alive)
     }
 
     /// Records whether a registry owns the slice of a tenant. Further replies of a registry that is no longer the one to ask say
@@ -146,7 +142,7 @@
         out: &mut Vec<Output>,
     ) {
         let registry = self.registries.get_mut(&connection);
-        let requested_at = registry.and_then(|registry| registry.open_lease_requests.pop_front());
+        let requested_at = registry.and_then(RegistryLink::lease_message_answered);
         let Some(requested_at) = requested_at else { return out.push(Output::Close(connection)) };
         for TenantGrant { tenant, grant } in grants {
             self.record_owner(&tenant, connection, grant != LeaseGrant::NotOwner);
@@ -157,16 +153,15 @@
     }
 }
 
-/// Returns the registry that presumably owns the tenant's slice: the one that last answered as its owner, and otherwise the
+/// Returns the registry that presumably owns a slice: the one that last answered as its owner, and otherwise the
 /// candidates in rendezvous order. Registries may view each other differently, or may not be eligible yet after a change of
 /// voters, so each `NotOwner` reply moves on to the next candidate. The owner is remembered while it is silent, until another
 /// registry answers as the owner: it may have kept its duty.
 fn presumed_owner(
     routes: &BTreeMap<usize, SliceRoute>,
-    tenant: &str,
+    slice: usize,
     alive: &BTreeMap<String, ConnectionId>,
 ) -> Option<ConnectionId> {
-    let slice = slice_of(tenant);
     let route = routes.get(&slice).copied().unwrap_or_default();
     if let Some(owner) = route.owner.filter(|owner| alive.values().any(|connection| connection == owner)) {
         return Some(owner);
@@ -175,3 +170,42 @@
     debug_assert!(candidates.first().copied() == slice_owner(slice, alive.keys()));
     candidates.get(route.misdirected % candidates.len().max(1)).map(|name| alive[*name])
 }
+
+/// What the silence of registries is judged by.
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    /// Since when the registries have not all been silent at once.
+    since: Micros,
+    /// Messages that had arrived by then have been handled.
+    handled_until: Micros,
+}
+
+impl Contact {
+    /// Whether a registry has been silent for [`OWNER_SILENCE_LIMIT`] among the handled messages, while others were not.
+    fn is_silent(self, registry: &RegistryLink) -> bool {
+        let since = registry.last_message.max(self.since);
+        self.handled_until >= since + OWNER_SILENCE_LIMIT
+    }
+}
+
+/// The linked registries that report a majority and are not silent, by address. If all of them are silent, the proxy itself is
+/// probably cut off, and silence says nothing about a single registry: then all that report a majority.
+fn alive_registries(
+    registries: &BTreeMap<ConnectionId, RegistryLink>,
+    contact: Contact,
+) -> BTreeMap<String, ConnectionId> {
+    let heard = majority_registries(registries, |registry| !contact.is_silent(registry));
+    if heard.is_empty() {
+        return majority_registries(registries, |_| true);
+    }
+    heard
+}
+
+/// The linked registries that report a majority and meet a condition, by address.
+fn majority_registries(
+    registries: &BTreeMap<ConnectionId, RegistryLink>,
+    condition: impl Fn(&RegistryLink) -> bool,
+) -> BTreeMap<String, ConnectionId> {
+    let registries = registries.iter().filter(|(_, registry)| registry.has_majority() && condition(registry));
+    registries.map(|(&connection, registry)| (registry.hello.ip.clone(), connection)).collect()
+}
--- a/crates/proxy/src/subscriber/registry_link.rs
+++ b/crates/proxy/src/subscriber/registry_link.rs
@@ -2,13 +2,26 @@
 
 use std::collections::VecDeque;
 
-use pinerelay_admission::lease_cache::LEASE_REQUEST_TIMEOUT;
+use pinerelay_admission::lease_cache::{Permission, LEASE_REQUEST_TIMEOUT};
 use pinerelay_admission::Micros;
 use pinerelay_peer_link::message::{Hello, RegistryStatus};
 
-/// How often the timeout of unanswered messages with lease requests is doubled at most.
+#[cfg(test)]
+mod tests;
+
+/// The number of messages that request units and may be unanswered before further requests wait.
+const MAX_UNANSWERED_ASKS: usize = 2;
+/// How often the time between further ones is doubled at most.
 const MAX_TIMEOUT_DOUBLINGS: usize = 2;
 
+/// A message with lease requests that is not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct OpenLeaseMessage {
+    sent_at: Micros,
+    /// Whether it requests units.
+    asks: bool,
+}
+
 /// A registry's confirmation that its replica is current.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Confirmation {
@@ -32,8 +45,10 @@
     pub differs_since: [Option<Micros>; 2],
     /// The last confirmation that its replica is current.
     pub confirmation: Option<Confirmation>,
-    /// The send times of unanswered lease requests, oldest first; replies arrive in the same order.
-    pub open_lease_requests: VecDeque<Micros>,
+    /// The unanswered messages with lease requests, oldest first; replies arrive in the same order.
+    open_lease_messages: VecDeque<OpenLeaseMessage>,
+    /// The send times of those that request units, oldest first.
+    unanswered_asks: VecDeque<Micros>,
     /// When an anti-entropy exchange with it last timed out; `None` once it answers in time, or is equal.
     pub last_sync_timeout: Option<Micros>,
 }
@@ -48,17 +63,46 @@
             digests: None,
             differs_since: [None; 2],
             confirmation: None,
-            open_lease_requests: VecDeque::new(),
+            open_lease_messages: VecDeque::new(),
+            unanswered_asks: VecDeque::new(),
             last_sync_timeout: None,
         }
     }
 
-    /// Whether a message with lease requests may be sent to the registry: the last one is answered, or has timed out. The timeout
-    /// doubles with each unanswered message.
-    pub fn may_be_asked_for_leases(&self, now: Micros) -> bool {
-        let Some(&sent_at) = self.open_lease_requests.back() else { return true };
-        let doublings = (self.open_lease_requests.len() - 1).min(MAX_TIMEOUT_DOUBLINGS);
-        now >= sent_at + (LEASE_REQUEST_TIMEOUT << doublings)
+    /// Records that a message with lease requests is sent. `asks`: it requests units, and does not only report spent ones.
+    pub fn lease_message_sent(&mut self, now: Micros, asks: bool) {
+        self.open_lease_messages.push_back(OpenLeaseMessage { sent_at: now, asks });
+        if asks {
+            self.unanswered_asks.push_back(now);
+        }
+    }
+
+    /// Returns when the message was sent that the registry answers now; `None` if there is none.
+    pub fn lease_message_answered(&mut self) -> Option<Micros> {
+        let message = self.open_lease_messages.pop_front()?;
+        if message.asks {
+            self.unanswered_asks.pop_front();
+        }
+        Some(message.sent_at)
+    }
+
+    /// Whether units may be requested from the registry now. While it does not answer, the time between messages doubles.
+    pub fn lease_permission(&self, now: Micros) -> Permission {
+        let (Some(&oldest), Some(&newest)) = (self.unanswered_asks.front(), self.unanswered_asks.back())
+        else {
+            return Permission::Granted;
+        };
+        let Some(excess) = self.unanswered_asks.len().checked_sub(MAX_UNANSWERED_ASKS) else {
+            return Permission::Granted;
+        };
+        let timeout = LEASE_REQUEST_TIMEOUT << excess.min(MAX_TIMEOUT_DOUBLINGS);
+        if now >= newest + timeout {
+            Permission::Granted
+        } else if now >= oldest + LEASE_REQUEST_TIMEOUT {
+            Permission::Unanswered
+        } else {
+            Permission::Deferred
+        }
     }
 
     /// Whether the registry reports that it has the complete configuration.
--- a/crates/registry/src/registry/endpoints.rs
+++ b/crates/registry/src/registry/endpoints.rs
@@ -146,6 +146,9 @@
         let last = LastHeartbeat { anywhere: now, here: Some(now) };
         self.endpoints.last_heartbeats.insert(id.into(), last);
         let is_draining = heartbeat.server.state == ServerState::Draining;
+        if !is_draining {
+            self.endpoints.replicated.remove(id);
+        }
         if is_draining && !self.endpoints.replicated.contains(id) {
             return self.replicate(now, call, &key, out);
         }
